--- /dev/null
+++ b/lib/group/src/server.rs
@@ -0,0 +1,84 @@
+//! What a database server tells about itself and which orders it takes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use derive_more::{Display, FromStr};
+use masticreel_base::failure::Failure;
+use masticreel_base::ids::{LogPosition, Term};
+use masticreel_base::position::TermPosition;
+use serde::{Deserialize, Serialize};
+
+/// What a server does in its group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, FromStr, Serialize, Deserialize)]
+#[display(rename_all = "lowercase")]
+#[from_str(rename_all = "lowercase")]
+pub enum Role {
+    /// Accepts writes in its term.
+    Primary,
+    /// Copies the log of a primary.
+    Replica,
+    /// Takes neither writes nor log entries until it is promoted or follows.
+    Fenced,
+}
+
+/// A server's account of itself at one moment.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerStatus {
+    /// The newest term that the server was fenced to or follows.
+    pub term: Term,
+    /// What the server does in that term.
+    pub role: Role,
+    /// The term in which the last log entry was written.
+    pub log_term: Term,
+    /// The last log entry that survives a restart.
+    pub durable: LogPosition,
+    /// The last log entry that reads can see.
+    pub applied: LogPosition,
+}
+
+impl ServerStatus {
+    /// Returns how far the log reaches, comparable among servers.
+    pub fn log_end(&self) -> TermPosition {
+        TermPosition::new(self.log_term, self.durable)
+    }
+}
+
+/// Names one attempt to replace a primary, so that two can't share a term.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+pub struct ClaimId(pub Arc<str>);
+
+/// The orders that a database server of a group obeys.
+///
+/// A server refuses an order of a term below its own, and one of its own term
+/// under another claim, so safety does not depend on who gives orders.
+pub trait ServerControl {
+    /// Asks the server for its account of itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the server does not answer in time.
+    fn status(&mut self) -> Result<ServerStatus, Failure>;
+
+    /// Raises the server's term and stops its writes and its copying.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the server is at a newer term or at this term under another
+    /// claim, and when it does not answer in time.
+    fn fence(&mut self, term: Term, claim: &ClaimId) -> Result<ServerStatus, Failure>;
+
+    /// Makes a fenced server the primary of the term it was fenced to.
+    ///
+    /// # Errors
+    ///
+    /// Fails unless the server is fenced to this term under this claim.
+    fn promote(&mut self, term: Term, claim: &ClaimId) -> Result<ServerStatus, Failure>;
+
+    /// Makes the server copy the log of the term's primary.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the server is at a newer term, or is this term's primary.
+    fn follow(&mut self, term: Term, primary: SocketAddr) -> Result<ServerStatus, Failure>;
+}
--- /dev/null
+++ b/lib/platform/src/etcd.rs
@@ -0,0 +1,169 @@
+//! The store interface on the etcd v3 JSON gateway.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde::{Deserialize, Serialize};
+
+use crate::store::{CommitOutcome, Compare, KeyValue, PlatformStore, Put, Snapshot, StoreError};
+
+/// A client of an etcd v3 JSON gateway.
+#[derive(Debug, Clone)]
+pub struct EtcdStore {
+    agent: ureq::Agent,
+    endpoint: Arc<str>,
+}
+
+impl EtcdStore {
+    /// Creates a client of the gateway at an endpoint such as `http://127.0.0.1:2379`.
+    pub fn new(endpoint: &str, timeout: Duration) -> Self {
+        let config = ureq::Agent::config_builder().timeout_global(Some(timeout)).build();
+        Self { agent: config.into(), endpoint: endpoint.trim_end_matches('/').into() }
+    }
+
+    fn call<Request, Response>(&self, path: &str, request: &Request) -> Result<Response, StoreError>
+    where
+        Request: Serialize,
+        Response: for<'de> Deserialize<'de>,
+    {
+        let url = format!("{}{path}", self.endpoint);
+        let mut response = self
+            .agent
+            .post(&url)
+            .send_json(request)
+            .map_err(|error| StoreError::Unavailable(error.to_string()))?;
+        response.body_mut().read_json().map_err(|error| StoreError::Protocol(error.to_string()))
+    }
+}
+
+impl PlatformStore for EtcdStore {
+    fn read_prefix(&self, prefix: &str) -> Result<Snapshot, StoreError> {
+        let request = RangeRequest {
+            key: STANDARD.encode(prefix),
+            range_end: STANDARD.encode(prefix_end(prefix)),
+        };
+        let response: RangeResponse = self.call("/v3/kv/range", &request)?;
+        let revision = parse_number(&response.header.revision)?;
+        let entries = response.kvs.into_iter().map(KeyValue::try_from).collect::<Result<_, _>>()?;
+        Ok(Snapshot { revision, entries })
+    }
+
+    fn commit(&self, conditions: &[Compare], puts: &[Put]) -> Result<CommitOutcome, StoreError> {
+        let request = TxnRequest {
+            compare: conditions.iter().map(WireCompare::from).collect(),
+            success: puts.iter().map(WireOperation::from).collect(),
+        };
+        let response: TxnResponse = self.call("/v3/kv/txn", &request)?;
+        if !response.succeeded {
+            return Ok(CommitOutcome::Conflict);
+        }
+        Ok(CommitOutcome::Committed(parse_number(&response.header.revision)?))
+    }
+}
+
+/// Returns the first key after all keys that start with the prefix.
+fn prefix_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    if let Some(last) = end.last_mut() {
+        *last += 1;
+    }
+    end
+}
+
+fn parse_number(text: &str) -> Result<u64, StoreError> {
+    text.parse().map_err(|_| StoreError::Protocol(format!("not a number: {text:?}")))
+}
+
+fn decode(text: &str) -> Result<Vec<u8>, StoreError> {
+    STANDARD.decode(text).map_err(|error| StoreError::Protocol(error.to_string()))
+}
+
+#[derive(Serialize)]
+struct RangeRequest {
+    key: String,
+    range_end: String,
+}
+
+#[derive(Deserialize)]
+struct RangeResponse {
+    header: Header,
+    #[serde(default)]
+    kvs: Vec<WireKeyValue>,
+}
+
+#[derive(Deserialize)]
+struct Header {
+    revision: String,
+}
+
+#[derive(Deserialize)]
+struct WireKeyValue {
+    key: String,
+    #[serde(default)]
+    value: String,
+    mod_revision: String,
+}
+
+impl TryFrom<WireKeyValue> for KeyValue {
+    type Error = StoreError;
+
+    fn try_from(wire: WireKeyValue) -> Result<Self, Self::Error> {
+        let key = String::from_utf8(decode(&wire.key)?)
+            .map_err(|error| StoreError::Protocol(error.to_string()))?;
+        let value = decode(&wire.value)?;
+        Ok(Self { key, value, mod_revision: parse_number(&wire.mod_revision)? })
+    }
+}
+
+#[derive(Serialize)]
+struct TxnRequest {
+    compare: Vec<WireCompare>,
+    success: Vec<WireOperation>,
+}
+
+#[derive(Serialize)]
+struct WireCompare {
+    key: String,
+    target: &'static str,
+    result: &'static str,
+    mod_revision: String,
+}
+
+impl From<&Compare> for WireCompare {
+    fn from(compare: &Compare) -> Self {
+        Self {
+            key: STANDARD.encode(&compare.key),
+            target: "MOD",
+            result: "EQUAL",
+            mod_revision: compare.mod_revision.to_string(),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct WireOperation {
+    request_put: WirePut,
+}
+
+#[derive(Serialize)]
+struct WirePut {
+    key: String,
+    value: String,
+}
+
+impl From<&Put> for WireOperation {
+    fn from(put: &Put) -> Self {
+        let request_put =
+            WirePut { key: STANDARD.encode(&put.key), value: STANDARD.encode(&put.value) };
+        Self { request_put }
+    }
+}
+
+#[derive(Deserialize)]
+struct TxnResponse {
+    header: Header,
+    #[serde(default)]
+    succeeded: bool,
+}
--- /dev/null
+++ b/lib/platform/src/lib.rs
@@ -0,0 +1,6 @@
+//! The seams to the platform: its key-value store and its list of instances.
+//!
+//! See `docs/design/08-document.md`.
+
+pub mod etcd;
+pub mod store;
--- /dev/null
+++ b/lib/platform/src/store.rs
@@ -0,0 +1,83 @@
+//! What masticreel needs from the platform's key-value service.
+
+use displaydoc::Display;
+
+/// A key with its value and the store revision that last changed it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyValue {
+    /// The key as text.
+    pub key: String,
+    /// The value's bytes.
+    pub value: Vec<u8>,
+    /// The store's revision at the key's last change.
+    pub mod_revision: u64,
+}
+
+/// All keys under a prefix at one store revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The store's revision at the time of the read.
+    pub revision: u64,
+    /// The keys in their order.
+    pub entries: Vec<KeyValue>,
+}
+
+/// A condition on a key: its last change happened at this revision, 0 if absent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Compare {
+    /// The key compared.
+    pub key: String,
+    /// The expected revision of the key's last change.
+    pub mod_revision: u64,
+}
+
+/// A value to be written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Put {
+    /// The key written.
+    pub key: String,
+    /// The new value.
+    pub value: Vec<u8>,
+}
+
+/// Whether a conditional write was carried out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CommitOutcome {
+    /// All conditions held and all values were written at this store revision.
+    Committed(u64),
+    /// A condition did not hold and nothing was written.
+    Conflict,
+}
+
+/// Why the store did not answer a call.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum StoreError {
+    /// the store is unreachable or slow: {0}
+    Unavailable(String),
+    /// the store's answer can't be understood: {0}
+    Protocol(String),
+}
+
+impl std::error::Error for StoreError {}
+
+/// The platform's key-value service.
+///
+/// Every call counts against the service's rates, so callers poll rarely and
+/// share what they learn. A failed [`PlatformStore::commit`] may have taken
+/// effect; the caller reads back to find out.
+pub trait PlatformStore: Clone + Send + Sync + 'static {
+    /// Reads all keys that start with a prefix.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store is unreachable, slow or not understood.
+    fn read_prefix(&self, prefix: &str) -> Result<Snapshot, StoreError>;
+
+    /// Writes all values if all conditions hold.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store is unreachable, slow or not understood; the write
+    /// may have taken effect all the same.
+    fn commit(&self, conditions: &[Compare], puts: &[Put]) -> Result<CommitOutcome, StoreError>;
+}
