group: derive durability, positions and freshness from status reports

Cause: an acknowledgement, a session's floor and the age of a replica all need to know what a majority of a group's servers reported, and when. Change: GroupObserver keeps the newest report of each server. A commit is durable once a majority reports it in its term, with the log's last entry of the same term. A confirmed position covers every write acknowledged before a moment, because the primary and a majority were polled after it. The age of a replica follows from the newest such moment whose position it has applied, so no clocks are compared and a cut-off primary makes nothing look fresh. Ruled out: counting a server by its position alone. One that has just begun to follow may still hold entries that its primary is about to discard. Left: suspicion and promotion; nothing polls yet.

--- a/lib/group/src/lib.rs
+++ b/lib/group/src/lib.rs
@@ -1,5 +1,9 @@
 //! The view of a database group and the replacement of its primary.
 //!
-//! See `docs/design/03-acknowledgement.md` and `docs/design/04-failover.md`.
+//! All types here are pure: they take events and the time, and return what is
+//! known or what is to be done. See `docs/design/03-acknowledgement.md` and
+//! `docs/design/04-failover.md`.
 
+pub mod observer;
 pub mod server;
+pub mod view;
