group: replace a failed primary without an order

Cause: nobody else promotes, and any instance may be cut off or act late. Change: Suspicion needs findings of two observers in different failure domains and none that still sees the primary with a majority. Promotion claims a term, fences a majority, promotes the furthest of those fenced and repoints the rest; an attempt never promotes two servers. Failover adds turns, retries and the repair of servers that missed the change. Ruled out: a lease or a leader for who acts (safety would rest on the clock or on the store); the progress of replicas as a veto (no observer could have an acknowledgement confirmed through such a primary). Left: nothing sends these orders yet.

--- a/lib/group/src/lib.rs
+++ b/lib/group/src/lib.rs
@@ -4,6 +4,9 @@
 //! known or what is to be done. See `docs/design/03-acknowledgement.md` and
 //! `docs/design/04-failover.md`.
 
+pub mod failover;
 pub mod observer;
+pub mod promotion;
 pub mod server;
+pub mod suspicion;
 pub mod view;
--- /dev/null
+++ b/lib/group/src/promotion.rs
@@ -0,0 +1,249 @@
+//! One attempt to replace a primary.
+//!
+//! Safety rests on the servers, which obey only the higher term, and on two
+//! rules kept here: the new primary is the furthest of a fenced majority, and
+//! one attempt never promotes two servers. See `docs/design/04-failover.md`.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use masticreel_base::ids::{ServerId, Term};
+
+use crate::server::{ClaimId, Role, ServerStatus};
+
+/// An attempt that has not fenced a majority by then is given up.
+pub const FENCE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// An attempt whose chosen server has not answered by then is given up.
+pub const PROMOTE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// An order to one server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// The server that is to obey.
+    pub server: ServerId,
+    /// What it is to do.
+    pub kind: OrderKind,
+}
+
+/// What a server is ordered to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Stop writes and copying, and obey only this claim in this term.
+    Fence {
+        /// The term claimed.
+        term: Term,
+        /// The attempt that claims it.
+        claim: ClaimId,
+    },
+    /// Become the primary of the term.
+    Promote {
+        /// The term claimed.
+        term: Term,
+        /// The attempt that claimed it.
+        claim: ClaimId,
+    },
+    /// Copy the log of the term's primary.
+    Follow {
+        /// The primary's term.
+        term: Term,
+        /// The primary.
+        primary: ServerId,
+    },
+}
+
+/// How an order ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// The server obeyed.
+    Done(ServerStatus),
+    /// The server refused and nothing changed.
+    Refused,
+    /// No answer came in time; the order may have been obeyed.
+    Lost,
+}
+
+/// How far an attempt has come.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Progress {
+    /// A majority has yet to be fenced.
+    Fencing,
+    /// The chosen server has yet to confirm.
+    Promoting,
+    /// The server is the primary of the attempt's term.
+    Promoted(ServerId),
+    /// The attempt can't succeed any more; its term must not be used again.
+    Abandoned,
+}
+
+/// The state of one attempt under one claim.
+#[derive(Debug, Clone)]
+pub struct Promotion {
+    servers: Vec<ServerId>,
+    suspect: Option<ServerId>,
+    term: Term,
+    claim: ClaimId,
+    fenced: BTreeMap<ServerId, ServerStatus>,
+    chosen: Option<ServerId>,
+    progress: Progress,
+    deadline: Instant,
+    /// Orders whose answers were lost, to be repeated at the next tick.
+    unanswered: Vec<Order>,
+}
+
+impl Promotion {
+    /// Starts an attempt and returns its first orders.
+    ///
+    /// The term must be above every term seen, and the claim never used before.
+    pub fn start(
+        servers: Vec<ServerId>,
+        suspect: Option<ServerId>,
+        term: Term,
+        claim: ClaimId,
+        now: Instant,
+    ) -> (Self, Vec<Order>) {
+        let attempt = Self {
+            servers,
+            suspect,
+            term,
+            claim,
+            fenced: BTreeMap::new(),
+            chosen: None,
+            progress: Progress::Fencing,
+            deadline: now + FENCE_TIMEOUT,
+            unanswered: Vec::new(),
+        };
+        let orders = attempt.servers.iter().map(|server| attempt.fence(server)).collect();
+        (attempt, orders)
+    }
+
+    /// Returns how far the attempt has come.
+    pub fn progress(&self) -> &Progress {
+        &self.progress
+    }
+
+    /// Returns the term that the attempt claims.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Repeats unanswered orders, or gives the attempt up if its time is over.
+    pub fn tick(&mut self, now: Instant) -> Vec<Order> {
+        if now >= self.deadline {
+            self.abandon();
+        }
+        std::mem::take(&mut self.unanswered)
+    }
+
+    /// Takes in how an order ended and returns what to order next.
+    pub fn on_outcome(&mut self, order: &Order, outcome: OrderOutcome, now: Instant) -> Vec<Order> {
+        match (&order.kind, &self.progress) {
+            (OrderKind::Fence { term, claim }, Progress::Fencing)
+                if *term == self.term && *claim == self.claim =>
+            {
+                self.on_fence_outcome(&order.server, outcome, now)
+            }
+            (OrderKind::Promote { term, claim }, Progress::Promoting)
+                if *term == self.term && *claim == self.claim =>
+            {
+                self.on_promote_outcome(order, outcome)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Takes in a status report, which may tell what a lost answer did not.
+    pub fn on_status(&mut self, server: &ServerId, status: &ServerStatus) -> Vec<Order> {
+        if status.term > self.term {
+            self.abandon();
+            return Vec::new();
+        }
+        let promoted = self.progress == Progress::Promoting
+            && self.chosen.as_ref() == Some(server)
+            && status.term == self.term
+            && status.role == Role::Primary;
+        if !promoted {
+            return Vec::new();
+        }
+        self.finish(server.clone())
+    }
+
+    fn on_fence_outcome(
+        &mut self,
+        server: &ServerId,
+        outcome: OrderOutcome,
+        now: Instant,
+    ) -> Vec<Order> {
+        match outcome {
+            OrderOutcome::Done(status) => {
+                self.fenced.insert(server.clone(), status);
+                self.choose(now)
+            }
+            // The server is at a newer term, or at this one under another claim.
+            OrderOutcome::Refused => {
+                self.abandon();
+                Vec::new()
+            }
+            OrderOutcome::Lost => {
+                self.unanswered.push(self.fence(server));
+                Vec::new()
+            }
+        }
+    }
+
+    fn choose(&mut self, now: Instant) -> Vec<Order> {
+        if self.fenced.len() < self.servers.len() / 2 + 1 {
+            return Vec::new();
+        }
+        let rank = |server: &ServerId, status: &ServerStatus| {
+            (status.log_end(), self.suspect.as_ref() != Some(server))
+        };
+        let furthest = self.fenced.iter().max_by_key(|(server, status)| rank(server, status));
+        let Some((chosen, _)) = furthest else {
+            return Vec::new();
+        };
+        let chosen = chosen.clone();
+        self.chosen = Some(chosen.clone());
+        self.unanswered.clear();
+        self.progress = Progress::Promoting;
+        self.deadline = now + PROMOTE_TIMEOUT;
+        let kind = OrderKind::Promote { term: self.term, claim: self.claim.clone() };
+        vec![Order { server: chosen, kind }]
+    }
+
+    fn on_promote_outcome(&mut self, order: &Order, outcome: OrderOutcome) -> Vec<Order> {
+        match outcome {
+            OrderOutcome::Done(_) => self.finish(order.server.clone()),
+            OrderOutcome::Lost => {
+                self.unanswered.push(order.clone());
+                Vec::new()
+            }
+            // A repeated order is refused by the primary that the first one made,
+            // so the next status report has to tell what happened.
+            OrderOutcome::Refused => Vec::new(),
+        }
+    }
+
+    fn finish(&mut self, primary: ServerId) -> Vec<Order> {
+        self.progress = Progress::Promoted(primary.clone());
+        let others = self.servers.iter().filter(|server| **server != primary);
+        others.map(|server| follow(server, self.term, &primary)).collect()
+    }
+
+    fn abandon(&mut self) {
+        if matches!(self.progress, Progress::Fencing | Progress::Promoting) {
+            self.progress = Progress::Abandoned;
+            self.unanswered.clear();
+        }
+    }
+
+    fn fence(&self, server: &ServerId) -> Order {
+        let kind = OrderKind::Fence { term: self.term, claim: self.claim.clone() };
+        Order { server: server.clone(), kind }
+    }
+}
+
+/// Orders a server to copy the log of a term's primary.
+pub fn follow(server: &ServerId, term: Term, primary: &ServerId) -> Order {
+    Order { server: server.clone(), kind: OrderKind::Follow { term, primary: primary.clone() } }
+}
--- /dev/null
+++ b/lib/group/src/suspicion.rs
@@ -0,0 +1,93 @@
+//! Decides from several observers' findings whether a primary has failed.
+//!
+//! One observer's trouble is only a reason to route around. See
+//! `docs/design/04-failover.md`.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use masticreel_base::ids::{FailureDomain, InstanceId, Term};
+
+use crate::observer::Assessment;
+
+/// A finding counts for this long after it was received.
+pub const FINDING_LIFETIME: Duration = Duration::from_millis(400);
+
+/// Observers in this many failure domains must miss the primary.
+const ACCUSING_DOMAINS: usize = 2;
+
+/// What one observer found out about a group's primary.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// Who observed.
+    pub observer: InstanceId,
+    /// Where the observer runs.
+    pub failure_domain: FailureDomain,
+    /// The newest term that the observer knows.
+    pub term: Term,
+    /// What the observer makes of the primary of that term.
+    pub assessment: Assessment,
+}
+
+#[derive(Debug, Clone)]
+struct ReceivedFinding {
+    finding: Finding,
+    received_at: Instant,
+}
+
+/// Weighs the newest finding of each observer of one group.
+#[derive(Debug, Clone, Default)]
+pub struct Suspicion {
+    findings: BTreeMap<InstanceId, ReceivedFinding>,
+    suspected: Option<SuspectedTerm>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct SuspectedTerm {
+    term: Term,
+    since: Instant,
+}
+
+impl Suspicion {
+    /// Takes in a finding, the own ones included.
+    pub fn report(&mut self, finding: Finding, now: Instant) {
+        let received = ReceivedFinding { finding, received_at: now };
+        self.findings.insert(received.finding.observer.clone(), received);
+    }
+
+    /// Returns since when the primary of a term has been suspected.
+    ///
+    /// An observer that sees the primary and a majority vouches for it: through
+    /// that observer writes can still be acknowledged.
+    pub fn suspected_since(&mut self, term: Term, now: Instant) -> Option<Instant> {
+        self.findings.retain(|_, received| {
+            now.saturating_duration_since(received.received_at) <= FINDING_LIFETIME
+        });
+        if !self.is_suspected(term) {
+            self.suspected = None;
+            return None;
+        }
+        let suspected = self
+            .suspected
+            .filter(|suspected| suspected.term == term)
+            .unwrap_or(SuspectedTerm { term, since: now });
+        self.suspected = Some(suspected);
+        Some(suspected.since)
+    }
+
+    fn is_suspected(&self, term: Term) -> bool {
+        let findings = || self.findings.values().map(|received| &received.finding);
+        let vouched = findings()
+            .any(|finding| finding.term >= term && finding.assessment == Assessment::Healthy);
+        if vouched {
+            return false;
+        }
+        let domains: BTreeSet<&FailureDomain> = findings()
+            .filter(|finding| finding.term == term)
+            .filter(|finding| finding.assessment == Assessment::PrimaryUnseen)
+            .map(|finding| &finding.failure_domain)
+            .collect();
+        domains.len() >= ACCUSING_DOMAINS
+    }
+}
--- /dev/null
+++ b/lib/group/tests/failover_model/world.rs
@@ -0,0 +1,354 @@
+//! Two actors, three servers and a network that does what it likes.
+
+use std::time::{Duration, Instant};
+
+use masticreel_base::ids::{Incarnation, InstanceId, LogPosition, ServerId, Term};
+use masticreel_base::position::TermPosition;
+use masticreel_group::failover::Failover;
+use masticreel_group::observer::{GroupObserver, PollReport};
+use masticreel_group::promotion::{Order, OrderKind, OrderOutcome, follow};
+use masticreel_group::server::{ClaimId, Role, ServerStatus};
+use proptest::sample::Index;
+
+use crate::server::{Entry, ModelServer};
+
+const SERVERS: usize = 3;
+const STEP: Duration = Duration::from_millis(10);
+
+#[derive(Debug, Clone)]
+pub enum Step {
+    Poll(usize, usize),
+    Write(usize),
+    StartPromotion(usize),
+    Tick(usize),
+    Deliver(Index),
+    Lose(Index),
+    Repeat(Index),
+    Replicate(usize),
+    Apply(usize),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// Acknowledge after a majority; promote the furthest of a fenced majority.
+    Majority,
+    /// Acknowledge at the primary; promote the first other server at once.
+    Naive,
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    Ask { actor: usize, server: usize, started_at: Instant },
+    Tell { actor: usize, report: PollReport },
+    Order { actor: usize, order: Order },
+    Outcome { actor: usize, order: Order, outcome: OrderOutcome },
+}
+
+struct Actor {
+    observer: GroupObserver,
+    failover: Failover,
+    pending: Vec<Commit>,
+    naive_claims: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Commit {
+    position: TermPosition,
+    entry: Entry,
+    at: Instant,
+}
+
+#[derive(Debug, Clone)]
+pub struct Acknowledged {
+    position: TermPosition,
+    entry: Entry,
+    at: Instant,
+}
+
+pub struct Promoted {
+    term: Term,
+    server: usize,
+    log: Vec<Entry>,
+    at: Instant,
+}
+
+pub struct World {
+    policy: Policy,
+    servers: Vec<ModelServer>,
+    actors: Vec<Actor>,
+    network: Vec<Message>,
+    entries: usize,
+    now: Instant,
+    pub acknowledged: Vec<Acknowledged>,
+    pub promotions: Vec<Promoted>,
+    pub violation: Option<String>,
+}
+
+fn name(server: usize) -> ServerId {
+    format!("s{server}").into()
+}
+
+fn index(server: &ServerId) -> usize {
+    server.as_str()[1..].parse().expect("names are made by `name`")
+}
+
+impl World {
+    pub fn new(policy: Policy) -> Self {
+        let now = Instant::now();
+        let roles = [Role::Primary, Role::Replica, Role::Replica];
+        Self {
+            policy,
+            servers: roles.map(ModelServer::new).into(),
+            actors: (0..2).map(|actor| Actor::new(actor, now)).collect(),
+            network: Vec::new(),
+            entries: 0,
+            now,
+            acknowledged: Vec::new(),
+            promotions: Vec::new(),
+            violation: None,
+        }
+    }
+
+    pub fn run(&mut self, steps: &[Step]) {
+        for step in steps {
+            self.now += STEP;
+            self.step(step);
+            if self.violation.is_some() {
+                return;
+            }
+        }
+    }
+
+    fn step(&mut self, step: &Step) {
+        match step {
+            Step::Poll(actor, server) => {
+                let message = Message::Ask { actor: *actor, server: *server, started_at: self.now };
+                self.network.push(message);
+            }
+            Step::Write(actor) => self.write(*actor),
+            Step::StartPromotion(actor) => self.start_promotion(*actor),
+            Step::Tick(actor) => {
+                let known = &mut self.actors[*actor];
+                let orders = known.failover.tick(&known.observer, Some(0), self.now);
+                self.send(*actor, orders);
+            }
+            Step::Deliver(which) if !self.network.is_empty() => {
+                let message = self.network.swap_remove(which.index(self.network.len()));
+                self.deliver(message);
+            }
+            Step::Lose(which) if !self.network.is_empty() => {
+                let message = self.network.swap_remove(which.index(self.network.len()));
+                self.lose(message);
+            }
+            Step::Repeat(which) if !self.network.is_empty() => {
+                let message = self.network[which.index(self.network.len())].clone();
+                self.network.push(message);
+            }
+            Step::Replicate(server) => self.replicate(*server),
+            Step::Apply(server) => self.servers[*server].apply(),
+            Step::Deliver(_) | Step::Lose(_) | Step::Repeat(_) => {}
+        }
+    }
+
+    fn send(&mut self, actor: usize, orders: Vec<Order>) {
+        self.network.extend(orders.into_iter().map(|order| Message::Order { actor, order }));
+    }
+
+    fn write(&mut self, actor: usize) {
+        let Some(primary) = self.actors[actor].observer.primary().map(index) else {
+            return;
+        };
+        self.entries += 1;
+        let Some(position) = self.servers[primary].write(self.entries) else {
+            return;
+        };
+        let term = self.servers[primary].term;
+        let commit = Commit {
+            position: TermPosition::new(term, LogPosition(position as u64)),
+            entry: Entry { term, number: self.entries },
+            at: self.now,
+        };
+        match self.policy {
+            Policy::Majority => self.actors[actor].pending.push(commit),
+            Policy::Naive => self.acknowledge(commit),
+        }
+    }
+
+    fn start_promotion(&mut self, actor: usize) {
+        let known = &mut self.actors[actor];
+        let orders = match self.policy {
+            Policy::Majority => known.failover.start_attempt(&known.observer, self.now),
+            Policy::Naive => known.start_naive_promotion(actor),
+        };
+        self.send(actor, orders);
+    }
+
+    fn replicate(&mut self, server: usize) {
+        let term = self.servers[server].term;
+        let primary = (0..SERVERS).find(|other| {
+            let candidate = &self.servers[*other];
+            candidate.role == Role::Primary && candidate.term == term
+        });
+        if let Some(primary) = primary {
+            let source = self.servers[primary].clone();
+            self.servers[server].copy_from(&source);
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Ask { actor, server, started_at } => {
+                let status = Some(self.servers[server].status());
+                let report = PollReport { server: name(server), started_at, status };
+                self.network.push(Message::Tell { actor, report });
+            }
+            Message::Tell { actor, report } => self.take_report(actor, report),
+            Message::Order { actor, order } => self.obey(actor, order),
+            Message::Outcome { actor, order, outcome } => self.settle(actor, order, outcome),
+        }
+    }
+
+    /// The sender of a lost request or answer learns that no answer came.
+    fn lose(&mut self, message: Message) {
+        match message {
+            Message::Ask { actor, server, started_at } => {
+                let report = PollReport { server: name(server), started_at, status: None };
+                self.take_report(actor, report);
+            }
+            Message::Order { actor, order } | Message::Outcome { actor, order, .. } => {
+                self.settle(actor, order, OrderOutcome::Lost);
+            }
+            Message::Tell { .. } => {}
+        }
+    }
+
+    fn obey(&mut self, actor: usize, order: Order) {
+        let server = index(&order.server);
+        let outcome = self.servers[server].obey(&order.kind);
+        let promoted = matches!(order.kind, OrderKind::Promote { .. });
+        if promoted && matches!(outcome, OrderOutcome::Done(_)) {
+            self.note_promotion(server);
+        }
+        self.network.push(Message::Outcome { actor, order, outcome });
+    }
+
+    fn settle(&mut self, actor: usize, order: Order, outcome: OrderOutcome) {
+        let orders = match self.policy {
+            Policy::Majority => self.actors[actor].failover.on_outcome(&order, outcome, self.now),
+            Policy::Naive => after_naive_order(&order, &outcome),
+        };
+        self.send(actor, orders);
+    }
+
+    fn take_report(&mut self, actor: usize, report: PollReport) {
+        let known = &mut self.actors[actor];
+        known.observer.report(report.clone());
+        let orders = match &report.status {
+            Some(status) => known.failover.on_status(&report.server, status),
+            None => Vec::new(),
+        };
+        let pending = std::mem::take(&mut known.pending);
+        let (durable, pending): (Vec<_>, Vec<_>) =
+            pending.into_iter().partition(|commit| known.observer.is_durable(commit.position));
+        known.pending = pending;
+        self.send(actor, orders);
+        for commit in durable {
+            self.acknowledge(commit);
+        }
+        self.check_view(actor);
+    }
+
+    fn acknowledge(&mut self, commit: Commit) {
+        let Commit { position, entry, at } = commit;
+        let acknowledged = Acknowledged { position, entry, at: self.now };
+        for promoted in self.promotions.iter().filter(|other| other.term > position.term) {
+            if !contains(&promoted.log, &acknowledged) {
+                self.violation = Some(format!("{position} is missing in {}", promoted.term));
+            }
+            if promoted.at < at {
+                self.violation = Some(format!("{position} acknowledged by an old primary"));
+            }
+        }
+        self.acknowledged.push(acknowledged);
+    }
+
+    fn note_promotion(&mut self, server: usize) {
+        let ModelServer { term, log, .. } = self.servers[server].clone();
+        if self.promotions.iter().any(|other| other.term == term && other.server != server) {
+            self.violation = Some(format!("two primaries in term {term}"));
+        }
+        let older = self.acknowledged.iter().filter(|known| known.position.term < term);
+        for lost in older.filter(|known| !contains(&log, known)) {
+            self.violation = Some(format!("term {term} lost {}", lost.position));
+        }
+        self.promotions.push(Promoted { term, server, log, at: self.now });
+    }
+
+    /// Checks an actor's view against what the servers really hold.
+    fn check_view(&mut self, actor: usize) {
+        if self.policy == Policy::Naive {
+            return;
+        }
+        let view = self.actors[actor].observer.view();
+        for known in &self.acknowledged {
+            let outdated = |confirmed: TermPosition| {
+                confirmed.term < known.position.term || confirmed.position < known.position.position
+            };
+            if view.position_since(known.at).is_some_and(outdated) {
+                self.violation = Some(format!("{} is not in the position", known.position));
+            }
+            for server in &view.servers {
+                let actual = &self.servers[index(&server.server)];
+                let current = server.readable.is_some_and(|seen| seen.term == actual.term);
+                let visible = contains(&actual.log[..actual.applied], known);
+                let fresh = server.fresh_as_of.is_some_and(|as_of| as_of >= known.at);
+                if current && !visible && (fresh || server.covers(known.position)) {
+                    self.violation =
+                        Some(format!("{} is invisible on {}", known.position, server.server));
+                }
+            }
+        }
+    }
+}
+
+fn contains(log: &[Entry], acknowledged: &Acknowledged) -> bool {
+    let position = acknowledged.position.position.0 as usize;
+    log.get(position - 1) == Some(&acknowledged.entry)
+}
+
+impl Actor {
+    fn new(actor: usize, now: Instant) -> Self {
+        let mut observer = GroupObserver::new((0..SERVERS).map(name), now);
+        let status = ModelServer::new(Role::Primary).status();
+        observer.report(PollReport { server: name(0), started_at: now, status: Some(status) });
+        let instance = InstanceId::from(format!("a{actor}"));
+        let failover = Failover::new(instance, Incarnation(1));
+        Self { observer, failover, pending: Vec::new(), naive_claims: 0 }
+    }
+
+    fn start_naive_promotion(&mut self, actor: usize) -> Vec<Order> {
+        let primary = self.observer.primary().map(index).unwrap_or_default();
+        let server = name((primary + 1) % SERVERS);
+        self.naive_claims += 1;
+        let claim = ClaimId(format!("a{actor}.{}", self.naive_claims).into());
+        vec![Order { server, kind: OrderKind::Fence { term: self.observer.term().next(), claim } }]
+    }
+}
+
+/// The naive policy promotes the one server it fenced and repoints the rest.
+fn after_naive_order(order: &Order, outcome: &OrderOutcome) -> Vec<Order> {
+    let OrderOutcome::Done(ServerStatus { term, .. }) = outcome else {
+        return Vec::new();
+    };
+    match &order.kind {
+        OrderKind::Fence { term, claim } => {
+            let kind = OrderKind::Promote { term: *term, claim: claim.clone() };
+            vec![Order { server: order.server.clone(), kind }]
+        }
+        OrderKind::Promote { .. } => {
+            let others = (0..SERVERS).map(name).filter(|other| *other != order.server);
+            others.map(|other| follow(&other, *term, &order.server)).collect()
+        }
+        OrderKind::Follow { .. } => Vec::new(),
+    }
+}
