postgres: add the protocol towards callers and upstreams

Cause: the proxy passes PostgreSQL messages on, and must understand start-up, requests, named statements and the end of answers. Change: messages stay bytes; a request is a simple query or a series up to Sync; statements that a request needs are prepared on whichever connection it gets. Ruled out: decoding callers' messages with pgwire, whose decoders panic on truncated bodies; its types are used to build messages.

--- /dev/null
+++ b/lib/postgres/src/control.rs
@@ -0,0 +1,103 @@
+//! Orders to a database server of a group, as SQL functions.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_base::ids::{LogPosition, Term};
+use masticreel_group::server::{ClaimId, ServerControl, ServerStatus};
+
+use crate::upstream::{UpstreamAddress, UpstreamConnection, UpstreamError, error_field, text_rows};
+
+/// The database user for which servers reserve connections.
+pub const CONTROL_USER: &str = "masticreel_control";
+
+/// A control connection that is opened again after each failure.
+#[derive(Debug)]
+pub struct PostgresControl {
+    address: UpstreamAddress,
+    timeout: Duration,
+    connection: Option<UpstreamConnection>,
+}
+
+impl PostgresControl {
+    /// Prepares control of a server without connecting yet.
+    pub fn new(address: SocketAddr, database: &str, timeout: Duration) -> Self {
+        let address =
+            UpstreamAddress { address, user: CONTROL_USER.into(), database: database.into() };
+        Self { address, timeout, connection: None }
+    }
+
+    fn call(&mut self, sql: &str) -> Result<ServerStatus, Failure> {
+        let result = self.connect().and_then(|connection| connection.query(sql));
+        let answer = match result {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.connection = None;
+                return Err(control_failure(&error));
+            }
+        };
+        if answer.sqlstate.is_some() {
+            let message = error_field(&answer.payload, b'M').unwrap_or_default();
+            return Err(Failure::not_run(FailureKind::NotPrimary, message));
+        }
+        let rows = text_rows(&answer.payload);
+        rows.first()
+            .and_then(|row| parse_status(row))
+            .ok_or_else(|| Failure::not_run(FailureKind::Protocol, "the status is not understood"))
+    }
+
+    fn connect(&mut self) -> Result<&mut UpstreamConnection, UpstreamError> {
+        let connection = match self.connection.take() {
+            Some(connection) => connection,
+            None => UpstreamConnection::connect(&self.address, self.timeout)?,
+        };
+        Ok(self.connection.insert(connection))
+    }
+}
+
+impl ServerControl for PostgresControl {
+    fn status(&mut self) -> Result<ServerStatus, Failure> {
+        self.call("SELECT * FROM group_status()")
+    }
+
+    fn fence(&mut self, term: Term, claim: &ClaimId) -> Result<ServerStatus, Failure> {
+        self.call(&format!("SELECT * FROM group_fence({term}, {})", quote(&claim.0)))
+    }
+
+    fn promote(&mut self, term: Term, claim: &ClaimId) -> Result<ServerStatus, Failure> {
+        self.call(&format!("SELECT * FROM group_promote({term}, {})", quote(&claim.0)))
+    }
+
+    fn follow(&mut self, term: Term, primary: SocketAddr) -> Result<ServerStatus, Failure> {
+        self.call(&format!("SELECT * FROM group_follow({term}, '{primary}')"))
+    }
+}
+
+/// Returns text as an SQL literal.
+pub fn quote(text: &str) -> String {
+    format!("'{}'", text.replace('\'', "''"))
+}
+
+fn control_failure(error: &UpstreamError) -> Failure {
+    let message = error.to_string();
+    match error {
+        UpstreamError::AfterSend(_) | UpstreamError::Protocol(_) => {
+            Failure::may_have_run(FailureKind::Lost, message)
+        }
+        UpstreamError::Connect(_)
+        | UpstreamError::BeforeSend(_)
+        | UpstreamError::Refused { .. } => Failure::not_run(FailureKind::Unavailable, message),
+    }
+}
+
+fn parse_status(row: &[Option<String>]) -> Option<ServerStatus> {
+    let column = |index: usize| row.get(index)?.as_deref();
+    Some(ServerStatus {
+        term: Term(column(0)?.parse().ok()?),
+        role: column(1)?.parse().ok()?,
+        log_term: Term(column(2)?.parse().ok()?),
+        durable: LogPosition(column(3)?.parse().ok()?),
+        applied: LogPosition(column(4)?.parse().ok()?),
+    })
+}
--- /dev/null
+++ b/lib/postgres/src/request.rs
@@ -0,0 +1,294 @@
+//! Collecting a caller's messages into requests that are answered as a whole.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use displaydoc::Display;
+
+use crate::message::{MAX_CALLER_MESSAGE_BYTES, MessageError, RawMessage, tag, take_message};
+use crate::statement::{StatementKind, analyze};
+
+/// Largest series of extended messages held for one request, in bytes.
+const MAX_REQUEST_BYTES: usize = 32 * 1024 * 1024;
+
+/// Why a caller's bytes can't be a request.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum RequestError {
+    /// {0}
+    Message(MessageError),
+    /// a request of more than {0} bytes is too large
+    TooLarge(usize),
+    /// the message type {0:?} is not expected here
+    UnexpectedMessage(char),
+    /// a message of type {0:?} is malformed
+    Malformed(char),
+}
+
+impl std::error::Error for RequestError {}
+
+impl From<MessageError> for RequestError {
+    fn from(error: MessageError) -> Self {
+        Self::Message(error)
+    }
+}
+
+/// What a caller's messages amount to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallerInput {
+    /// A whole request.
+    Request(CallerRequest),
+    /// The caller wants answers before it ends the series, which is not supported.
+    Flush,
+    /// The caller leaves.
+    Terminate,
+}
+
+/// A simple query, or extended messages up to the synchronisation.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerRequest {
+    /// The messages in their order.
+    pub messages: Vec<RawMessage>,
+}
+
+/// Collects messages until a request is whole.
+#[derive(Debug, Default)]
+pub struct RequestAssembler {
+    pending: Vec<RawMessage>,
+    pending_bytes: usize,
+    skipping: bool,
+}
+
+impl RequestAssembler {
+    /// Takes the next request off a buffer, if it is complete.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes break the protocol. The connection must be closed.
+    pub fn next_input(
+        &mut self,
+        buffer: &mut BytesMut,
+    ) -> Result<Option<CallerInput>, RequestError> {
+        while let Some(message) = take_message(buffer, MAX_CALLER_MESSAGE_BYTES)? {
+            if let Some(input) = self.accept(message)? {
+                return Ok(Some(input));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Returns whether part of a request has arrived.
+    pub fn is_partial(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    fn accept(&mut self, message: RawMessage) -> Result<Option<CallerInput>, RequestError> {
+        match message.tag {
+            tag::TERMINATE => Ok(Some(CallerInput::Terminate)),
+            tag::QUERY => {
+                self.push(message)?;
+                Ok(Some(self.take_request()))
+            }
+            tag::SYNC => {
+                self.skipping = false;
+                self.push(message)?;
+                Ok(Some(self.take_request()))
+            }
+            _ if self.skipping => Ok(None),
+            tag::FLUSH => {
+                self.pending.clear();
+                self.pending_bytes = 0;
+                self.skipping = true;
+                Ok(Some(CallerInput::Flush))
+            }
+            tag::PARSE | tag::BIND | tag::DESCRIBE | tag::EXECUTE | tag::CLOSE => {
+                self.push(message)?;
+                Ok(None)
+            }
+            other => Err(RequestError::UnexpectedMessage(other.into())),
+        }
+    }
+
+    fn push(&mut self, message: RawMessage) -> Result<(), RequestError> {
+        self.pending_bytes += message.bytes.len();
+        if self.pending_bytes > MAX_REQUEST_BYTES {
+            return Err(RequestError::TooLarge(MAX_REQUEST_BYTES));
+        }
+        self.pending.push(message);
+        Ok(())
+    }
+
+    fn take_request(&mut self) -> CallerInput {
+        self.pending_bytes = 0;
+        CallerInput::Request(CallerRequest { messages: std::mem::take(&mut self.pending) })
+    }
+}
+
+/// The statements that a caller has prepared on its connection.
+#[derive(Debug, Default)]
+pub struct PreparedStatements {
+    by_name: HashMap<Arc<str>, Bytes>,
+}
+
+/// A change of the prepared statements that a request makes if it succeeds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum PreparedChange {
+    Prepare(Arc<str>, Bytes),
+    Close(Arc<str>),
+    CloseAll,
+}
+
+/// A statement that a request relies on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NeededStatement {
+    /// The caller's name for it.
+    pub name: Arc<str>,
+    /// The message that prepares it; empty if the caller never did.
+    pub message: Bytes,
+}
+
+/// A statement text that a request runs, and what it does.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestStatement {
+    /// The statement's text.
+    pub text: Arc<str>,
+    /// What it does.
+    pub kind: StatementKind,
+}
+
+/// All that must be known about a request before it is sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestPlan {
+    /// The messages as bytes.
+    pub payload: Vec<u8>,
+    /// The statements that the request runs.
+    pub statements: Vec<RequestStatement>,
+    /// Statements that it uses without preparing them.
+    pub needed: Vec<NeededStatement>,
+    /// Names of the statements that it prepares.
+    pub prepares: Vec<Arc<str>>,
+    /// Whether the request is a simple query.
+    pub is_simple: bool,
+    changes: Vec<PreparedChange>,
+}
+
+impl RequestPlan {
+    /// Reads a request in the light of what the caller has prepared.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a message is malformed. The connection must be closed.
+    pub fn new(
+        request: &CallerRequest,
+        prepared: &PreparedStatements,
+    ) -> Result<Self, RequestError> {
+        let mut plan = Self {
+            payload: Vec::new(),
+            statements: Vec::new(),
+            needed: Vec::new(),
+            prepares: Vec::new(),
+            is_simple: request.messages.iter().any(|message| message.tag == tag::QUERY),
+            changes: Vec::new(),
+        };
+        for message in &request.messages {
+            plan.payload.extend_from_slice(&message.bytes);
+            plan.read_message(message, prepared)
+                .ok_or(RequestError::Malformed(message.tag.into()))?;
+        }
+        Ok(plan)
+    }
+
+    fn read_message(&mut self, message: &RawMessage, prepared: &PreparedStatements) -> Option<()> {
+        let body = message.body();
+        match message.tag {
+            tag::QUERY => {
+                let (sql, _) = RawMessage::split_text(body)?;
+                self.push_sql(sql);
+            }
+            tag::PARSE => {
+                let (name, rest) = RawMessage::split_text(body)?;
+                RawMessage::split_text(rest)?;
+                let name = Arc::<str>::from(name);
+                self.prepares.push(name.clone());
+                self.changes.push(PreparedChange::Prepare(name, message.bytes.clone()));
+            }
+            tag::BIND => {
+                let (_, rest) = RawMessage::split_text(body)?;
+                let (name, _) = RawMessage::split_text(rest)?;
+                let bytes = self.use_statement(name, prepared);
+                let sql = parse_sql(&bytes).unwrap_or("").to_owned();
+                self.push_sql(&sql);
+            }
+            tag::DESCRIBE if body.first() == Some(&b'S') => {
+                let (name, _) = RawMessage::split_text(&body[1..])?;
+                self.use_statement(name, prepared);
+            }
+            tag::CLOSE if body.first() == Some(&b'S') => {
+                let (name, _) = RawMessage::split_text(&body[1..])?;
+                self.changes.push(PreparedChange::Close(name.into()));
+            }
+            _ => {}
+        }
+        Some(())
+    }
+
+    fn push_sql(&mut self, sql: &str) {
+        for statement in analyze(sql) {
+            if statement.kind == StatementKind::Discard {
+                self.changes.push(PreparedChange::CloseAll);
+            }
+            let text = Arc::from(statement.text);
+            self.statements.push(RequestStatement { text, kind: statement.kind });
+        }
+    }
+
+    /// Finds a statement by name, in this request first.
+    fn use_statement(&mut self, name: &str, prepared: &PreparedStatements) -> Bytes {
+        let own = self.changes.iter().rev().find_map(|change| match change {
+            PreparedChange::Prepare(prepared, bytes) if &**prepared == name => Some(bytes.clone()),
+            _ => None,
+        });
+        if let Some(bytes) = own {
+            return bytes;
+        }
+        let bytes = prepared.by_name.get(name).cloned().unwrap_or_default();
+        if !self.needed.iter().any(|needed| &*needed.name == name) {
+            self.needed.push(NeededStatement { name: name.into(), message: bytes.clone() });
+        }
+        bytes
+    }
+}
+
+impl PreparedStatements {
+    /// Records what a request that was answered without an error has changed.
+    pub fn apply(&mut self, plan: &RequestPlan) {
+        for change in &plan.changes {
+            match change {
+                PreparedChange::Prepare(name, bytes) => {
+                    self.by_name.insert(name.clone(), bytes.clone());
+                }
+                PreparedChange::Close(name) => {
+                    self.by_name.remove(name);
+                }
+                PreparedChange::CloseAll => self.by_name.clear(),
+            }
+        }
+    }
+
+    /// Forgets the statements whose preparation failed.
+    ///
+    /// An error leaves open which messages of the series took effect, so the
+    /// caller must prepare the statement again, as it would after any error.
+    pub fn forget(&mut self, plan: &RequestPlan) {
+        for name in &plan.prepares {
+            self.by_name.remove(name);
+        }
+    }
+}
+
+/// Returns the query text of a message that prepares a statement.
+fn parse_sql(message: &Bytes) -> Option<&str> {
+    let body = message.get(crate::message::HEADER_BYTES..)?;
+    let (_, rest) = RawMessage::split_text(body)?;
+    RawMessage::split_text(rest).map(|(sql, _)| sql)
+}
