--- /dev/null
+++ b/lib/session/src/floors.rs
@@ -0,0 +1,78 @@
+//! The positions that a session's reads must not fall behind.
+
+use std::collections::BTreeMap;
+
+use masticreel_base::ids::{GroupId, Term};
+use masticreel_base::position::TermPosition;
+
+/// What a session has written to and seen of one group.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Floor {
+    /// Covers the session's acknowledged writes.
+    pub written: TermPosition,
+    /// Covers everything that the session wrote or read.
+    pub seen: TermPosition,
+}
+
+/// A session's floors, one for each group that it has used.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Floors {
+    by_group: BTreeMap<GroupId, Floor>,
+}
+
+impl Floors {
+    /// Returns the floor for a group, or nothing if the session has none yet.
+    pub fn get(&self, group: &GroupId) -> Option<Floor> {
+        self.by_group.get(group).copied()
+    }
+
+    /// Raises the floor after an acknowledged write.
+    pub fn note_write(&mut self, group: &GroupId, position: TermPosition) {
+        let floor = self.entry(group);
+        floor.written = raise(floor.written, position);
+        floor.seen = raise(floor.seen, position);
+    }
+
+    /// Raises the floor after a read.
+    pub fn note_read(&mut self, group: &GroupId, position: TermPosition) {
+        let floor = self.entry(group);
+        floor.seen = raise(floor.seen, position);
+    }
+
+    /// Raises all floors to those of another place where the session was.
+    pub fn merge(&mut self, others: &Self) {
+        for (group, other) in &others.by_group {
+            let floor = self.entry(group);
+            floor.written = raise(floor.written, other.written);
+            floor.seen = raise(floor.seen, other.seen);
+        }
+    }
+
+    /// Returns the floors in the order of the groups' names.
+    pub fn iter(&self) -> impl Iterator<Item = (&GroupId, &Floor)> {
+        self.by_group.iter()
+    }
+
+    fn entry(&mut self, group: &GroupId) -> &mut Floor {
+        self.by_group.entry(group.clone()).or_default()
+    }
+}
+
+impl FromIterator<(GroupId, Floor)> for Floors {
+    fn from_iter<Items>(items: Items) -> Self
+    where
+        Items: IntoIterator<Item = (GroupId, Floor)>,
+    {
+        Self { by_group: items.into_iter().collect() }
+    }
+}
+
+/// Returns the least floor that implies both.
+///
+/// Term and position are raised separately: a read that was allowed to be stale
+/// may report a low position of a new term, and an acknowledged write keeps its
+/// position under every later primary.
+fn raise(floor: TermPosition, position: TermPosition) -> TermPosition {
+    let term: Term = floor.term.max(position.term);
+    TermPosition::new(term, floor.position.max(position.position))
+}
--- /dev/null
+++ b/lib/session/src/request_key.rs
@@ -0,0 +1,128 @@
+//! Request keys: the same key finds the first result instead of running again.
+//!
+//! The key is written in the transaction that does the work, so either both
+//! last or neither does. See `docs/design/06-verdicts.md`.
+
+use std::fmt::Write as _;
+use std::sync::Arc;
+
+/// Creates the table of keys, where it does not exist yet.
+pub const CREATE_TABLE: &str = "CREATE TABLE IF NOT EXISTS masticreel_request_keys (\
+     request_key TEXT PRIMARY KEY, \
+     fingerprint TEXT NOT NULL, \
+     result TEXT, \
+     replays INTEGER NOT NULL)";
+
+const UNIQUE_VIOLATION: &str = "23505";
+const UNDEFINED_TABLE: &str = "42P01";
+
+/// Work under a request key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyedRequest {
+    /// The key that the caller chose.
+    pub key: Arc<str>,
+    /// Identifies the work, so that a key isn't reused for another.
+    pub fingerprint: u64,
+}
+
+/// What reserving a key showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reservation {
+    /// The key is new: do the work, store its result and commit.
+    First,
+    /// The key exists: roll back and read the first result.
+    Replay,
+    /// The table of keys does not exist yet: roll back, create it and try again.
+    NoTable,
+    /// The server reported another error.
+    Failed,
+}
+
+/// What an existing key says about a repeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Replay {
+    /// The messages with which the first attempt was answered.
+    Result(Vec<u8>),
+    /// The key belongs to other work.
+    OtherWork,
+    /// The key is not there, or its row is malformed.
+    Missing,
+}
+
+impl KeyedRequest {
+    /// Returns the statement that reserves the key, first in the transaction.
+    pub fn reserve_sql(&self) -> String {
+        format!(
+            "INSERT INTO masticreel_request_keys VALUES ({}, '{:016x}', NULL, 0)",
+            literal(&self.key),
+            self.fingerprint
+        )
+    }
+
+    /// Tells what the answer to the reservation means.
+    pub fn reservation(&self, sqlstate: Option<&str>) -> Reservation {
+        match sqlstate {
+            None => Reservation::First,
+            Some(UNIQUE_VIOLATION) => Reservation::Replay,
+            Some(UNDEFINED_TABLE) => Reservation::NoTable,
+            Some(_) => Reservation::Failed,
+        }
+    }
+
+    /// Returns the statement that stores the answer, last in the transaction.
+    pub fn store_sql(&self, answer: &[u8]) -> String {
+        format!(
+            "UPDATE masticreel_request_keys SET result = '{}' WHERE request_key = {}",
+            hex(answer),
+            literal(&self.key)
+        )
+    }
+
+    /// Returns the statements that read the first result, in one transaction.
+    ///
+    /// The update makes a log entry of the current term. Confirming that entry
+    /// confirms the first result as well, which may never have been.
+    pub fn replay_sql(&self) -> [String; 2] {
+        let key = literal(&self.key);
+        [
+            format!(
+                "UPDATE masticreel_request_keys SET replays = replays + 1 WHERE request_key = {key}"
+            ),
+            format!(
+                "SELECT fingerprint, result FROM masticreel_request_keys WHERE request_key = {key}"
+            ),
+        ]
+    }
+
+    /// Tells what the row of an existing key says.
+    pub fn replay(&self, row: Option<&[Option<String>]>) -> Replay {
+        let Some([Some(fingerprint), Some(result)]) = row else {
+            return Replay::Missing;
+        };
+        if *fingerprint != format!("{:016x}", self.fingerprint) {
+            return Replay::OtherWork;
+        }
+        unhex(result).map_or(Replay::Missing, Replay::Result)
+    }
+}
+
+fn literal(text: &str) -> String {
+    format!("'{}'", text.replace('\'', "''"))
+}
+
+fn hex(bytes: &[u8]) -> String {
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        // Writing to a string can't fail.
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    if !text.len().is_multiple_of(2) {
+        return None;
+    }
+    let digits = |index: usize| text.get(index..index + 2);
+    (0..text.len()).step_by(2).map(|index| u8::from_str_radix(digits(index)?, 16).ok()).collect()
+}
--- /dev/null
+++ b/lib/session/src/routing.rs
@@ -0,0 +1,162 @@
+//! Chooses the server that may answer a read.
+
+use std::time::{Duration, Instant};
+
+use masticreel_base::ids::{FailureDomain, ServerId};
+use masticreel_base::position::TermPosition;
+use masticreel_group::view::{GroupView, ServerView};
+
+use crate::floors::Floor;
+
+/// What a read demands of the server that answers it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadNeeds {
+    /// The position that the server must have applied.
+    pub floor: TermPosition,
+    /// How old the data may be, if the document states an age.
+    pub max_staleness: Option<Duration>,
+}
+
+impl ReadNeeds {
+    /// Combines a session's floor with the age that the document allows.
+    ///
+    /// A read that may be stale must still see the session's own writes, but
+    /// not all that the session has read before.
+    pub fn new(floor: Floor, max_staleness: Duration) -> Self {
+        if max_staleness.is_zero() {
+            return Self { floor: floor.seen, max_staleness: None };
+        }
+        Self { floor: floor.written, max_staleness: Some(max_staleness) }
+    }
+
+    /// Returns whether a server is known to meet the needs.
+    pub fn are_met_by(&self, server: &ServerView, now: Instant) -> bool {
+        server.covers(self.floor) && self.allow_age(server.age(now))
+    }
+
+    fn allow_age(&self, age: Option<Duration>) -> bool {
+        self.max_staleness.is_none_or(|allowed| age.is_some_and(|age| age <= allowed))
+    }
+}
+
+/// Where a read goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReadRoute {
+    /// To a replica that meets the needs now.
+    Replica(ServerId),
+    /// To a replica that is expected to meet them within the patience.
+    ReplicaSoon(ServerId),
+    /// To the primary.
+    Primary(ServerId),
+    /// Nowhere until a newer view is known.
+    Unknown,
+}
+
+/// A server as the document lists it, with what the platform says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The server.
+    pub server: ServerId,
+    /// Where it runs.
+    pub failure_domain: FailureDomain,
+    /// Whether it must get no new work.
+    pub leaving: bool,
+}
+
+/// Chooses servers from the point of view of one instance.
+#[derive(Debug, Clone)]
+pub struct ReadRouter {
+    /// Where the instance runs.
+    pub failure_domain: FailureDomain,
+    /// How long a read may wait for a replica to catch up.
+    pub patience: Duration,
+}
+
+impl ReadRouter {
+    /// Chooses the server for a read; `spread` picks among equals.
+    pub fn route(
+        &self,
+        view: &GroupView,
+        candidates: &[Candidate],
+        needs: &ReadNeeds,
+        spread: u64,
+        now: Instant,
+    ) -> ReadRoute {
+        if view.term < needs.floor.term {
+            return ReadRoute::Unknown;
+        }
+        let replicas = Self::replicas(view, candidates);
+        let ready: Vec<&Replica<'_>> =
+            replicas.iter().filter(|replica| needs.are_met_by(replica.view, now)).collect();
+        if let Some(replica) = self.pick(&ready, spread) {
+            return ReadRoute::Replica(replica);
+        }
+        if let Some(replica) = self.soonest(view, &replicas, needs) {
+            return ReadRoute::ReplicaSoon(replica);
+        }
+        Self::primary(view, needs, now)
+    }
+
+    fn replicas<'a>(view: &'a GroupView, candidates: &'a [Candidate]) -> Vec<Replica<'a>> {
+        candidates
+            .iter()
+            .filter(|candidate| !candidate.leaving)
+            .filter(|candidate| view.primary.as_ref() != Some(&candidate.server))
+            .filter_map(|candidate| {
+                let view = view.server(&candidate.server)?;
+                Some(Replica { candidate, view })
+            })
+            .filter(|replica| replica.view.reachable && replica.view.readable.is_some())
+            .collect()
+    }
+
+    /// Picks a server of the own failure domain, or any if there is none.
+    fn pick(&self, ready: &[&Replica<'_>], spread: u64) -> Option<ServerId> {
+        let near: Vec<&&Replica<'_>> = ready
+            .iter()
+            .filter(|replica| replica.candidate.failure_domain == self.failure_domain)
+            .collect();
+        let chosen = match near.len() {
+            0 => ready.get(index(spread, ready.len())?)?,
+            count => near[index(spread, count)?],
+        };
+        Some(chosen.candidate.server.clone())
+    }
+
+    /// Returns the replica with the least lag, if waiting for it is worth it.
+    ///
+    /// A position that the primary reached by now arrives after about the lag.
+    fn soonest(
+        &self,
+        view: &GroupView,
+        replicas: &[Replica<'_>],
+        needs: &ReadNeeds,
+    ) -> Option<ServerId> {
+        let limit = needs.max_staleness.map_or(self.patience, |age| age.min(self.patience));
+        replicas
+            .iter()
+            .filter_map(|replica| Some((view.lag(replica.view)?, &replica.candidate.server)))
+            .filter(|(lag, _)| *lag <= limit && !limit.is_zero())
+            .min()
+            .map(|(_, server)| server.clone())
+    }
+
+    fn primary(view: &GroupView, needs: &ReadNeeds, now: Instant) -> ReadRoute {
+        let Some(primary) = &view.primary else {
+            return ReadRoute::Unknown;
+        };
+        let age = view.server(primary).and_then(|server| server.age(now));
+        // The primary holds every floor of its term, but only a majority's
+        // reports can prove that it still is the primary.
+        if needs.allow_age(age) { ReadRoute::Primary(primary.clone()) } else { ReadRoute::Unknown }
+    }
+}
+
+struct Replica<'a> {
+    candidate: &'a Candidate,
+    view: &'a ServerView,
+}
+
+fn index(spread: u64, count: usize) -> Option<usize> {
+    usize::try_from(spread.checked_rem(count as u64)?).ok()
+}
