document: settle every edit as landed or not landed

An edit is one conditional write of the section, the head and a history slot. The store can lose the answer, or carry the write out later, so that the client can't tell from a time-out whether its edit landed.

Each attempt carries an id that tells the head it compares and the revision it would make. After a lost answer the head is read back; if it has not moved, it is rewritten as it is, so that a late write fails its comparison, and only then is 'not landed' said. Edits of different sections are retried when the head moved and validated again; of one section the second gets a diff. The decisions are a pure state machine in lib/document; the editor in lib/platform carries them to any PlatformStore.

Ruled out: a lease or lock around edits (lapses while its holder is paused), and waiting out the store's time-out (a guess).

--- /dev/null
+++ b/lib/platform/src/document_store.rs
@@ -0,0 +1,107 @@
+//! The document in the platform's store.
+
+use displaydoc::Display;
+use masticreel_base::ids::Revision;
+use masticreel_document::edit::{EditCommit, FenceCommit};
+use masticreel_document::layout::{DOCUMENT_PREFIX, HEAD_KEY, history_key, section_key};
+use masticreel_document::records::{
+    HistoryRecord, RecordError, StoreVersion, StoredDocument, decode, encode,
+};
+
+use crate::store::{CommitOutcome, Compare, PlatformStore, Put, StoreError};
+
+/// Why the document could not be read.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum ReadError {
+    /// {0}
+    Store(StoreError),
+    /// {0}
+    Record(RecordError),
+}
+
+impl std::error::Error for ReadError {}
+
+impl From<StoreError> for ReadError {
+    fn from(error: StoreError) -> Self {
+        Self::Store(error)
+    }
+}
+
+impl From<RecordError> for ReadError {
+    fn from(error: RecordError) -> Self {
+        Self::Record(error)
+    }
+}
+
+/// Reads the head and all sections in one call, as they were at one moment.
+///
+/// # Errors
+///
+/// Fails when the store does not answer or holds a record that is not valid.
+pub fn read_document<Store>(store: &Store) -> Result<StoredDocument, ReadError>
+where
+    Store: PlatformStore,
+{
+    let snapshot = store.read_prefix(DOCUMENT_PREFIX)?;
+    let entries = snapshot.entries.iter().map(|entry| {
+        (entry.key.as_str(), entry.value.as_slice(), StoreVersion(entry.mod_revision))
+    });
+    Ok(StoredDocument::from_entries(entries)?)
+}
+
+/// Reads the record in a revision's history slot, which may be of a later revision.
+///
+/// # Errors
+///
+/// Fails when the store does not answer or holds a record that is not valid.
+pub fn read_history<Store>(
+    store: &Store,
+    revision: Revision,
+) -> Result<Option<HistoryRecord>, ReadError>
+where
+    Store: PlatformStore,
+{
+    let key = history_key(revision);
+    let snapshot = store.read_prefix(&key)?;
+    let entry = snapshot.entries.iter().find(|entry| entry.key == key);
+    Ok(entry.map(|entry| decode(&key, &entry.value)).transpose()?)
+}
+
+/// Tries to write an edit.
+///
+/// # Errors
+///
+/// Fails when the store does not answer; the edit may have landed all the same.
+pub fn commit_edit<Store>(store: &Store, edit: &EditCommit) -> Result<CommitOutcome, StoreError>
+where
+    Store: PlatformStore,
+{
+    let section = section_key(&edit.section);
+    let conditions = [
+        Compare { key: section.clone(), mod_revision: edit.section_version.0 },
+        compare_head(edit.head_version),
+    ];
+    let puts = [
+        Put { key: section, value: encode(&edit.section_record) },
+        Put { key: HEAD_KEY.to_owned(), value: encode(&edit.head) },
+        Put { key: history_key(edit.history.entry.revision), value: encode(&edit.history) },
+    ];
+    store.commit(&conditions, &puts)
+}
+
+/// Tries to rewrite the head as it is, which outdates every write under way.
+///
+/// # Errors
+///
+/// Fails when the store does not answer; the fence may stand all the same.
+pub fn commit_fence<Store>(store: &Store, fence: &FenceCommit) -> Result<CommitOutcome, StoreError>
+where
+    Store: PlatformStore,
+{
+    let put = Put { key: HEAD_KEY.to_owned(), value: encode(&fence.head) };
+    store.commit(&[compare_head(fence.head_version)], &[put])
+}
+
+fn compare_head(version: StoreVersion) -> Compare {
+    Compare { key: HEAD_KEY.to_owned(), mod_revision: version.0 }
+}
--- /dev/null
+++ b/lib/platform/src/editor.rs
@@ -0,0 +1,103 @@
+//! Carries an edit's decisions to the store and the answers back.
+
+use std::time::{Duration, Instant};
+
+use masticreel_base::cancellation::CancellationToken;
+use masticreel_base::clock::Clock;
+use masticreel_document::edit::{Edit, EditAction, EditEvent, EditOutcome, EditRequest};
+use masticreel_document::edit_id::{EditId, Nonce};
+
+use crate::document_store::{commit_edit, commit_fence, read_document, read_history};
+use crate::store::{CommitOutcome, PlatformStore, StoreError};
+
+/// How long an edit may take and how often it asks the store.
+#[derive(Debug, Clone, Copy)]
+pub struct EditTiming {
+    /// The time after which the edit ends without a further call.
+    pub deadline: Duration,
+    /// The pause after a call that failed.
+    pub retry_pause: Duration,
+}
+
+/// Edits the document in the platform's store.
+///
+/// Each call to the store may fail or lose its answer; the outcome says what
+/// is known in the end. The decisions are made by [`Edit`].
+pub struct Editor<Store, Time> {
+    store: Store,
+    clock: Time,
+    timing: EditTiming,
+    cancellation: CancellationToken,
+}
+
+impl<Store, Time> Editor<Store, Time>
+where
+    Store: PlatformStore,
+    Time: Clock,
+{
+    /// Creates an editor; cancelling the token ends an edit like its deadline.
+    pub fn new(
+        store: Store,
+        clock: Time,
+        timing: EditTiming,
+        cancellation: CancellationToken,
+    ) -> Self {
+        Self { store, clock, timing, cancellation }
+    }
+
+    /// Tries to make an edit; the nonce must be random.
+    pub fn apply(&self, request: EditRequest, nonce: Nonce) -> EditOutcome {
+        let (edit, action) = Edit::start(request, nonce);
+        self.run(edit, action)
+    }
+
+    /// Finds out how an attempt of an earlier run ended.
+    pub fn settle(&self, edit: EditId) -> EditOutcome {
+        let (edit, action) = Edit::settle(edit);
+        self.run(edit, action)
+    }
+
+    fn run(&self, mut edit: Edit, mut action: EditAction) -> EditOutcome {
+        let deadline = self.clock.now() + self.timing.deadline;
+        loop {
+            if let EditAction::Finish(outcome) = action {
+                return outcome;
+            }
+            let event = self.next_event(&action, deadline);
+            (edit, action) = edit.handle(event);
+        }
+    }
+
+    fn next_event(&self, action: &EditAction, deadline: Instant) -> EditEvent {
+        if self.cancellation.is_cancelled() || self.clock.now() >= deadline {
+            return EditEvent::DeadlinePassed;
+        }
+        let event = self.call_store(action);
+        if event == EditEvent::Lost {
+            self.cancellation.wait_timeout(self.timing.retry_pause);
+        }
+        event
+    }
+
+    fn call_store(&self, action: &EditAction) -> EditEvent {
+        match action {
+            EditAction::Read => {
+                read_document(&self.store).map_or(EditEvent::Lost, EditEvent::Document)
+            }
+            EditAction::ReadHistory(revision) => {
+                read_history(&self.store, *revision).map_or(EditEvent::Lost, EditEvent::History)
+            }
+            EditAction::Commit(edit) => written(commit_edit(&self.store, edit)),
+            EditAction::Fence(fence) => written(commit_fence(&self.store, fence)),
+            EditAction::Finish(_) => EditEvent::DeadlinePassed,
+        }
+    }
+}
+
+fn written(answer: Result<CommitOutcome, StoreError>) -> EditEvent {
+    match answer {
+        Ok(CommitOutcome::Committed(_)) => EditEvent::Committed,
+        Ok(CommitOutcome::Conflict) => EditEvent::Refused,
+        Err(_) => EditEvent::Lost,
+    }
+}
--- a/lib/platform/src/lib.rs
+++ b/lib/platform/src/lib.rs
@@ -2,5 +2,7 @@
 //!
 //! See `docs/design/08-document.md`.
 
+pub mod document_store;
+pub mod editor;
 pub mod etcd;
 pub mod store;
