--- /dev/null
+++ b/standins/src/instances.rs
@@ -0,0 +1,182 @@
+//! A stand-in for the platform's list of live and leaving instances.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use tiny_http::Request;
+
+use crate::http::{HttpServer, respond_json};
+
+/// Whether an instance stays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum InstanceState {
+    /// It serves.
+    Live,
+    /// It is about to be removed.
+    Leaving,
+}
+
+/// One entry of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// The instance's name.
+    pub name: String,
+    /// Its address.
+    pub address: String,
+    /// The part of the platform that fails as one.
+    pub failure_domain: String,
+    /// Whether it stays.
+    pub state: InstanceState,
+}
+
+/// The settings of the list.
+#[derive(Debug, Clone)]
+pub struct InstanceListSettings {
+    /// Where it listens; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Where its control endpoint listens.
+    pub control: SocketAddr,
+    /// How old the list is that readers get.
+    pub lag: Duration,
+}
+
+impl Default for InstanceListSettings {
+    fn default() -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self { listen: any_port, control: any_port, lag: Duration::ZERO }
+    }
+}
+
+#[derive(Debug)]
+struct Inner {
+    /// The list after each change, the newest last.
+    versions: Vec<(Instant, Vec<Instance>)>,
+    lag: Duration,
+}
+
+impl Inner {
+    fn change(&mut self, now: Instant, change: impl FnOnce(&mut Vec<Instance>)) {
+        let mut list = self.versions.last().map(|(_, list)| list.clone()).unwrap_or_default();
+        change(&mut list);
+        self.versions.push((now, list));
+    }
+
+    fn read(&mut self, now: Instant) -> Vec<Instance> {
+        let lag = self.lag;
+        let is_visible = |(since, _): &(Instant, Vec<Instance>)| *since + lag <= now;
+        let visible = self.versions.iter().rposition(is_visible);
+        visible.map(|index| self.versions[index].1.clone()).unwrap_or_default()
+    }
+}
+
+/// A running list; it stops when dropped.
+#[derive(Debug)]
+pub struct InstanceList {
+    inner: Arc<Mutex<Inner>>,
+    list: HttpServer,
+    control: HttpServer,
+}
+
+impl InstanceList {
+    /// Starts an empty list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't listen.
+    pub fn start(settings: &InstanceListSettings) -> io::Result<Self> {
+        let inner = Inner { versions: Vec::new(), lag: settings.lag };
+        let inner = Arc::new(Mutex::new(inner));
+        let list = {
+            let inner = Arc::clone(&inner);
+            HttpServer::start(settings.listen, move |request| serve(&inner, request))?
+        };
+        let control = {
+            let inner = Arc::clone(&inner);
+            HttpServer::start(settings.control, move |request| control(&inner, request))?
+        };
+        Ok(Self { inner, list, control })
+    }
+
+    /// Returns where the list is read.
+    pub fn address(&self) -> SocketAddr {
+        self.list.address()
+    }
+
+    /// Returns where the list's control endpoint listens.
+    pub fn control_address(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Adds an instance, or replaces that of the same name.
+    pub fn add(&self, instance: Instance) {
+        lock(&self.inner).change(Instant::now(), |list| add(list, instance));
+    }
+
+    /// Removes an instance.
+    pub fn remove(&self, name: &str) {
+        lock(&self.inner).change(Instant::now(), |list| list.retain(|entry| entry.name != name));
+    }
+
+    /// Marks an instance as leaving.
+    pub fn mark_leaving(&self, name: &str) {
+        lock(&self.inner).change(Instant::now(), |list| mark_leaving(list, name));
+    }
+
+    /// Sets how old the list is that readers get.
+    pub fn set_lag(&self, lag: Duration) {
+        lock(&self.inner).lag = lag;
+    }
+}
+
+fn lock(inner: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
+    inner.lock().expect("no holder of the list panics")
+}
+
+fn add(list: &mut Vec<Instance>, instance: Instance) {
+    list.retain(|entry| entry.name != instance.name);
+    list.push(instance);
+}
+
+fn mark_leaving(list: &mut [Instance], name: &str) {
+    for entry in list.iter_mut().filter(|entry| entry.name == name) {
+        entry.state = InstanceState::Leaving;
+    }
+}
+
+fn serve(inner: &Mutex<Inner>, request: Request) {
+    if request.url() != "/instances" {
+        return respond_json(request, 404, &"unknown path");
+    }
+    let list = lock(inner).read(Instant::now());
+    respond_json(request, 200, &list);
+}
+
+/// Obeys `/add` with an instance as JSON, `/remove/NAME`, `/leaving/NAME` and
+/// `/lag_ms/N`; see `docs/standins.md`.
+fn control(inner: &Mutex<Inner>, mut request: Request) {
+    let mut body = String::new();
+    let is_read = request.as_reader().read_to_string(&mut body).is_ok();
+    let path = request.url().trim_matches('/').to_owned();
+    let is_known = is_read && obey(&mut lock(inner), &path, &body).is_some();
+    let status = if is_known { 200 } else { 400 };
+    respond_json(request, status, &is_known);
+}
+
+fn obey(inner: &mut Inner, path: &str, body: &str) -> Option<()> {
+    let now = Instant::now();
+    match path.split('/').collect::<Vec<_>>().as_slice() {
+        ["add"] => {
+            let instance = serde_json::from_str(body).ok()?;
+            inner.change(now, |list| add(list, instance));
+        }
+        ["remove", name] => inner.change(now, |list| list.retain(|entry| entry.name != *name)),
+        ["leaving", name] => inner.change(now, |list| mark_leaving(list, name)),
+        ["lag_ms", lag_ms] => inner.lag = Duration::from_millis(lag_ms.parse().ok()?),
+        _ => return None,
+    }
+    Some(())
+}
--- /dev/null
+++ b/standins/src/main.rs
@@ -0,0 +1,207 @@
+//! Runs a stand-in as a process of its own.
+//!
+//! Each prints one line with its addresses once it listens, and runs until it
+//! is killed.
+
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+use masticreel_base::ids::Term;
+use masticreel_standins::instances::{InstanceList, InstanceListSettings};
+use masticreel_standins::relay::Relay;
+use masticreel_standins::store::{Store, StoreSettings};
+use masticreel_standins::upstream::{InitialRole, Upstream, UpstreamSettings};
+
+/// Runs a stand-in for one of masticreel's surroundings.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Upstream(UpstreamArguments),
+    Store(StoreArguments),
+    Instances(InstancesArguments),
+    Relay(RelayArguments),
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Runs one database server of a group.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "upstream")]
+struct UpstreamArguments {
+    /// where to listen
+    #[argh(option, default = "any_port()")]
+    listen: SocketAddr,
+    /// the server's name
+    #[argh(option, default = "String::from(\"upstream\")")]
+    name: String,
+    /// primary or replica
+    #[argh(option, default = "String::from(\"primary\")")]
+    initial_role: String,
+    /// the primary that a replica follows
+    #[argh(option)]
+    primary: Option<SocketAddr>,
+    /// the term to start in
+    #[argh(option, default = "1")]
+    term: u64,
+    /// where the log outlives the process
+    #[argh(option)]
+    data_dir: Option<PathBuf>,
+    /// how many statements run at once
+    #[argh(option, default = "2")]
+    slots: usize,
+    /// how many connections are taken, with 3 that are reserved for control
+    #[argh(option, default = "16")]
+    max_connections: usize,
+    /// what a new connection costs
+    #[argh(option, default = "12")]
+    connect_ms: u64,
+    /// how long log entries are under way
+    #[argh(option, default = "0")]
+    receive_lag_ms: u64,
+    /// how long durable log entries wait until they are applied
+    #[argh(option, default = "0")]
+    apply_lag_ms: u64,
+    /// the distance that each request and answer crosses
+    #[argh(option, default = "0.0")]
+    one_way_ms: f64,
+    /// how long a write waits for another transaction's write lock
+    #[argh(option, default = "10000")]
+    lock_timeout_ms: u64,
+}
+
+/// Runs the platform's key-value service.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "store")]
+struct StoreArguments {
+    /// where to listen
+    #[argh(option, default = "any_port()")]
+    listen: SocketAddr,
+    /// where to listen for orders to fail
+    #[argh(option, default = "any_port()")]
+    control: SocketAddr,
+    /// how many reads a second are taken
+    #[argh(option, default = "2000.0")]
+    reads_per_second: f64,
+    /// how many writes a second are taken
+    #[argh(option, default = "500.0")]
+    writes_per_second: f64,
+}
+
+/// Runs the platform's list of instances.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "instances")]
+struct InstancesArguments {
+    /// where to listen
+    #[argh(option, default = "any_port()")]
+    listen: SocketAddr,
+    /// where to listen for changes of the list
+    #[argh(option, default = "any_port()")]
+    control: SocketAddr,
+    /// how old the list is
+    #[argh(option, default = "0")]
+    lag_ms: u64,
+}
+
+/// Runs a link that can be cut.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "relay")]
+struct RelayArguments {
+    /// where to listen
+    #[argh(option, default = "any_port()")]
+    listen: SocketAddr,
+    /// where the link leads
+    #[argh(option)]
+    target: SocketAddr,
+    /// where to listen for one-line commands
+    #[argh(option, default = "any_port()")]
+    control: SocketAddr,
+}
+
+fn main() -> io::Result<()> {
+    let arguments: Arguments = argh::from_env();
+    match arguments.command {
+        Command::Upstream(arguments) => run_upstream(arguments),
+        Command::Store(arguments) => run_store(&arguments),
+        Command::Instances(arguments) => run_instances(&arguments),
+        Command::Relay(arguments) => run_relay(&arguments),
+    }
+}
+
+fn run_upstream(arguments: UpstreamArguments) -> io::Result<()> {
+    let initial_role = match arguments.initial_role.as_str() {
+        "primary" => InitialRole::Primary,
+        "replica" => InitialRole::Replica { primary: arguments.primary },
+        other => return Err(io::Error::other(format!("unknown role: {other}"))),
+    };
+    let one_way = Duration::try_from_secs_f64(arguments.one_way_ms / 1000.0);
+    let upstream = Upstream::start(UpstreamSettings {
+        name: arguments.name,
+        listen: arguments.listen,
+        initial_role,
+        initial_term: Term(arguments.term),
+        data_dir: arguments.data_dir,
+        slots: arguments.slots,
+        max_connections: arguments.max_connections,
+        connect: Duration::from_millis(arguments.connect_ms),
+        receive_lag: Duration::from_millis(arguments.receive_lag_ms),
+        apply_lag: Duration::from_millis(arguments.apply_lag_ms),
+        one_way: one_way.map_err(io::Error::other)?,
+        lock_timeout: Duration::from_millis(arguments.lock_timeout_ms),
+    })?;
+    announce(&format!("listening address={}", upstream.address()))?;
+    run_until_killed()
+}
+
+fn run_store(arguments: &StoreArguments) -> io::Result<()> {
+    let store = Store::start(&StoreSettings {
+        listen: arguments.listen,
+        control: arguments.control,
+        reads_per_second: arguments.reads_per_second,
+        writes_per_second: arguments.writes_per_second,
+    })?;
+    let (address, control) = (store.address(), store.control_address());
+    announce(&format!("listening address={address} control={control}"))?;
+    run_until_killed()
+}
+
+fn run_instances(arguments: &InstancesArguments) -> io::Result<()> {
+    let list = InstanceList::start(&InstanceListSettings {
+        listen: arguments.listen,
+        control: arguments.control,
+        lag: Duration::from_millis(arguments.lag_ms),
+    })?;
+    let (address, control) = (list.address(), list.control_address());
+    announce(&format!("listening address={address} control={control}"))?;
+    run_until_killed()
+}
+
+fn run_relay(arguments: &RelayArguments) -> io::Result<()> {
+    let relay = Relay::start(arguments.listen, arguments.target)?;
+    let control = TcpListener::bind(arguments.control)?;
+    let (address, control_address) = (relay.address(), control.local_addr()?);
+    announce(&format!("listening address={address} control={control_address}"))?;
+    relay.serve_control(&control)
+}
+
+fn announce(line: &str) -> io::Result<()> {
+    let mut output = io::stdout().lock();
+    writeln!(output, "{line}")?;
+    output.flush()
+}
+
+fn run_until_killed() -> ! {
+    loop {
+        std::thread::park();
+    }
+}
--- /dev/null
+++ b/standins/src/relay.rs
@@ -0,0 +1,273 @@
+//! A TCP link that can be cut and slowed down.
+//!
+//! A cut link holds bytes back in silence, as a network partition does. Unlike
+//! in a partition, a connection through a cut link can still be opened, and
+//! what was held back arrives when the link heals.
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, Sender, bounded};
+
+/// How many bytes one read takes at most.
+const CHUNK_BYTES: usize = 16 * 1024;
+/// How many chunks are under way in one direction at most.
+const QUEUE_CHUNKS: usize = 256;
+/// How long the relay waits for its target to accept.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A direction of the link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// From whoever connects to the target.
+    ToTarget,
+    /// From the target to whoever connects.
+    FromTarget,
+}
+
+#[derive(Debug)]
+struct Link {
+    inner: Mutex<Inner>,
+    changed: Condvar,
+    is_stopped: AtomicBool,
+}
+
+#[derive(Debug)]
+struct Inner {
+    target: SocketAddr,
+    is_cut_to_target: bool,
+    is_cut_from_target: bool,
+    delay: Duration,
+    streams: Vec<TcpStream>,
+}
+
+impl Link {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of the link panics")
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Inner)) {
+        change(&mut self.lock());
+        self.changed.notify_all();
+    }
+
+    /// Waits while the direction is cut; returns false when the relay stops.
+    fn pass(&self, direction: Direction) -> bool {
+        let is_cut = |inner: &mut Inner| {
+            let is_cut = match direction {
+                Direction::ToTarget => inner.is_cut_to_target,
+                Direction::FromTarget => inner.is_cut_from_target,
+            };
+            is_cut && !self.is_stopped.load(Ordering::Acquire)
+        };
+        let waited = self.changed.wait_while(self.lock(), is_cut);
+        drop(waited.expect("no holder of the link panics"));
+        !self.is_stopped.load(Ordering::Acquire)
+    }
+}
+
+/// A running relay; it stops when dropped.
+#[derive(Debug)]
+pub struct Relay {
+    link: Arc<Link>,
+    address: SocketAddr,
+    acceptor: Option<JoinHandle<()>>,
+}
+
+impl Relay {
+    /// Starts a relay to a target.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the relay can't listen.
+    pub fn start(listen: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        let inner = Inner {
+            target,
+            is_cut_to_target: false,
+            is_cut_from_target: false,
+            delay: Duration::ZERO,
+            streams: Vec::new(),
+        };
+        let link = Arc::new(Link {
+            inner: Mutex::new(inner),
+            changed: Condvar::new(),
+            is_stopped: AtomicBool::new(false),
+        });
+        let acceptor = {
+            let link = Arc::clone(&link);
+            std::thread::spawn(move || accept(&link, &listener))
+        };
+        Ok(Self { link, address, acceptor: Some(acceptor) })
+    }
+
+    /// Returns where the relay listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Cuts both directions.
+    pub fn cut(&self) {
+        self.link.change(|inner| {
+            inner.is_cut_to_target = true;
+            inner.is_cut_from_target = true;
+        });
+    }
+
+    /// Cuts one direction.
+    pub fn cut_direction(&self, direction: Direction) {
+        self.link.change(|inner| match direction {
+            Direction::ToTarget => inner.is_cut_to_target = true,
+            Direction::FromTarget => inner.is_cut_from_target = true,
+        });
+    }
+
+    /// Lets bytes through again, with those held back first.
+    pub fn heal(&self) {
+        self.link.change(|inner| {
+            inner.is_cut_to_target = false;
+            inner.is_cut_from_target = false;
+        });
+    }
+
+    /// Sets how long bytes are under way in each direction.
+    pub fn set_delay(&self, delay: Duration) {
+        self.link.change(|inner| inner.delay = delay);
+    }
+
+    /// Leads new connections elsewhere.
+    pub fn set_target(&self, target: SocketAddr) {
+        self.link.change(|inner| inner.target = target);
+    }
+
+    /// Closes all connections that are open.
+    pub fn reset(&self) {
+        self.link.change(|inner| {
+            for stream in inner.streams.drain(..) {
+                // One that is closed already needs no shutdown.
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        });
+    }
+
+    /// Obeys one-line commands: `cut`, `cut to-target`, `cut from-target`,
+    /// `heal`, `reset`, `delay_ms N` and `target ADDRESS`; each is answered by
+    /// `ok` or `error`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the control socket fails.
+    pub fn serve_control(&self, listener: &TcpListener) -> io::Result<()> {
+        for stream in listener.incoming() {
+            let stream = stream?;
+            let mut lines = BufReader::new(&stream).lines();
+            while let Some(Ok(line)) = lines.next() {
+                let answer = if self.obey(&line).is_some() { "ok\n" } else { "error\n" };
+                if (&stream).write_all(answer.as_bytes()).is_err() {
+                    break;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn obey(&self, line: &str) -> Option<()> {
+        match line.split_whitespace().collect::<Vec<_>>().as_slice() {
+            ["cut"] => self.cut(),
+            ["cut", "to-target"] => self.cut_direction(Direction::ToTarget),
+            ["cut", "from-target"] => self.cut_direction(Direction::FromTarget),
+            ["heal"] => self.heal(),
+            ["reset"] => self.reset(),
+            ["delay_ms", delay_ms] => self.set_delay(Duration::from_millis(delay_ms.parse().ok()?)),
+            ["target", address] => self.set_target(address.parse().ok()?),
+            _ => return None,
+        }
+        Some(())
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.link.is_stopped.store(true, Ordering::Release);
+        self.reset();
+        // The accepting thread sees the stop at its next connection.
+        let _ = TcpStream::connect(self.address);
+        if let Some(acceptor) = self.acceptor.take() {
+            acceptor.join().expect("the accepting thread does not panic");
+        }
+    }
+}
+
+fn accept(link: &Arc<Link>, listener: &TcpListener) {
+    for client in listener.incoming() {
+        if link.is_stopped.load(Ordering::Acquire) {
+            return;
+        }
+        if let Ok(client) = client {
+            let link = Arc::clone(link);
+            // A target that can't be reached closes the connection.
+            std::thread::spawn(move || drop(connect(&link, &client)));
+        }
+    }
+}
+
+fn connect(link: &Arc<Link>, client: &TcpStream) -> io::Result<()> {
+    client.set_nodelay(true)?;
+    link.lock().streams.push(client.try_clone()?);
+    if !link.pass(Direction::ToTarget) {
+        return Ok(());
+    }
+    let target = link.lock().target;
+    let server = match TcpStream::connect_timeout(&target, CONNECT_TIMEOUT) {
+        Ok(server) => server,
+        Err(error) => {
+            let _ = client.shutdown(Shutdown::Both);
+            return Err(error);
+        }
+    };
+    server.set_nodelay(true)?;
+    link.lock().streams.push(server.try_clone()?);
+    std::thread::scope(|scope| {
+        for (from, to, direction) in
+            [(client, &server, Direction::ToTarget), (&server, client, Direction::FromTarget)]
+        {
+            let (sender, receiver) = bounded(QUEUE_CHUNKS);
+            scope.spawn(move || read_chunks(from, &sender));
+            scope.spawn(move || write_chunks(link, to, &receiver, direction));
+        }
+    });
+    Ok(())
+}
+
+fn read_chunks(mut from: &TcpStream, sender: &Sender<(Instant, Vec<u8>)>) {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    while let Ok(count @ 1..) = from.read(&mut chunk) {
+        if sender.send((Instant::now(), chunk[..count].to_vec())).is_err() {
+            return;
+        }
+    }
+}
+
+fn write_chunks(
+    link: &Link,
+    mut to: &TcpStream,
+    receiver: &Receiver<(Instant, Vec<u8>)>,
+    direction: Direction,
+) {
+    for (read, chunk) in receiver {
+        let due = read + link.lock().delay;
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        if !link.pass(direction) || to.write_all(&chunk).is_err() {
+            break;
+        }
+    }
+    // The end of the stream is held back by a cut as well.
+    if link.pass(direction) {
+        let _ = to.shutdown(Shutdown::Write);
+    }
+}
--- /dev/null
+++ b/standins/src/store.rs
@@ -0,0 +1,153 @@
+//! A stand-in for the platform's key-value service: an etcd v3 JSON gateway.
+//!
+//! It keeps its keys in memory, limits and counts its calls, and fails on
+//! demand through a control endpoint.
+
+mod api;
+mod faults;
+mod keyspace;
+mod requests;
+mod watch;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+pub use faults::{CallCounts, Faults, Outage};
+
+use crate::http::{HttpServer, respond_json};
+use crate::store::keyspace::Keyspace;
+
+/// How often expired leases are looked for.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The settings of the store.
+#[derive(Debug, Clone)]
+pub struct StoreSettings {
+    /// Where it listens; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Where its control endpoint listens.
+    pub control: SocketAddr,
+    /// How many reads a second it takes.
+    pub reads_per_second: f64,
+    /// How many writes a second it takes.
+    pub writes_per_second: f64,
+}
+
+impl Default for StoreSettings {
+    fn default() -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            listen: any_port,
+            control: any_port,
+            reads_per_second: 2000.0,
+            writes_per_second: 500.0,
+        }
+    }
+}
+
+/// What the threads of the store share.
+#[derive(Debug)]
+struct Shared {
+    keyspace: Mutex<Keyspace>,
+    changed: Condvar,
+    faults: Faults,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Keyspace> {
+        let mut keyspace = self.keyspace.lock().expect("no holder of the keyspace panics");
+        keyspace.expire(Instant::now());
+        keyspace
+    }
+
+    /// Waits for a change, or until it is time to look for expired leases.
+    fn wait_for_change<'a>(&self, keyspace: MutexGuard<'a, Keyspace>) -> MutexGuard<'a, Keyspace> {
+        let waited = self.changed.wait_timeout(keyspace, EXPIRY_INTERVAL);
+        let (mut keyspace, _) = waited.expect("no holder of the keyspace panics");
+        keyspace.expire(Instant::now());
+        keyspace
+    }
+}
+
+/// A running store; it stops when dropped.
+#[derive(Debug)]
+pub struct Store {
+    shared: Arc<Shared>,
+    gateway: HttpServer,
+    control: HttpServer,
+}
+
+impl Store {
+    /// Starts a store.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't listen.
+    pub fn start(settings: &StoreSettings) -> io::Result<Self> {
+        let faults = Faults::new(settings.reads_per_second, settings.writes_per_second);
+        let shared =
+            Arc::new(Shared { keyspace: Mutex::default(), changed: Condvar::new(), faults });
+        let gateway = {
+            let shared = Arc::clone(&shared);
+            HttpServer::start(settings.listen, move |request| requests::handle(&shared, request))?
+        };
+        let control = {
+            let shared = Arc::clone(&shared);
+            HttpServer::start(settings.control, move |request| control(&shared.faults, request))?
+        };
+        Ok(Self { shared, gateway, control })
+    }
+
+    /// Returns where the store listens.
+    pub fn address(&self) -> SocketAddr {
+        self.gateway.address()
+    }
+
+    /// Returns where the store's control endpoint listens.
+    pub fn control_address(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Returns the store's faults and counts.
+    pub fn faults(&self) -> &Faults {
+        &self.shared.faults
+    }
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
+        self.shared.faults.stop();
+        self.shared.changed.notify_all();
+    }
+}
+
+/// Obeys a request to the control endpoint; see `docs/standins.md`.
+fn control(faults: &Faults, request: tiny_http::Request) {
+    let path = request.url().trim_matches('/').to_owned();
+    let is_known = obey(faults, &path).is_some();
+    let status = if is_known { 200 } else { 404 };
+    respond_json(request, status, &faults.counts());
+}
+
+fn obey(faults: &Faults, path: &str) -> Option<()> {
+    match path.split('/').collect::<Vec<_>>().as_slice() {
+        ["counts"] => {}
+        ["counts", "reset"] => faults.reset_counts(),
+        ["down"] => faults.set_outage(Outage::Refusing),
+        ["silent"] => faults.set_outage(Outage::Silent),
+        ["up"] => faults.clear(),
+        ["slow_ms", delay_ms] => {
+            faults.set_slowness(Duration::from_millis(delay_ms.parse().ok()?));
+        }
+        ["lose_next", count] => faults.lose_next_answers(count.parse().ok()?),
+        ["lose", probability, seed] => {
+            let probability = probability.parse().ok().filter(|p| (0.0..=1.0).contains(p))?;
+            faults.lose_answers(probability, seed.parse().ok()?);
+        }
+        ["rates", reads, writes] => faults.set_rates(reads.parse().ok()?, writes.parse().ok()?),
+        _ => return None,
+    }
+    Some(())
+}
--- /dev/null
+++ b/standins/src/store/api.rs
@@ -0,0 +1,467 @@
+//! The messages of the etcd v3 JSON gateway.
+//!
+//! Keys and values are base64, 64-bit integers are strings, and fields with
+//! their default value are left out.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde::{Deserialize, Deserializer, Serialize};
+
+use crate::store::keyspace::{Event, KeyRange, Keyspace, Operation, Outcome, Record};
+
+/// Bytes as base64.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Bytes(pub Vec<u8>);
+
+impl<'de> Deserialize<'de> for Bytes {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let text = String::deserialize(deserializer)?;
+        STANDARD.decode(text).map(Self).map_err(serde::de::Error::custom)
+    }
+}
+
+impl Serialize for Bytes {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        STANDARD.encode(&self.0).serialize(serializer)
+    }
+}
+
+/// A 64-bit integer, written as a string and read from either form.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Int64(pub i64);
+
+impl<'de> Deserialize<'de> for Int64 {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        #[derive(Deserialize)]
+        #[serde(untagged)]
+        enum Either {
+            Number(i64),
+            Text(String),
+        }
+        match Either::deserialize(deserializer)? {
+            Either::Number(number) => Ok(Self(number)),
+            Either::Text(text) => text.parse().map(Self).map_err(serde::de::Error::custom),
+        }
+    }
+}
+
+impl Serialize for Int64 {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        self.0.to_string().serialize(serializer)
+    }
+}
+
+fn is_default<Field>(field: &Field) -> bool
+where
+    Field: Default + PartialEq,
+{
+    *field == Field::default()
+}
+
+/// The part that all answers share.
+#[derive(Debug, Clone, Serialize)]
+pub struct ResponseHeader {
+    cluster_id: Int64,
+    member_id: Int64,
+    revision: Int64,
+    raft_term: Int64,
+}
+
+impl ResponseHeader {
+    /// Describes the store at its present revision.
+    pub fn new(keyspace: &Keyspace) -> Self {
+        Self {
+            cluster_id: Int64(1),
+            member_id: Int64(1),
+            revision: Int64(keyspace.revision()),
+            raft_term: Int64(1),
+        }
+    }
+}
+
+/// Asks for keys.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct RangeRequest {
+    /// The first key.
+    pub key: Bytes,
+    /// The first key after the range.
+    pub range_end: Bytes,
+    /// How many keys to return at most, 0 for all.
+    pub limit: Int64,
+    /// The revision to read at, 0 for the newest.
+    pub revision: Int64,
+    /// Whether values are left out.
+    pub keys_only: bool,
+    /// Whether only the number of keys is returned.
+    pub count_only: bool,
+}
+
+impl RangeRequest {
+    /// Returns the keys asked for.
+    pub fn range(&self) -> KeyRange {
+        KeyRange::new(self.key.0.clone(), self.range_end.0.clone())
+    }
+
+    /// Describes the keys found.
+    pub fn answer(&self, header: ResponseHeader, mut records: Vec<Record>) -> RangeResponse {
+        let count = Int64(records.len() as i64);
+        let limit = usize::try_from(self.limit.0).ok().filter(|limit| *limit > 0);
+        let more = limit.is_some_and(|limit| records.len() > limit);
+        records.truncate(limit.unwrap_or(usize::MAX));
+        if self.count_only {
+            records.clear();
+        }
+        let kvs = records.into_iter().map(|record| {
+            let value = if self.keys_only { Vec::new() } else { record.value };
+            KeyValue::from(Record { value, ..record })
+        });
+        RangeResponse { header, kvs: kvs.collect(), more, count }
+    }
+}
+
+/// A key with its value and revisions.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct KeyValue {
+    key: Bytes,
+    #[serde(skip_serializing_if = "is_default")]
+    create_revision: Int64,
+    #[serde(skip_serializing_if = "is_default")]
+    mod_revision: Int64,
+    #[serde(skip_serializing_if = "is_default")]
+    version: Int64,
+    #[serde(skip_serializing_if = "is_default")]
+    value: Bytes,
+    #[serde(skip_serializing_if = "is_default")]
+    lease: Int64,
+}
+
+impl From<Record> for KeyValue {
+    fn from(record: Record) -> Self {
+        Self {
+            key: Bytes(record.key),
+            create_revision: Int64(record.create_revision),
+            mod_revision: Int64(record.mod_revision),
+            version: Int64(record.version),
+            value: Bytes(record.value),
+            lease: Int64(record.lease),
+        }
+    }
+}
+
+/// The keys found.
+#[derive(Debug, Serialize)]
+pub struct RangeResponse {
+    header: ResponseHeader,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    kvs: Vec<KeyValue>,
+    #[serde(skip_serializing_if = "is_default")]
+    more: bool,
+    #[serde(skip_serializing_if = "is_default")]
+    count: Int64,
+}
+
+/// Writes a value.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct PutRequest {
+    /// The key.
+    pub key: Bytes,
+    /// The value.
+    pub value: Bytes,
+    /// The lease that the key ends with, 0 if none.
+    pub lease: Int64,
+}
+
+/// Deletes keys.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct DeleteRangeRequest {
+    /// The first key.
+    pub key: Bytes,
+    /// The first key after the range.
+    pub range_end: Bytes,
+}
+
+impl From<PutRequest> for Operation {
+    fn from(request: PutRequest) -> Self {
+        Self::Put { key: request.key.0, value: request.value.0, lease: request.lease.0 }
+    }
+}
+
+impl From<DeleteRangeRequest> for Operation {
+    fn from(request: DeleteRangeRequest) -> Self {
+        Self::Delete(KeyRange::new(request.key.0, request.range_end.0))
+    }
+}
+
+/// An answer of which only the header matters.
+#[derive(Debug, Serialize)]
+pub struct HeaderResponse {
+    /// The header.
+    pub header: ResponseHeader,
+}
+
+/// How many keys were deleted.
+#[derive(Debug, Serialize)]
+pub struct DeleteRangeResponse {
+    /// The header.
+    pub header: ResponseHeader,
+    /// The number of keys.
+    #[serde(skip_serializing_if = "is_default")]
+    pub deleted: Int64,
+}
+
+/// Does one thing or another, depending on conditions.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct TxnRequest {
+    /// The conditions.
+    pub compare: Vec<Compare>,
+    /// What to do if all hold.
+    pub success: Vec<RequestOp>,
+    /// What to do otherwise.
+    pub failure: Vec<RequestOp>,
+}
+
+/// What a condition looks at.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum CompareTarget {
+    /// How often the key was changed.
+    #[default]
+    Version,
+    /// The revision at its creation.
+    Create,
+    /// The revision at its last change.
+    Mod,
+    /// Its value.
+    Value,
+}
+
+/// How a condition compares.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub enum CompareResult {
+    /// The key's must be equal.
+    #[default]
+    Equal,
+    /// The key's must be greater.
+    Greater,
+    /// The key's must be less.
+    Less,
+    /// The key's must differ.
+    NotEqual,
+}
+
+/// A condition on a key.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Compare {
+    key: Bytes,
+    target: CompareTarget,
+    result: CompareResult,
+    version: Int64,
+    create_revision: Int64,
+    mod_revision: Int64,
+    value: Bytes,
+}
+
+impl Compare {
+    /// Returns whether the condition holds.
+    pub fn holds(&self, keyspace: &Keyspace) -> bool {
+        let record = keyspace.get(&self.key.0);
+        let number = |field: fn(&Record) -> i64| record.map_or(0, field);
+        let order = match self.target {
+            CompareTarget::Version => number(|record| record.version).cmp(&self.version.0),
+            CompareTarget::Create => {
+                number(|record| record.create_revision).cmp(&self.create_revision.0)
+            }
+            CompareTarget::Mod => number(|record| record.mod_revision).cmp(&self.mod_revision.0),
+            // A key that is not there has no value, so no condition on it holds.
+            CompareTarget::Value => match record {
+                Some(record) => record.value.cmp(&self.value.0),
+                None => return false,
+            },
+        };
+        match self.result {
+            CompareResult::Equal => order.is_eq(),
+            CompareResult::Greater => order.is_gt(),
+            CompareResult::Less => order.is_lt(),
+            CompareResult::NotEqual => order.is_ne(),
+        }
+    }
+}
+
+/// One operation of a transaction.
+#[derive(Debug, Deserialize)]
+pub enum RequestOp {
+    /// Reads keys.
+    #[serde(rename = "request_range", alias = "requestRange")]
+    Range(RangeRequest),
+    /// Writes a value.
+    #[serde(rename = "request_put", alias = "requestPut")]
+    Put(PutRequest),
+    /// Deletes keys.
+    #[serde(rename = "request_delete_range", alias = "requestDeleteRange")]
+    DeleteRange(DeleteRangeRequest),
+}
+
+impl From<RequestOp> for Operation {
+    fn from(request: RequestOp) -> Self {
+        match request {
+            RequestOp::Range(request) => Self::Range(request.range()),
+            RequestOp::Put(request) => request.into(),
+            RequestOp::DeleteRange(request) => request.into(),
+        }
+    }
+}
+
+/// What one operation of a transaction returned.
+#[derive(Debug, Serialize)]
+pub enum ResponseOp {
+    /// The keys found.
+    #[serde(rename = "response_range")]
+    Range(RangeResponse),
+    /// The value was written.
+    #[serde(rename = "response_put")]
+    Put(HeaderResponse),
+    /// How many keys were deleted.
+    #[serde(rename = "response_delete_range")]
+    DeleteRange(DeleteRangeResponse),
+}
+
+impl ResponseOp {
+    /// Describes an outcome.
+    pub fn new(outcome: Outcome, header: &ResponseHeader) -> Self {
+        let header = header.clone();
+        match outcome {
+            Outcome::Put => Self::Put(HeaderResponse { header }),
+            Outcome::Deleted(count) => {
+                let deleted = Int64(count);
+                Self::DeleteRange(DeleteRangeResponse { header, deleted })
+            }
+            Outcome::Found(records) => Self::Range(RangeRequest::default().answer(header, records)),
+        }
+    }
+}
+
+/// Which branch a transaction took, and what it returned.
+#[derive(Debug, Serialize)]
+pub struct TxnResponse {
+    /// The header.
+    pub header: ResponseHeader,
+    /// Whether all conditions held.
+    #[serde(skip_serializing_if = "is_default")]
+    pub succeeded: bool,
+    /// What the operations returned.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub responses: Vec<ResponseOp>,
+}
+
+/// Names a lease.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct LeaseRequest {
+    /// The lease, 0 to have one chosen.
+    #[serde(rename = "ID")]
+    pub id: Int64,
+    /// Its time to live in seconds.
+    #[serde(rename = "TTL")]
+    pub ttl_s: Int64,
+}
+
+/// Describes a lease.
+#[derive(Debug, Serialize)]
+pub struct LeaseResponse {
+    /// The header.
+    pub header: ResponseHeader,
+    /// The lease.
+    #[serde(rename = "ID")]
+    pub id: Int64,
+    /// Its time to live in seconds, 0 if it is gone.
+    #[serde(rename = "TTL", skip_serializing_if = "is_default")]
+    pub ttl_s: Int64,
+}
+
+/// Asks for events.
+#[derive(Debug, Deserialize)]
+pub struct WatchRequest {
+    /// The only kind of request that the gateway takes.
+    pub create_request: WatchCreateRequest,
+}
+
+/// Says which events are wanted.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct WatchCreateRequest {
+    /// The first key.
+    pub key: Bytes,
+    /// The first key after the range.
+    pub range_end: Bytes,
+    /// The revision of the first event wanted, 0 for those to come.
+    pub start_revision: Int64,
+}
+
+/// An element of a streamed answer.
+#[derive(Debug, Serialize)]
+pub struct Streamed<Body> {
+    /// The element.
+    pub result: Body,
+}
+
+/// Events, or the beginning or end of a watch.
+#[derive(Debug, Serialize)]
+pub struct WatchResponse {
+    /// The header.
+    pub header: ResponseHeader,
+    /// Whether the watch has just begun.
+    #[serde(skip_serializing_if = "is_default")]
+    pub created: bool,
+    /// Whether the watch has ended.
+    #[serde(skip_serializing_if = "is_default")]
+    pub canceled: bool,
+    /// The oldest revision known, if an older one was asked for.
+    #[serde(skip_serializing_if = "is_default")]
+    pub compact_revision: Int64,
+    /// The events.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub events: Vec<WatchEvent>,
+}
+
+/// A change of a key.
+#[derive(Debug, Serialize)]
+pub struct WatchEvent {
+    #[serde(rename = "type", skip_serializing_if = "Option::is_none")]
+    kind: Option<&'static str>,
+    kv: KeyValue,
+}
+
+impl From<Event> for WatchEvent {
+    fn from(event: Event) -> Self {
+        Self { kind: event.is_deletion.then_some("DELETE"), kv: event.record.into() }
+    }
+}
+
+/// An error as the gateway describes it.
+#[derive(Debug, Serialize)]
+pub struct ErrorResponse {
+    /// What happened.
+    pub error: String,
+    /// The gRPC status code.
+    pub code: u32,
+    /// What happened, again.
+    pub message: String,
+}
--- /dev/null
+++ b/standins/src/upstream/control.rs
@@ -0,0 +1,81 @@
+//! The group's interface: functions by which its part is asked and changed.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use masticreel_base::ids::Term;
+use rusqlite::types::Value;
+
+use crate::upstream::error::{SqlError, state};
+use crate::upstream::group::Status;
+use crate::upstream::result::{Column, ResultSet};
+use crate::upstream::server::Server;
+use crate::upstream::value::ColumnType;
+
+/// Carries out a control function.
+///
+/// # Errors
+///
+/// Fails with 55000 when the order does not fit, and with 42883 or 22P02 when
+/// it can't be understood.
+pub fn call(server: &Server, name: &str, arguments: &[String]) -> Result<ResultSet, SqlError> {
+    let group = &server.group;
+    let status = match (name, arguments) {
+        ("group_status", []) => group.lock().status(),
+        ("group_fence", [term, claim]) => {
+            let status = group.fence(parse_term(term)?, claim)?;
+            if status.role != "primary" {
+                server.write_lock.revoke();
+            }
+            status
+        }
+        ("group_promote", [term, claim]) => group.promote(parse_term(term)?, claim)?,
+        ("group_follow", [term, primary]) => {
+            let status = group.follow(parse_term(term)?, parse::<SocketAddr>(primary)?)?;
+            server.write_lock.revoke();
+            status
+        }
+        _ => {
+            let message = format!("function {name} with {} arguments", arguments.len());
+            return Err(SqlError::new(state::UNKNOWN_FUNCTION, message + " does not exist"));
+        }
+    };
+    Ok(row(&status))
+}
+
+/// Returns the columns of every control function.
+pub fn columns() -> Vec<Column> {
+    vec![
+        Column::new("term", ColumnType::Int8),
+        Column::new("role", ColumnType::Text),
+        Column::new("log_term", ColumnType::Int8),
+        Column::new("durable", ColumnType::Int8),
+        Column::new("applied", ColumnType::Int8),
+        Column::new("primary", ColumnType::Text),
+    ]
+}
+
+fn row(status: &Status) -> ResultSet {
+    let primary = status.primary.map(|address| address.to_string()).unwrap_or_default();
+    let row = vec![
+        Value::Integer(status.term.0 as i64),
+        Value::Text(status.role.to_owned()),
+        Value::Integer(status.log_term.0 as i64),
+        Value::Integer(status.durable.0 as i64),
+        Value::Integer(status.applied.0 as i64),
+        Value::Text(primary),
+    ];
+    ResultSet { columns: columns(), rows: vec![row], tag: "SELECT 1".to_owned() }
+}
+
+fn parse_term(text: &str) -> Result<Term, SqlError> {
+    parse(text).map(Term)
+}
+
+fn parse<Parsed>(text: &str) -> Result<Parsed, SqlError>
+where
+    Parsed: FromStr,
+{
+    let message = || format!("invalid argument: \"{text}\"");
+    text.parse().map_err(|_| SqlError::new(state::INVALID_TEXT, message()))
+}
--- /dev/null
+++ b/standins/src/upstream/database.rs
@@ -0,0 +1,111 @@
+//! The SQLite files that hold a server's data.
+
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use rusqlite::Connection;
+use rusqlite::functions::FunctionFlags;
+use rusqlite::types::Value;
+
+use crate::upstream::interrupt::Interrupt;
+
+/// How long SQLite itself waits for a lock, which own locks make rare.
+const BUSY_TIMEOUT: Duration = Duration::from_secs(5);
+/// How many prepared statements a connection keeps.
+const STATEMENT_CACHE_CAPACITY: usize = 128;
+
+/// Distinguishes the directories of servers in one process.
+static NEXT_DIRECTORY: AtomicU64 = AtomicU64::new(0);
+
+/// A directory with one SQLite file for each generation of the data.
+#[derive(Debug)]
+pub struct DatabaseFiles {
+    directory: PathBuf,
+}
+
+impl DatabaseFiles {
+    /// Creates an empty directory below the system's one for temporary files.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the directory can't be created.
+    pub fn create(name: &str) -> io::Result<Self> {
+        let number = NEXT_DIRECTORY.fetch_add(1, Ordering::Relaxed);
+        let leaf = format!("masticreel-standin-{name}-{}-{number}", std::process::id());
+        let directory = std::env::temp_dir().join(leaf);
+        std::fs::create_dir_all(&directory)?;
+        Ok(Self { directory })
+    }
+
+    /// Opens a connection to a generation of the data.
+    ///
+    /// # Errors
+    ///
+    /// Fails when SQLite can't use the file.
+    pub fn open(
+        &self,
+        generation: u64,
+        interrupt: &Arc<Interrupt>,
+    ) -> rusqlite::Result<Connection> {
+        let connection = Connection::open(self.path(generation))?;
+        connection.busy_timeout(BUSY_TIMEOUT)?;
+        connection.set_prepared_statement_cache_capacity(STATEMENT_CACHE_CAPACITY);
+        connection.pragma_update_and_check(None, "journal_mode", "wal", |_| Ok(()))?;
+        connection.pragma_update(None, "synchronous", "off")?;
+        connection.pragma_update(None, "foreign_keys", "on")?;
+        add_functions(&connection, interrupt)?;
+        Ok(connection)
+    }
+
+    /// Deletes the files of a generation that no longer serves.
+    pub fn remove(&self, generation: u64) {
+        for suffix in ["", "-wal", "-shm"] {
+            let mut path = self.path(generation).into_os_string();
+            path.push(suffix);
+            // A file that is not there needs no deletion.
+            let _ = std::fs::remove_file(path);
+        }
+    }
+
+    fn path(&self, generation: u64) -> PathBuf {
+        Path::new(&self.directory).join(format!("data-{generation}.sqlite"))
+    }
+}
+
+impl Drop for DatabaseFiles {
+    fn drop(&mut self) {
+        // The directory is temporary, so leaving it behind does no harm.
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// Adds the functions of PostgreSQL that SQLite lacks.
+fn add_functions(connection: &Connection, interrupt: &Arc<Interrupt>) -> rusqlite::Result<()> {
+    let flags = FunctionFlags::SQLITE_UTF8;
+    let sleeper = Arc::clone(interrupt);
+    connection.create_scalar_function("pg_sleep", 1, flags, move |context| {
+        let seconds = context.get::<f64>(0).or_else(|_| context.get::<i64>(0).map(|s| s as f64))?;
+        let duration = Duration::try_from_secs_f64(seconds).unwrap_or_default();
+        if sleeper.sleep(duration) {
+            let error = "canceling statement due to user request";
+            return Err(rusqlite::Error::UserFunctionError(error.into()));
+        }
+        Ok(String::new())
+    })?;
+    connection.create_scalar_function("version", 0, flags, |_| {
+        Ok("PostgreSQL 16.0 (masticreel stand-in)".to_owned())
+    })?;
+    let settings = Arc::clone(interrupt);
+    connection.create_scalar_function("current_setting", -1, flags, move |context| {
+        let name = context.get::<String>(0)?.to_ascii_lowercase();
+        Ok(settings.setting(&name).map_or(Value::Null, Value::Text))
+    })?;
+    let deterministic = flags | FunctionFlags::SQLITE_DETERMINISTIC;
+    connection.create_scalar_function("repeat", 2, deterministic, |context| {
+        let count = usize::try_from(context.get::<i64>(1)?).unwrap_or(0);
+        Ok(context.get::<String>(0)?.repeat(count))
+    })
+}
--- /dev/null
+++ b/standins/src/upstream/executor.rs
@@ -0,0 +1,387 @@
+//! Runs the statements of one connection and keeps its transaction.
+
+use std::sync::{Arc, Mutex};
+
+use masticreel_base::position::TermPosition;
+use pgwire::messages::response::TransactionStatus;
+use rusqlite::Connection;
+use rusqlite::types::Value;
+
+use crate::upstream::error::{SqlError, state};
+use crate::upstream::interrupt::Interrupt;
+use crate::upstream::log::{LoggedStatement, LoggedValue};
+use crate::upstream::result::{Column, ResultSet, command_tag, describe_columns};
+use crate::upstream::server::Server;
+use crate::upstream::sql::{Command, Statement};
+use crate::upstream::writer::{LockError, SharedConnection, WriteGuard};
+
+/// The transaction block that the caller opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Block {
+    None,
+    Open { read_only: bool },
+    Failed,
+}
+
+/// A SQLite transaction that has written.
+struct Writing {
+    epoch: u64,
+    statements: Vec<LoggedStatement>,
+    guard: WriteGuard,
+}
+
+/// A savepoint and how many statements were logged before it.
+struct Savepoint {
+    name: String,
+    logged: usize,
+}
+
+/// Runs statements for one connection.
+///
+/// Reads outside of a writing transaction see the newest commit each, as at
+/// the isolation level READ COMMITTED. A SQLite transaction begins with the
+/// first write.
+pub struct Executor {
+    server: Arc<Server>,
+    interrupt: Arc<Interrupt>,
+    connection: SharedConnection,
+    generation: Option<u64>,
+    uses_slots: bool,
+    block: Block,
+    writing: Option<Writing>,
+    savepoints: Vec<Savepoint>,
+    committed: Option<TermPosition>,
+}
+
+impl Executor {
+    /// Creates an executor without a transaction.
+    pub fn new(server: Arc<Server>, interrupt: Arc<Interrupt>, uses_slots: bool) -> Self {
+        Self {
+            server,
+            interrupt,
+            connection: Arc::new(Mutex::new(None)),
+            generation: None,
+            uses_slots,
+            block: Block::None,
+            writing: None,
+            savepoints: Vec::new(),
+            committed: None,
+        }
+    }
+
+    /// Returns the state for the next ReadyForQuery.
+    pub fn status(&self) -> TransactionStatus {
+        match self.block {
+            Block::None => TransactionStatus::Idle,
+            Block::Open { .. } => TransactionStatus::Transaction,
+            Block::Failed => TransactionStatus::Error,
+        }
+    }
+
+    /// Returns the position to report: that of an own commit since the last
+    /// call, else what reads have seen at most.
+    pub fn take_position(&mut self) -> TermPosition {
+        self.committed.take().unwrap_or_else(|| self.server.group.lock().visible())
+    }
+
+    /// Returns a statement's columns without running it; none if it has no rows.
+    ///
+    /// # Errors
+    ///
+    /// Fails when SQLite can't prepare the statement.
+    pub fn describe(&mut self, statement: &Statement) -> Result<(usize, Vec<Column>), SqlError> {
+        self.refresh()?;
+        let connection = self.connection.lock().expect("no holder of the connection panics");
+        let connection = connection.as_ref().expect("the connection was opened before");
+        let prepared = connection.prepare_cached(&statement.sql)?;
+        let numbers = (1..=prepared.parameter_count()).filter_map(|index| {
+            prepared.parameter_name(index)?.strip_prefix('$')?.parse::<usize>().ok()
+        });
+        Ok((numbers.max().unwrap_or(0), describe_columns(&prepared)))
+    }
+
+    /// Runs a statement that belongs to SQLite or to the transaction.
+    ///
+    /// # Errors
+    ///
+    /// Fails with what the caller shall see; an open block has failed then.
+    pub fn execute(
+        &mut self,
+        statement: &Statement,
+        values: &[Value],
+    ) -> Result<ResultSet, SqlError> {
+        self.interrupt.begin();
+        let result = self.run(statement, values);
+        let is_cancelled = self.interrupt.end();
+        result.map_err(|error| {
+            let is_fenced = self.is_fenced();
+            self.fail();
+            match is_cancelled {
+                true if is_fenced => SqlError::not_primary(),
+                true => SqlError::cancelled(),
+                false => error,
+            }
+        })
+    }
+
+    /// Commits what was written outside of a block.
+    ///
+    /// # Errors
+    ///
+    /// Fails with 25006 when the server was fenced meanwhile.
+    pub fn finish_implicit(&mut self) -> Result<(), SqlError> {
+        if self.block == Block::None { self.commit() } else { Ok(()) }
+    }
+
+    /// Gives up the transaction after an error.
+    pub fn fail(&mut self) {
+        if self.block == Block::None {
+            self.roll_back();
+        } else {
+            self.block = Block::Failed;
+        }
+    }
+
+    /// Forgets the transaction, as at the end of the connection.
+    pub fn close(&mut self) {
+        self.roll_back();
+    }
+
+    fn is_fenced(&self) -> bool {
+        let epoch = self.server.group.lock().epoch;
+        self.writing.as_ref().is_some_and(|writing| writing.epoch != epoch)
+    }
+
+    fn run(&mut self, statement: &Statement, values: &[Value]) -> Result<ResultSet, SqlError> {
+        let ends_block = matches!(
+            statement.command,
+            Command::Commit | Command::Rollback | Command::RollbackTo(_)
+        );
+        if self.block == Block::Failed && !ends_block {
+            return Err(SqlError::new(
+                state::FAILED_TRANSACTION,
+                "current transaction is aborted, commands ignored until end of transaction block",
+            ));
+        }
+        match &statement.command {
+            Command::Begin { read_only } => self.begin(*read_only),
+            Command::Commit => self.commit_block(),
+            Command::Rollback => {
+                self.roll_back();
+                Ok(ResultSet::tag_only("ROLLBACK"))
+            }
+            Command::Savepoint(name) => self.savepoint(name),
+            Command::RollbackTo(name) => self.roll_back_to(name),
+            Command::Release(name) => self.release(name),
+            Command::Query(keyword) => self.query(statement, keyword, values),
+            _ => Err(SqlError::new(state::INTERNAL, "the command belongs to the session")),
+        }
+    }
+
+    fn begin(&mut self, read_only: bool) -> Result<ResultSet, SqlError> {
+        if self.block == Block::None {
+            self.block = Block::Open { read_only };
+        }
+        Ok(ResultSet::tag_only("BEGIN"))
+    }
+
+    fn commit_block(&mut self) -> Result<ResultSet, SqlError> {
+        if self.block == Block::Failed {
+            self.roll_back();
+            return Ok(ResultSet::tag_only("ROLLBACK"));
+        }
+        self.block = Block::None;
+        self.commit()?;
+        Ok(ResultSet::tag_only("COMMIT"))
+    }
+
+    fn commit(&mut self) -> Result<(), SqlError> {
+        self.savepoints.clear();
+        let Some(mut writing) = self.writing.take() else {
+            return Ok(());
+        };
+        let statements = std::mem::take(&mut writing.statements);
+        let connection = self.connection.lock().expect("no holder of the connection panics");
+        let connection = connection.as_ref().expect("a writer has a connection");
+        let result = self.server.group.commit(connection, writing.epoch, statements);
+        if result.is_err() && !connection.is_autocommit() {
+            connection.execute_batch("ROLLBACK")?;
+        }
+        drop(writing.guard);
+        self.committed = Some(result?);
+        Ok(())
+    }
+
+    fn roll_back(&mut self) {
+        self.block = Block::None;
+        self.savepoints.clear();
+        let Some(writing) = self.writing.take() else {
+            return;
+        };
+        let connection = self.connection.lock().expect("no holder of the connection panics");
+        if let Some(connection) = connection.as_ref().filter(|open| !open.is_autocommit()) {
+            // SQLite may have rolled back by itself after an error.
+            let _ = connection.execute_batch("ROLLBACK");
+        }
+        drop(writing.guard);
+    }
+
+    fn savepoint(&mut self, name: &str) -> Result<ResultSet, SqlError> {
+        if self.block == Block::None {
+            let message = "SAVEPOINT can only be used in transaction blocks";
+            return Err(SqlError::new("25P01", message));
+        }
+        let logged = self.writing.as_ref().map_or(0, |writing| writing.statements.len());
+        if self.writing.is_some() {
+            self.batch(&format!("SAVEPOINT \"{name}\""))?;
+        }
+        self.savepoints.push(Savepoint { name: name.to_owned(), logged });
+        Ok(ResultSet::tag_only("SAVEPOINT"))
+    }
+
+    fn find_savepoint(&self, name: &str) -> Result<usize, SqlError> {
+        let found = self.savepoints.iter().rposition(|savepoint| savepoint.name == name);
+        found.ok_or_else(|| {
+            SqlError::new(state::UNKNOWN_SAVEPOINT, format!("savepoint \"{name}\" does not exist"))
+        })
+    }
+
+    fn roll_back_to(&mut self, name: &str) -> Result<ResultSet, SqlError> {
+        let index = self.find_savepoint(name)?;
+        self.check_epoch()?;
+        if self.writing.is_some() {
+            self.batch(&format!("ROLLBACK TO \"{name}\""))?;
+        }
+        let logged = self.savepoints[index].logged;
+        if let Some(writing) = &mut self.writing {
+            writing.statements.truncate(logged);
+        }
+        self.savepoints.truncate(index + 1);
+        self.block = Block::Open { read_only: false };
+        Ok(ResultSet::tag_only("ROLLBACK"))
+    }
+
+    fn release(&mut self, name: &str) -> Result<ResultSet, SqlError> {
+        let index = self.find_savepoint(name)?;
+        if self.writing.is_some() {
+            self.batch(&format!("RELEASE \"{name}\""))?;
+        }
+        self.savepoints.truncate(index);
+        Ok(ResultSet::tag_only("RELEASE"))
+    }
+
+    fn batch(&self, sql: &str) -> Result<(), SqlError> {
+        let connection = self.connection.lock().expect("no holder of the connection panics");
+        let connection = connection.as_ref().expect("a writer has a connection");
+        Ok(connection.execute_batch(sql)?)
+    }
+
+    fn query(
+        &mut self,
+        statement: &Statement,
+        keyword: &str,
+        values: &[Value],
+    ) -> Result<ResultSet, SqlError> {
+        self.check_epoch()?;
+        self.refresh()?;
+        let is_read = {
+            let connection = self.connection.lock().expect("no holder of the connection panics");
+            let connection = connection.as_ref().expect("the connection was opened before");
+            connection.prepare_cached(&statement.sql)?.readonly()
+        };
+        if !is_read {
+            self.begin_writing()?;
+        }
+        let server = Arc::clone(&self.server);
+        let _slot = self.uses_slots.then(|| server.slots.acquire());
+        let result = {
+            let connection = self.connection.lock().expect("no holder of the connection panics");
+            let connection = connection.as_ref().expect("the connection was opened before");
+            run_prepared(connection, statement, keyword, values)?
+        };
+        if !is_read {
+            self.log(statement, values);
+        }
+        Ok(result)
+    }
+
+    fn log(&mut self, statement: &Statement, values: &[Value]) {
+        let parameters = values.iter().cloned().map(LoggedValue::from).collect();
+        let logged = LoggedStatement { sql: statement.sql.as_str().into(), parameters };
+        if let Some(writing) = &mut self.writing {
+            writing.statements.push(logged);
+        }
+    }
+
+    /// Finds out whether a fence ended the transaction.
+    fn check_epoch(&mut self) -> Result<(), SqlError> {
+        if self.is_fenced() {
+            return Err(SqlError::not_primary());
+        }
+        Ok(())
+    }
+
+    fn begin_writing(&mut self) -> Result<(), SqlError> {
+        if self.writing.is_some() {
+            return Ok(());
+        }
+        if self.block == (Block::Open { read_only: true }) {
+            return Err(SqlError::read_only_transaction());
+        }
+        self.server.group.write_epoch()?;
+        let timeout = self.server.settings.lock_timeout;
+        let acquired = self.server.write_lock.acquire(&self.connection, &self.interrupt, timeout);
+        let guard = acquired.map_err(|error| match error {
+            LockError::Cancelled => SqlError::cancelled(),
+            LockError::Timeout => {
+                SqlError::new(state::LOCK_NOT_AVAILABLE, "canceling statement due to lock timeout")
+            }
+        })?;
+        let epoch = self.server.group.write_epoch()?;
+        self.batch("BEGIN IMMEDIATE")?;
+        self.writing = Some(Writing { epoch, statements: Vec::new(), guard });
+        // A fence before BEGIN found no transaction to roll back.
+        self.check_epoch()?;
+        for index in 0..self.savepoints.len() {
+            self.batch(&format!("SAVEPOINT \"{}\"", self.savepoints[index].name))?;
+        }
+        Ok(())
+    }
+
+    /// Opens the database that serves, unless a transaction holds the old one.
+    fn refresh(&mut self) -> Result<(), SqlError> {
+        let generation = self.server.group.generation();
+        if self.generation == Some(generation) || self.writing.is_some() {
+            return Ok(());
+        }
+        let connection = self.server.files.open(generation, &self.interrupt)?;
+        self.interrupt.attach(connection.get_interrupt_handle());
+        *self.connection.lock().expect("no holder of the connection panics") = Some(connection);
+        self.generation = Some(generation);
+        Ok(())
+    }
+}
+
+fn run_prepared(
+    connection: &Connection,
+    statement: &Statement,
+    keyword: &str,
+    values: &[Value],
+) -> Result<ResultSet, SqlError> {
+    let mut prepared = connection.prepare_cached(&statement.sql)?;
+    for (index, value) in values.iter().enumerate() {
+        if let Some(slot) = prepared.parameter_index(&format!("${}", index + 1))? {
+            prepared.raw_bind_parameter(slot, value)?;
+        }
+    }
+    let columns = describe_columns(&prepared);
+    let mut result_rows = Vec::new();
+    let mut rows = prepared.raw_query();
+    while let Some(row) = rows.next()? {
+        let values = (0..columns.len()).map(|index| row.get(index));
+        result_rows.push(values.collect::<rusqlite::Result<Vec<Value>>>()?);
+    }
+    drop(rows);
+    let changes = if columns.is_empty() { connection.changes() } else { result_rows.len() as u64 };
+    Ok(ResultSet { tag: command_tag(keyword, &statement.sql, changes), columns, rows: result_rows })
+}
--- /dev/null
+++ b/standins/src/upstream/replication.rs
@@ -0,0 +1,306 @@
+//! Ships the log from the primary to its replicas and applies it there.
+
+use std::io::{self, BufReader, BufWriter, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, Sender, bounded};
+use masticreel_base::ids::{LogPosition, Term};
+use rusqlite::Connection;
+use rusqlite::types::Value;
+use serde::{Deserialize, Serialize};
+
+use crate::upstream::database::DatabaseFiles;
+use crate::upstream::frame;
+use crate::upstream::group::{Group, Part, State};
+use crate::upstream::interrupt::Interrupt;
+use crate::upstream::log::{LogEntry, LogRun, LoggedStatement, last_common};
+
+/// The code that starts a replication stream in place of a protocol version.
+pub const REPLICATION_CODE: u32 = (1234 << 16) | 5690;
+
+/// How many entries one message carries at most.
+const BATCH_ENTRIES: usize = 256;
+/// How often an idle primary shows that it is there.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(200);
+/// After how long a replica takes a silent primary for gone.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a replica waits before it connects again.
+const RECONNECT_INTERVAL: Duration = Duration::from_millis(50);
+/// How many entries may be under way at once.
+const RECEIVE_QUEUE_ENTRIES: usize = 65_536;
+/// How often waiting threads look whether the server stops.
+const STOP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What a replica asks of a primary.
+#[derive(Debug, Serialize, Deserialize)]
+struct FollowRequest {
+    term: Term,
+    runs: Vec<LogRun>,
+}
+
+/// What a primary sends to a replica.
+#[derive(Debug, Serialize, Deserialize)]
+enum StreamMessage {
+    /// The logs agree up to here; all that follows is sent.
+    Accepted(LogPosition),
+    /// The server is not the primary of the term.
+    Refused,
+    /// Entries in order; none if it is only a sign of life.
+    Entries(Vec<LogEntry>),
+}
+
+/// Sends the log to one replica until either side is gone or the term is over.
+///
+/// `received` holds what came along with the opening bytes.
+///
+/// # Errors
+///
+/// Fails when the replica is gone or not understood.
+pub fn serve(group: &Group, stream: &TcpStream, received: &[u8]) -> io::Result<()> {
+    let request: FollowRequest = frame::read(&mut received.chain(stream))?;
+    let mut output = BufWriter::new(stream);
+    let state = group.lock();
+    let epoch = state.epoch;
+    if state.part != Part::Primary || state.term != request.term {
+        drop(state);
+        frame::write(&mut output, &StreamMessage::Refused)?;
+        return output.flush();
+    }
+    let mut sent = last_common(state.log.runs(), &request.runs);
+    drop(state);
+    frame::write(&mut output, &StreamMessage::Accepted(sent))?;
+    output.flush()?;
+    while let Some(entries) = next_entries(group, epoch, sent) {
+        sent = LogPosition(sent.0 + entries.len() as u64);
+        frame::write(&mut output, &StreamMessage::Entries(entries))?;
+        output.flush()?;
+    }
+    Ok(())
+}
+
+fn next_entries(group: &Group, epoch: u64, sent: LogPosition) -> Option<Vec<LogEntry>> {
+    let deadline = Instant::now() + KEEPALIVE_INTERVAL;
+    let mut state = group.lock();
+    loop {
+        if state.epoch != epoch || state.is_stopped() {
+            return None;
+        }
+        let rest = deadline.saturating_duration_since(Instant::now());
+        if state.log.last() > sent || rest.is_zero() {
+            break;
+        }
+        state = group.wait(state, rest);
+    }
+    let entries = state.log.after(sent, BATCH_ENTRIES);
+    drop(state);
+    Some(entries.iter().map(|entry| LogEntry::clone(entry)).collect())
+}
+
+/// Copies the log of whichever primary the server follows, until it stops.
+pub fn receive(group: &Group, lag: Duration) {
+    let mut state = group.lock();
+    while !state.is_stopped() {
+        let epoch = state.epoch;
+        let Part::Replica(Some(primary)) = state.part else {
+            state = group.wait(state, STOP_INTERVAL);
+            continue;
+        };
+        let request = FollowRequest { term: state.term, runs: state.log.runs().to_vec() };
+        drop(state);
+        // A broken stream is the usual end; the next attempt asks afresh.
+        let _ = copy(group, epoch, primary, &request, lag);
+        std::thread::sleep(RECONNECT_INTERVAL);
+        state = group.lock();
+    }
+}
+
+fn copy(
+    group: &Group,
+    epoch: u64,
+    primary: SocketAddr,
+    request: &FollowRequest,
+    lag: Duration,
+) -> io::Result<()> {
+    let stream = TcpStream::connect_timeout(&primary, SILENCE_TIMEOUT)?;
+    stream.set_read_timeout(Some(SILENCE_TIMEOUT))?;
+    stream.set_nodelay(true)?;
+    let mut opening = 8_u32.to_be_bytes().to_vec();
+    opening.extend(REPLICATION_CODE.to_be_bytes());
+    opening.extend(frame::encode(request));
+    (&stream).write_all(&opening)?;
+    let mut input = BufReader::new(&stream);
+    let StreamMessage::Accepted(common) = frame::read(&mut input)? else {
+        return Ok(());
+    };
+    if !group.begin_copy(epoch, common) {
+        return Ok(());
+    }
+    let (sender, receiver) = bounded(RECEIVE_QUEUE_ENTRIES);
+    std::thread::scope(|scope| {
+        scope.spawn(|| append(group, epoch, receiver, lag));
+        read_entries(group, epoch, &mut input, sender)
+    })
+}
+
+fn read_entries(
+    group: &Group,
+    epoch: u64,
+    input: &mut BufReader<&TcpStream>,
+    sender: Sender<(Instant, LogEntry)>,
+) -> io::Result<()> {
+    loop {
+        let message = frame::read(input)?;
+        let StreamMessage::Entries(entries) = message else {
+            return Ok(());
+        };
+        let state = group.lock();
+        if state.epoch != epoch || state.is_stopped() {
+            return Ok(());
+        }
+        drop(state);
+        let now = Instant::now();
+        for entry in entries {
+            if sender.send((now, entry)).is_err() {
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Makes received entries durable once they have been under way long enough.
+fn append(group: &Group, epoch: u64, receiver: Receiver<(Instant, LogEntry)>, lag: Duration) {
+    for (received, entry) in receiver {
+        let mut rest = (received + lag).saturating_duration_since(Instant::now());
+        while !rest.is_zero() {
+            let state = group.lock();
+            if state.epoch != epoch || state.is_stopped() {
+                return;
+            }
+            drop(group.wait(state, rest));
+            rest = (received + lag).saturating_duration_since(Instant::now());
+        }
+        if !group.append_copy(epoch, entry) {
+            return;
+        }
+    }
+}
+
+/// Entries that are due, for one generation of the data.
+struct Batch {
+    generation: u64,
+    entries: Vec<Arc<LogEntry>>,
+}
+
+/// Applies durable entries on a server that is not the primary, until it stops.
+pub fn apply(group: &Group, files: &DatabaseFiles, lag: Duration) {
+    let interrupt = Arc::new(Interrupt::default());
+    let mut open: Option<(u64, Connection)> = None;
+    while let Some(Batch { generation, entries }) = next_batch(group, lag) {
+        if open.as_ref().is_none_or(|(opened, _)| *opened != generation) {
+            let connection = files.open(generation, &interrupt).expect("the directory is usable");
+            if let Some((old, _)) = open.replace((generation, connection)) {
+                files.remove(old);
+            }
+        }
+        let Some((_, connection)) = &open else { continue };
+        if let Err(error) = apply_entries(group, connection, generation, &entries) {
+            // A writer that was just fenced may still hold the file's lock.
+            let _ = connection.execute_batch("ROLLBACK");
+            eprintln!("event=apply_failed error={error:?}");
+            std::thread::sleep(RECONNECT_INTERVAL);
+        }
+    }
+}
+
+/// Waits for entries that are due; `None` when the server stops.
+///
+/// The batch is empty when a rebuild has nothing left to apply.
+fn next_batch(group: &Group, lag: Duration) -> Option<Batch> {
+    let mut state = group.lock();
+    while !state.is_stopped() {
+        match due(&state, group.generation(), lag) {
+            Ok(batch) => return Some(batch),
+            Err(rest) => state = group.wait(state, rest.min(STOP_INTERVAL)),
+        }
+    }
+    None
+}
+
+/// Returns the entries that are due, or how long to wait for the next.
+fn due(state: &State, serving: u64, lag: Duration) -> Result<Batch, Duration> {
+    if state.part == Part::Primary {
+        return Err(STOP_INTERVAL);
+    }
+    let (generation, applied) = match state.rebuild {
+        Some(rebuild) if rebuild.applied >= rebuild.target => {
+            return Ok(Batch { generation: rebuild.generation, entries: Vec::new() });
+        }
+        Some(rebuild) => (rebuild.generation, rebuild.applied),
+        None => (serving, state.applied),
+    };
+    let since = state.log.durable_since(applied.next()).ok_or(STOP_INTERVAL)?;
+    let now = Instant::now();
+    // A promotion waits for these entries, so it is not held up further.
+    let lag = if state.part == Part::Fenced { Duration::ZERO } else { lag };
+    let rest = (since + lag).saturating_duration_since(now);
+    if !rest.is_zero() {
+        return Err(rest);
+    }
+    let is_due = |entry: &Arc<LogEntry>| {
+        state.log.durable_since(entry.position).is_some_and(|since| since + lag <= now)
+    };
+    let mut entries = state.log.after(applied, BATCH_ENTRIES);
+    entries.retain(is_due);
+    Ok(Batch { generation, entries })
+}
+
+fn apply_entries(
+    group: &Group,
+    connection: &Connection,
+    generation: u64,
+    entries: &[Arc<LogEntry>],
+) -> rusqlite::Result<()> {
+    connection.execute_batch("BEGIN IMMEDIATE")?;
+    for statement in entries.iter().flat_map(|entry| &entry.statements) {
+        apply_statement(connection, statement)?;
+    }
+    let mut state = group.lock();
+    if !is_next(&state, group.generation(), generation, entries) {
+        return connection.execute_batch("ROLLBACK");
+    }
+    connection.execute_batch("COMMIT")?;
+    let applied = state.rebuild.map_or(state.applied, |rebuild| rebuild.applied);
+    let last = entries.last().map_or(applied, |entry| entry.position);
+    group.note_applied(&mut state, generation, last);
+    Ok(())
+}
+
+fn apply_statement(connection: &Connection, statement: &LoggedStatement) -> rusqlite::Result<()> {
+    let mut prepared = connection.prepare_cached(&statement.sql)?;
+    for (index, value) in statement.parameters.iter().enumerate() {
+        if let Some(slot) = prepared.parameter_index(&format!("${}", index + 1))? {
+            prepared.raw_bind_parameter(slot, Value::from(value.clone()))?;
+        }
+    }
+    let mut rows = prepared.raw_query();
+    while rows.next()?.is_some() {}
+    Ok(())
+}
+
+/// Returns whether the entries still follow what is applied.
+///
+/// The log may have been cut and refilled while they were being applied.
+fn is_next(state: &State, serving: u64, generation: u64, entries: &[Arc<LogEntry>]) -> bool {
+    let (current, applied) = match state.rebuild {
+        Some(rebuild) => (rebuild.generation, rebuild.applied),
+        None => (serving, state.applied),
+    };
+    if current != generation || state.part == Part::Primary {
+        return false;
+    }
+    let logged = state.log.after(applied, entries.len());
+    logged.len() == entries.len()
+        && logged.iter().zip(entries).all(|(left, right)| Arc::ptr_eq(left, right))
+}
--- /dev/null
+++ b/standins/src/upstream/server.rs
@@ -0,0 +1,233 @@
+//! Starts and stops a server and counts its connections.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicI32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+
+use crate::upstream::database::DatabaseFiles;
+use crate::upstream::error::{SqlError, state};
+use crate::upstream::group::Group;
+use crate::upstream::interrupt::Interrupt;
+use crate::upstream::log::Log;
+use crate::upstream::replication;
+use crate::upstream::session;
+use crate::upstream::settings::UpstreamSettings;
+use crate::upstream::slots::Slots;
+use crate::upstream::writer::WriteLock;
+
+/// The user whose connections are reserved and bypass the slots.
+pub const CONTROL_USER: &str = "masticreel_control";
+/// How many connections are reserved for [`CONTROL_USER`].
+pub const CONTROL_CONNECTIONS: usize = 3;
+
+/// What all threads of a server share.
+#[derive(Debug)]
+pub struct Server {
+    /// The settings.
+    pub settings: UpstreamSettings,
+    /// Its part in the group.
+    pub group: Group,
+    /// Its data.
+    pub files: DatabaseFiles,
+    /// Bounds the statements that run at once.
+    pub slots: Slots,
+    /// Held by the transaction that writes.
+    pub write_lock: Arc<WriteLock>,
+    connections: Mutex<Connections>,
+    next_pid: AtomicI32,
+    is_stopped: AtomicBool,
+}
+
+#[derive(Debug, Default)]
+struct Connections {
+    ordinary: usize,
+    control: usize,
+    streams: HashMap<i32, TcpStream>,
+    cancellable: HashMap<i32, (i32, Arc<Interrupt>)>,
+}
+
+/// A connection's place among those allowed, given back when dropped.
+#[derive(Debug)]
+pub struct Admission {
+    server: Arc<Server>,
+    pid: i32,
+    is_control: bool,
+}
+
+impl Admission {
+    /// Returns the number that CancelRequest names.
+    pub fn pid(&self) -> i32 {
+        self.pid
+    }
+}
+
+impl Drop for Admission {
+    fn drop(&mut self) {
+        let mut connections = self.server.connections();
+        if self.is_control {
+            connections.control -= 1;
+        } else {
+            connections.ordinary -= 1;
+        }
+        connections.cancellable.remove(&self.pid);
+    }
+}
+
+impl Server {
+    fn connections(&self) -> std::sync::MutexGuard<'_, Connections> {
+        self.connections.lock().expect("no holder of the connections panics")
+    }
+
+    /// Admits a connection whose user is known.
+    ///
+    /// # Errors
+    ///
+    /// Fails with 53300 when all connections are taken.
+    pub fn admit(
+        self: &Arc<Self>,
+        pid: i32,
+        user: &str,
+        secret: i32,
+        interrupt: &Arc<Interrupt>,
+    ) -> Result<Admission, SqlError> {
+        let is_control = user == CONTROL_USER;
+        let ordinary_limit = self.settings.max_connections.saturating_sub(CONTROL_CONNECTIONS);
+        let mut connections = self.connections();
+        let (taken, limit) = match is_control {
+            true => (&mut connections.control, CONTROL_CONNECTIONS),
+            false => (&mut connections.ordinary, ordinary_limit),
+        };
+        if *taken >= limit {
+            let message = "sorry, too many clients already";
+            return Err(SqlError::fatal(state::TOO_MANY_CONNECTIONS, message));
+        }
+        *taken += 1;
+        connections.cancellable.insert(pid, (secret, Arc::clone(interrupt)));
+        drop(connections);
+        Ok(Admission { server: Arc::clone(self), pid, is_control })
+    }
+
+    /// Cancels the statement of the connection that the key belongs to.
+    pub fn cancel(&self, pid: i32, secret: i32) {
+        let connections = self.connections();
+        if let Some((_, interrupt)) =
+            connections.cancellable.get(&pid).filter(|(expected, _)| *expected == secret)
+        {
+            interrupt.cancel();
+        }
+    }
+
+    fn serve(self: &Arc<Self>, stream: TcpStream) {
+        let pid = self.next_pid.fetch_add(1, Ordering::Relaxed);
+        let Ok(copy) = stream.try_clone() else { return };
+        self.connections().streams.insert(pid, copy);
+        let server = Arc::clone(self);
+        std::thread::spawn(move || {
+            if !server.is_stopped.load(Ordering::Acquire) {
+                // A broken connection is the caller's affair.
+                let _ = session::serve(&server, &stream, pid);
+            }
+            let _ = stream.shutdown(Shutdown::Both);
+            server.connections().streams.remove(&pid);
+        });
+    }
+
+    fn stop(&self) {
+        self.is_stopped.store(true, Ordering::Release);
+        self.group.stop();
+        let connections = self.connections();
+        for stream in connections.streams.values() {
+            // One that is closed already needs no shutdown.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        for (_, interrupt) in connections.cancellable.values() {
+            interrupt.cancel();
+        }
+    }
+}
+
+/// A running server; it stops when dropped.
+#[derive(Debug)]
+pub struct Upstream {
+    server: Arc<Server>,
+    address: SocketAddr,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Upstream {
+    /// Starts a server.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't listen or use its directories.
+    pub fn start(settings: UpstreamSettings) -> io::Result<Self> {
+        let listener = TcpListener::bind(settings.listen)?;
+        let address = listener.local_addr()?;
+        let (log, recovered) = Log::open(settings.data_dir.as_deref())?;
+        let server = Arc::new(Server {
+            group: Group::new(&settings, log, recovered),
+            files: DatabaseFiles::create(&settings.name)?,
+            slots: Slots::new(settings.slots),
+            write_lock: Arc::default(),
+            connections: Mutex::default(),
+            next_pid: AtomicI32::new(1),
+            is_stopped: AtomicBool::new(false),
+            settings,
+        });
+        let threads = vec![
+            spawn(&server, |server| {
+                replication::receive(&server.group, server.settings.receive_lag);
+            }),
+            spawn(&server, |server| {
+                replication::apply(&server.group, &server.files, server.settings.apply_lag);
+            }),
+            spawn(&server, move |server| accept(server, &listener)),
+        ];
+        Ok(Self { server, address, threads })
+    }
+
+    /// Returns where the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops the server and closes its connections.
+    pub fn stop(&mut self) {
+        self.server.stop();
+        // The accepting thread sees the stop at its next connection.
+        let _ = TcpStream::connect(self.address);
+        for thread in self.threads.drain(..) {
+            thread.join().expect("the server's threads don't panic");
+        }
+    }
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        if !self.threads.is_empty() {
+            self.stop();
+        }
+    }
+}
+
+fn spawn<Task>(server: &Arc<Server>, task: Task) -> JoinHandle<()>
+where
+    Task: FnOnce(&Arc<Server>) + Send + 'static,
+{
+    let server = Arc::clone(server);
+    std::thread::spawn(move || task(&server))
+}
+
+fn accept(server: &Arc<Server>, listener: &TcpListener) {
+    for stream in listener.incoming() {
+        if server.is_stopped.load(Ordering::Acquire) {
+            return;
+        }
+        if let Ok(stream) = stream {
+            server.serve(stream);
+        }
+    }
+}
--- /dev/null
+++ b/standins/tests/test_upstream.rs
@@ -0,0 +1,252 @@
+//! The database server's protocol, transactions and part in its group.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use masticreel_standins::upstream::{InitialRole, Upstream, UpstreamSettings};
+use masticreel_testutils::pg_client::{PgClient, send_cancel};
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+fn start(change: impl FnOnce(&mut UpstreamSettings)) -> Upstream {
+    let mut settings = UpstreamSettings { connect: Duration::ZERO, ..UpstreamSettings::default() };
+    change(&mut settings);
+    Upstream::start(settings).unwrap()
+}
+
+fn start_replica(primary: &Upstream) -> Upstream {
+    let role = InitialRole::Replica { primary: Some(primary.address()) };
+    start(|settings| settings.initial_role = role)
+}
+
+fn connect(address: SocketAddr) -> PgClient {
+    PgClient::connect(address, &[("user", "caller")], TIMEOUT).unwrap()
+}
+
+fn control(address: SocketAddr) -> PgClient {
+    PgClient::connect(address, &[("user", "masticreel_control")], TIMEOUT).unwrap()
+}
+
+fn status(server: &Upstream) -> Vec<String> {
+    let answer = control(server.address()).query("SELECT * FROM group_status()").unwrap();
+    answer.rows()[0].iter().map(|field| field.clone().unwrap_or_default()).collect()
+}
+
+/// Waits until the server's role and applied position are as given.
+fn wait_for(server: &Upstream, role: &str, applied: &str) {
+    let deadline = Instant::now() + TIMEOUT;
+    loop {
+        let status = status(server);
+        if status[1] == role && status[4] == applied {
+            return;
+        }
+        assert!(Instant::now() < deadline, "the server is still {status:?}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn run(client: &mut PgClient, sql: &str) -> String {
+    let answer = client.query(sql).unwrap();
+    match (&answer.error, answer.value()) {
+        (Some(error), _) => error.code.clone(),
+        (None, Some(value)) => value.to_owned(),
+        (None, None) => answer.tag().unwrap_or_default().to_owned(),
+    }
+}
+
+#[test]
+fn test_simple_queries_and_transactions() {
+    let server = start(|_| {});
+    let mut client = connect(server.address());
+    assert_eq!(run(&mut client, "SELECT 1"), "1");
+    assert_eq!(run(&mut client, "CREATE TABLE t (id INT PRIMARY KEY, v TEXT)"), "CREATE TABLE");
+    assert_eq!(run(&mut client, "INSERT INTO t VALUES (1, 'a'), (2, NULL)"), "INSERT 0 2");
+    let answer = client.query("SELECT id, v FROM t ORDER BY id; SELECT count(*) FROM t").unwrap();
+    assert_eq!(answer.rows()[1], [Some("2".to_owned()), None]);
+    assert_eq!(answer.results[1].columns, ["count"]);
+    assert_eq!(client.query("BEGIN").unwrap().status, Some('T'));
+    assert_eq!(run(&mut client, "INSERT INTO t VALUES (1, 'b')"), "23505");
+    let answer = client.query("SELECT 1").unwrap();
+    assert_eq!((answer.error_code(), answer.status), (Some("25P02"), Some('E')));
+    assert_eq!(run(&mut client, "COMMIT"), "ROLLBACK");
+    assert_eq!(run(&mut client, "SELECT * FROM missing"), "42P01");
+    assert_eq!(run(&mut client, "SELEC"), "42601");
+}
+
+#[test]
+fn test_statements_of_one_query_message_are_one_transaction() {
+    let server = start(|_| {});
+    let mut client = connect(server.address());
+    run(&mut client, "CREATE TABLE t (id INT PRIMARY KEY)");
+    assert_eq!(client.query("INSERT INTO t VALUES (1); SELECT nope").unwrap().status, Some('I'));
+    assert_eq!(run(&mut client, "SELECT count(*) FROM t"), "0");
+    run(&mut client, "BEGIN; INSERT INTO t VALUES (1); SAVEPOINT s; INSERT INTO t VALUES (2)");
+    assert_eq!(run(&mut client, "ROLLBACK TO s"), "ROLLBACK");
+    assert_eq!(run(&mut client, "COMMIT"), "COMMIT");
+    assert_eq!(run(&mut client, "SELECT count(*) FROM t"), "1");
+}
+
+#[test]
+fn test_uncommitted_writes_stay_on_their_connection() {
+    let server = start(|_| {});
+    let mut writer = connect(server.address());
+    let mut reader = connect(server.address());
+    run(&mut writer, "CREATE TABLE t (id INT)");
+    run(&mut writer, "BEGIN; INSERT INTO t VALUES (1)");
+    assert_eq!(run(&mut writer, "SELECT count(*) FROM t"), "1");
+    assert_eq!(run(&mut reader, "SELECT count(*) FROM t"), "0");
+    run(&mut writer, "COMMIT");
+    assert_eq!(run(&mut reader, "SELECT count(*) FROM t"), "1");
+}
+
+#[test]
+fn test_extended_queries_pipelines_and_large_rows() {
+    let server = start(|_| {});
+    let mut client = connect(server.address());
+    run(&mut client, "CREATE TABLE t (id BIGINT PRIMARY KEY, v TEXT, ok BOOL)");
+    let insert = "INSERT INTO t VALUES ($1::int8, $2, $3::bool)";
+    let large = "x".repeat(1 << 20);
+    let answer = client.execute(insert, &[Some("1"), Some(&large), Some("t")]).unwrap();
+    assert_eq!(answer.tag(), Some("INSERT 0 1"));
+    let answer = client.execute("SELECT v, ok FROM t WHERE id = $1", &[Some("1")]).unwrap();
+    assert_eq!(answer.rows(), [[Some(large), Some("t".to_owned())]]);
+    let answer = client
+        .pipeline(&[
+            (insert, &[Some("2"), None, None]),
+            (insert, &[Some("1"), None, None]),
+            (insert, &[Some("3"), None, None]),
+        ])
+        .unwrap();
+    assert_eq!((answer.results.len(), answer.error_code()), (1, Some("23505")));
+    assert_eq!(answer.status, Some('I'));
+    assert_eq!(run(&mut client, "SELECT count(*) FROM t"), "1");
+}
+
+#[test]
+fn test_cancel_ends_a_statement() {
+    let server = start(|_| {});
+    let mut client = connect(server.address());
+    let request = client.cancel_request().unwrap();
+    let address = server.address();
+    let canceller = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(100));
+        send_cancel(address, &request).unwrap();
+    });
+    assert_eq!(run(&mut client, "SELECT pg_sleep(9)"), "57014");
+    canceller.join().unwrap();
+    assert_eq!(run(&mut client, "SELECT 1"), "1");
+}
+
+#[test]
+fn test_connections_are_limited_with_a_reserve_for_control() {
+    let server = start(|settings| settings.max_connections = 5);
+    let _first = connect(server.address());
+    let _second = connect(server.address());
+    let third = PgClient::connect(server.address(), &[("user", "caller")], TIMEOUT);
+    assert!(third.unwrap_err().to_string().contains("53300"));
+    assert_eq!(status(&server)[1], "primary");
+}
+
+#[test]
+fn test_replica_copies_and_refuses_writes() {
+    let primary = start(|_| {});
+    let replica = start_replica(&primary);
+    let mut client = connect(primary.address());
+    run(&mut client, "CREATE TABLE t (id INT)");
+    run(&mut client, "INSERT INTO t VALUES (7)");
+    assert_eq!(client.parameter("group_position"), Some("1/2"));
+    wait_for(&replica, "replica", "2");
+    let mut reader = connect(replica.address());
+    assert_eq!(run(&mut reader, "SELECT id FROM t"), "7");
+    assert_eq!(reader.parameter("group_position"), Some("1/2"));
+    assert_eq!(run(&mut reader, "INSERT INTO t VALUES (8)"), "25006");
+}
+
+#[test]
+fn test_receive_lag_and_apply_lag_are_separate() {
+    let primary = start(|_| {});
+    let role = InitialRole::Replica { primary: Some(primary.address()) };
+    let replica = start(|settings| {
+        settings.initial_role = role;
+        settings.apply_lag = Duration::from_secs(60);
+    });
+    run(&mut connect(primary.address()), "CREATE TABLE t (id INT)");
+    let deadline = Instant::now() + TIMEOUT;
+    while status(&replica)[3] != "1" {
+        assert!(Instant::now() < deadline);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert_eq!(status(&replica)[4], "0");
+}
+
+#[test]
+fn test_fence_stops_writes_and_promotion_needs_the_claim() {
+    let server = start(|_| {});
+    let mut client = connect(server.address());
+    let mut operator = control(server.address());
+    run(&mut client, "CREATE TABLE t (id INT)");
+    run(&mut client, "BEGIN; INSERT INTO t VALUES (1)");
+    assert_eq!(run(&mut operator, "SELECT * FROM group_fence(1, 'x')"), "55000");
+    assert_eq!(run(&mut operator, "SELECT * FROM group_fence(2, 'a')"), "2");
+    assert_eq!(run(&mut operator, "SELECT * FROM group_fence(2, 'b')"), "55000");
+    let answer = client.query("COMMIT").unwrap();
+    assert_eq!((answer.error_code(), answer.status), (Some("25006"), Some('I')));
+    assert_eq!(run(&mut client, "INSERT INTO t VALUES (2)"), "25006");
+    assert_eq!(run(&mut operator, "SELECT * FROM group_promote(2, 'b')"), "55000");
+    assert_eq!(run(&mut operator, "SELECT * FROM group_promote(2, 'a')"), "2");
+    assert_eq!(run(&mut client, "INSERT INTO t VALUES (3)"), "INSERT 0 1");
+    assert_eq!(run(&mut client, "SELECT id FROM t"), "3");
+    assert_eq!(client.parameter("group_position"), Some("2/2"));
+}
+
+#[test]
+fn test_fence_ends_a_write_in_mid_statement() {
+    let server = start(|_| {});
+    let mut client = connect(server.address());
+    run(&mut client, "CREATE TABLE t (id INT)");
+    let address = server.address();
+    let fence = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(100));
+        run(&mut control(address), "SELECT * FROM group_fence(2, 'a')")
+    });
+    assert_eq!(run(&mut client, "INSERT INTO t SELECT 1 WHERE pg_sleep(9) = ''"), "25006");
+    assert_eq!(fence.join().unwrap(), "2");
+    assert_eq!(run(&mut client, "SELECT count(*) FROM t"), "0");
+}
+
+#[test]
+fn test_old_primary_discards_what_diverged() {
+    let old = start(|_| {});
+    let new = start_replica(&old);
+    let mut caller = connect(old.address());
+    run(&mut caller, "CREATE TABLE t (id INT)");
+    wait_for(&new, "replica", "1");
+    // The old primary goes on alone after the new one was fenced.
+    run(&mut control(new.address()), "SELECT * FROM group_fence(2, 'a')");
+    run(&mut caller, "INSERT INTO t VALUES (1)");
+    run(&mut caller, "INSERT INTO t VALUES (2)");
+    run(&mut control(new.address()), "SELECT * FROM group_promote(2, 'a')");
+    run(&mut connect(new.address()), "INSERT INTO t VALUES (10)");
+    let follow = format!("SELECT * FROM group_follow(2, '{}')", new.address());
+    run(&mut control(old.address()), &follow);
+    wait_for(&old, "replica", "2");
+    assert_eq!(run(&mut caller, "SELECT id FROM t"), "10");
+    assert_eq!(status(&old)[..5], ["2", "replica", "2", "2", "2"]);
+}
+
+#[test]
+fn test_log_outlives_the_server_when_it_has_a_directory() {
+    let directory = std::env::temp_dir().join(format!("test-upstream-{}", std::process::id()));
+    let data_dir = Some(directory.clone());
+    let server = start(|settings| settings.data_dir = data_dir.clone());
+    run(&mut connect(server.address()), "CREATE TABLE t (id INT); INSERT INTO t VALUES (5)");
+    drop(server);
+    let server = start(|settings| settings.data_dir = data_dir);
+    wait_for(&server, "fenced", "1");
+    let mut operator = control(server.address());
+    run(&mut operator, "SELECT * FROM group_fence(2, 'a')");
+    run(&mut operator, "SELECT * FROM group_promote(2, 'a')");
+    assert_eq!(run(&mut connect(server.address()), "SELECT id FROM t"), "5");
+    drop(server);
+    std::fs::remove_dir_all(directory).unwrap();
+}
