wire: carry findings, group views, positions and request keys

Cause: instances that do not poll a group need its view, and observers need each other's findings. Change: messages for views, findings and positions; ages in place of moments, counted from when the question was sent, so that a moment is never taken for newer than it is. A read names the floor and the age that its server must meet. A request may carry a key. An upstream connection can be closed from another thread, so that nobody waits for a frozen server that lost its role. A commit that ends within what the primary inherited needs no confirmation. Ruled out: timestamps on the wire (they would compare clocks).

--- a/lib/group/src/observer.rs
+++ b/lib/group/src/observer.rs
@@ -219,6 +219,16 @@
         holders >= self.majority()
     }
 
+    /// Returns whether a position ends before the current primary's own entries.
+    ///
+    /// A commit that wrote nothing may report such a position; there is nothing
+    /// of the commit's own to be confirmed.
+    pub fn is_inherited(&self, position: TermPosition) -> bool {
+        let inherited = self.primary.as_ref().and_then(|primary| primary.inherited_end);
+        position.term == self.term
+            && inherited.is_some_and(|inherited| position.position <= inherited.position)
+    }
+
     /// Returns what this observer makes of the primary.
     pub fn assess(&self, now: Instant) -> Assessment {
         let recent = |moment: Instant| now.saturating_duration_since(moment) <= PRIMARY_SILENCE;
--- a/lib/postgres/src/upstream.rs
+++ b/lib/postgres/src/upstream.rs
@@ -107,6 +107,20 @@
     pub database: Arc<str>,
 }
 
+/// Closes a connection from another thread than the one that uses it.
+#[derive(Debug)]
+pub struct UpstreamCloser {
+    stream: TcpStream,
+}
+
+impl UpstreamCloser {
+    /// Closes the connection; whoever waits for an answer gets an error.
+    pub fn close(&self) {
+        // A failure only means that the peer closed first.
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
 /// A connection that runs one request at a time.
 #[derive(Debug)]
 pub struct UpstreamConnection {
@@ -164,6 +178,15 @@
         }
     }
 
+    /// Returns a handle with which another thread can close the connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system has no room for another descriptor.
+    pub fn closer(&self) -> io::Result<UpstreamCloser> {
+        Ok(UpstreamCloser { stream: self.stream.try_clone()? })
+    }
+
     /// Returns what the server last reported about its log on this connection.
     pub fn position(&self) -> Option<TermPosition> {
         self.position
--- a/lib/session/src/retry.rs
+++ b/lib/session/src/retry.rs
@@ -58,12 +58,12 @@
         FailureKind::Overloaded
         | FailureKind::Unavailable
         | FailureKind::Lost
+        | FailureKind::Unconfirmed
         | FailureKind::NotPrimary
         | FailureKind::BehindFloor
         | FailureKind::NotOwner
         | FailureKind::ShuttingDown => true,
         FailureKind::UnknownDatabase
-        | FailureKind::Unconfirmed
         | FailureKind::Cancelled
         | FailureKind::TransactionLost
         | FailureKind::Unsupported
--- a/lib/session/src/routing.rs
+++ b/lib/session/src/routing.rs
@@ -34,6 +34,19 @@
         server.covers(self.floor) && self.allow_age(server.age(now))
     }
 
+    /// Returns whether a server of a group meets the needs.
+    ///
+    /// The primary holds every floor of its term, whatever it last reported.
+    pub fn are_met_in(&self, view: &GroupView, server: &ServerId, now: Instant) -> bool {
+        let Some(known) = view.server(server) else {
+            return false;
+        };
+        if view.primary.as_ref() == Some(server) {
+            return view.term >= self.floor.term && self.allow_age(known.age(now));
+        }
+        self.are_met_by(known, now)
+    }
+
     fn allow_age(&self, age: Option<Duration>) -> bool {
         self.max_staleness.is_none_or(|allowed| age.is_some_and(|age| age <= allowed))
     }
--- a/lib/session/src/tags.rs
+++ b/lib/session/src/tags.rs
@@ -11,6 +11,9 @@
 use masticreel_base::ids::SessionName;
 use masticreel_document::policy::StatementTags;
 
+const COMMENT_START: &str = "/*";
+const COMMENT_END: &str = "*/";
+
 /// What the tags of a statement say.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Tags {
@@ -49,6 +52,16 @@
     Ok(tags)
 }
 
+/// Returns a statement without the comment that holds its tags.
+///
+/// Tags such as trace ids differ between two attempts of the same request.
+pub fn without_tags(sql: &str) -> &str {
+    match comment_start(sql) {
+        Some(start) => sql[..start].trim_end(),
+        None => sql,
+    }
+}
+
 impl Tags {
     fn set(&mut self, key: &str, value: &str) -> Result<(), TagError> {
         let invalid = || TagError { key: key.to_owned(), value: value.to_owned() };
@@ -96,10 +109,17 @@
 
 /// Returns the text within the comment that ends the statement.
 fn last_comment(sql: &str) -> Option<&str> {
-    let sql = sql.trim_end().trim_end_matches(';').trim_end();
-    let body = sql.strip_suffix("*/")?;
-    let start = body.rfind("/*")?;
-    Some(&body[start + 2..])
+    let start = comment_start(sql)?;
+    without_end(sql).strip_suffix(COMMENT_END)?.get(start + COMMENT_START.len()..)
+}
+
+/// Returns where the comment begins that ends the statement.
+fn comment_start(sql: &str) -> Option<usize> {
+    without_end(sql).strip_suffix(COMMENT_END)?.rfind(COMMENT_START)
+}
+
+fn without_end(sql: &str) -> &str {
+    sql.trim_end().trim_end_matches(';').trim_end()
 }
 
 fn closing_quote(text: &str) -> Option<usize> {
--- a/lib/wire/src/lib.rs
+++ b/lib/wire/src/lib.rs
@@ -4,4 +4,5 @@
 //! change without changing the wire. See `docs/design/01-threads-and-links.md`.
 
 pub mod frame;
+pub mod group;
 pub mod message;
--- a/lib/wire/src/message.rs
+++ b/lib/wire/src/message.rs
@@ -7,6 +7,8 @@
 use masticreel_base::position::TermPosition;
 use serde::{Deserialize, Serialize};
 
+use crate::group::{PositionRequest, PositionResponse, ViewRequest, ViewResponse};
+
 /// Names one caller's session at the instance that accepted the connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct SessionKey {
@@ -33,12 +35,12 @@
 pub enum Target {
     /// The primary, since the request may write.
     Primary,
-    /// Any server that has applied the floor.
-    AtLeast(TermPosition),
-    /// Any server whose data is no older than this, in milliseconds.
-    NoOlderThan {
-        /// The age allowed, in milliseconds.
-        max_staleness_ms: u64,
+    /// Any server that shows what the reading session must see.
+    Read {
+        /// The position that the server must have applied.
+        floor: TermPosition,
+        /// The age allowed, in milliseconds, if the document states one.
+        max_staleness_ms: Option<u64>,
     },
 }
 
@@ -86,6 +88,17 @@
     pub prepared: Vec<PreparedStatement>,
     /// Names of the statements that the payload prepares.
     pub prepares: Vec<Arc<str>>,
+    /// The name under which a repeat finds the first result.
+    pub request_key: Option<RequestKey>,
+}
+
+/// A caller's name for a request that must not run twice.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestKey {
+    /// The name.
+    pub key: Arc<str>,
+    /// Identifies the statements and their parameters.
+    pub fingerprint: u64,
 }
 
 /// A named statement as the caller prepared it.
@@ -152,4 +165,12 @@
     Cancel(SessionKey),
     /// Tells the owner that a session ended, with whatever it held open.
     Release(SessionKey),
+    /// Brings findings to an observer and asks for its views.
+    ViewRequest(ViewRequest),
+    /// Answers with an observer's views.
+    ViewResponse(ViewResponse),
+    /// Asks an observer for a group's position.
+    PositionRequest(PositionRequest),
+    /// Answers with a group's position.
+    PositionResponse(PositionResponse),
 }
