testutils: start a whole cluster of processes

Cause: failover and roaming sessions must be tried against separate processes that can be killed, frozen and cut off. Change: Cluster starts a store, three servers behind links that can be cut, and instances; Process kills, freezes and thaws, and ends with the test. Left: the scenario language may sit on top of it.

--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,4 +1,6 @@
 //! What tests and experiments use: a client, the scenario language and a load
 //! tool.
 
+pub mod cluster;
 pub mod pg_client;
+pub mod process;
