--- /dev/null
+++ b/daemon/src/caller/connection.rs
@@ -0,0 +1,279 @@
+//! One caller's connection, from its first byte to its last.
+
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_postgres::failure::{Severity, put_failure};
+use masticreel_postgres::request::{CallerInput, CallerRequest};
+use masticreel_postgres::startup::{
+    CancelKey, StartupPacket, StartupParameters, put_welcome, take_startup,
+};
+use masticreel_wire::message::SessionKey;
+
+use crate::caller::server::CallerContext;
+use crate::caller::session::Session;
+use crate::directory::OwnerDirectory;
+use crate::owner::guard::ServerGuard;
+
+/// Longest wait for a caller to take its answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bytes read from a caller at a time.
+pub(super) const READ_BYTES: usize = 16 * 1024;
+/// The answer to a request for encryption.
+const ENCRYPTION_REFUSED: &[u8] = b"N";
+
+/// What happens to a connection after it was served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Next {
+    /// It waits for the caller.
+    Park,
+    /// It is closed.
+    Close,
+}
+
+/// One caller's connection.
+pub(super) struct Connection {
+    number: usize,
+    stream: TcpStream,
+    buffer: BytesMut,
+    session: Option<Box<Session>>,
+    cancel_key: Option<CancelKey>,
+    opened_at: Instant,
+}
+
+impl Connection {
+    /// Prepares a connection that was just accepted.
+    pub(super) fn new(number: usize, stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
+        Ok(Self {
+            number,
+            stream,
+            buffer: BytesMut::new(),
+            session: None,
+            cancel_key: None,
+            opened_at: Instant::now(),
+        })
+    }
+
+    /// Returns the connection's number, which no other open connection has.
+    pub(super) fn number(&self) -> usize {
+        self.number
+    }
+
+    pub(super) fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Returns whether the caller took too long to open a session.
+    pub(super) fn is_overdue(&self, timeout: Duration) -> bool {
+        self.session.is_none() && self.opened_at.elapsed() > timeout
+    }
+
+    /// Returns whether closing the connection cuts nothing off.
+    pub(super) fn is_idle(&self) -> bool {
+        self.buffer.is_empty() && self.session.as_ref().is_none_or(|session| session.is_idle())
+    }
+
+    /// Tells the caller that the instance is shutting down.
+    pub(super) fn say_shutting_down(&mut self) {
+        let message = "the instance is shutting down";
+        let failure = Failure::not_run(FailureKind::ShuttingDown, message);
+        let mut output = BytesMut::new();
+        put_failure(&mut output, Severity::Fatal, &failure);
+        // A caller that is gone need not be told.
+        let _ = self.stream.write_all(&output);
+    }
+
+    /// Ends what the caller left open.
+    pub(super) fn close<Guard, Directory>(mut self, context: &CallerContext<Guard, Directory>)
+    where
+        Guard: ServerGuard,
+        Directory: OwnerDirectory,
+    {
+        if let Some(session) = &mut self.session {
+            context.router.release(&mut session.route);
+        }
+        if let Some(key) = self.cancel_key {
+            context.cancel_keys.forget(key);
+        }
+    }
+
+    /// Reads what the caller sent and serves every request that is complete.
+    pub(super) fn serve<Guard, Directory>(
+        &mut self,
+        context: &CallerContext<Guard, Directory>,
+        scratch: &mut [u8],
+    ) -> Next
+    where
+        Guard: ServerGuard,
+        Directory: OwnerDirectory,
+    {
+        match self.stream.read(scratch) {
+            Ok(0) => return Next::Close,
+            Ok(received) => self.buffer.extend_from_slice(&scratch[..received]),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => return Next::Park,
+            Err(_) => return Next::Close,
+        }
+        let result = self.serve_buffer(context);
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+        match result {
+            Ok(next) => self.after_serving(next, context),
+            Err(failure) => self.close_with(&failure),
+        }
+    }
+
+    fn after_serving<Guard, Directory>(
+        &mut self,
+        next: Next,
+        context: &CallerContext<Guard, Directory>,
+    ) -> Next {
+        let is_leaving = context.is_draining.load(Ordering::Acquire) && self.is_idle();
+        if next == Next::Park && is_leaving {
+            self.say_shutting_down();
+            return Next::Close;
+        }
+        next
+    }
+
+    fn serve_buffer<Guard, Directory>(
+        &mut self,
+        context: &CallerContext<Guard, Directory>,
+    ) -> Result<Next, Failure>
+    where
+        Guard: ServerGuard,
+        Directory: OwnerDirectory,
+    {
+        while self.session.is_none() {
+            let packet = take_startup(&mut self.buffer).map_err(protocol_failure)?;
+            let Some(packet) = packet else { return Ok(Next::Park) };
+            if self.start_up(packet, context)? == Next::Close {
+                return Ok(Next::Close);
+            }
+        }
+        self.serve_requests(context)
+    }
+
+    fn start_up<Guard, Directory>(
+        &mut self,
+        packet: StartupPacket,
+        context: &CallerContext<Guard, Directory>,
+    ) -> Result<Next, Failure>
+    where
+        Guard: ServerGuard,
+        Directory: OwnerDirectory,
+    {
+        match packet {
+            StartupPacket::EncryptionRequest => Ok(self.write(ENCRYPTION_REFUSED)),
+            StartupPacket::Cancel(key) => {
+                context.cancel(key);
+                Ok(Next::Close)
+            }
+            StartupPacket::Open(parameters) => self.open_session(&parameters, context),
+        }
+    }
+
+    fn open_session<Guard, Directory>(
+        &mut self,
+        parameters: &StartupParameters,
+        context: &CallerContext<Guard, Directory>,
+    ) -> Result<Next, Failure>
+    where
+        Guard: ServerGuard,
+        Directory: OwnerDirectory,
+    {
+        if !context.router.knows_database(&parameters.database) {
+            let message = format!("database \"{}\" does not exist", parameters.database);
+            return Err(Failure::not_run(FailureKind::UnknownDatabase, message));
+        }
+        if parameters.settings.contains_key("replication") {
+            let message = "replication connections are not supported";
+            return Err(Failure::not_run(FailureKind::Unsupported, message));
+        }
+        let key = SessionKey { entry: context.incarnation, caller: self.number as u64 };
+        let session = Session::new(key, parameters);
+        let cancel_key = context.cancel_keys.issue(key, session.route.running_at.clone());
+        self.session = Some(Box::new(session));
+        self.cancel_key = Some(cancel_key);
+        let mut output = BytesMut::new();
+        put_welcome(&mut output, cancel_key);
+        Ok(self.write(&output))
+    }
+
+    fn serve_requests<Guard, Directory>(
+        &mut self,
+        context: &CallerContext<Guard, Directory>,
+    ) -> Result<Next, Failure>
+    where
+        Guard: ServerGuard,
+        Directory: OwnerDirectory,
+    {
+        loop {
+            let Some(session) = &mut self.session else { return Ok(Next::Close) };
+            let input = session.assembler.next_input(&mut self.buffer).map_err(protocol_failure)?;
+            let next = match input {
+                None => return Ok(Next::Park),
+                Some(CallerInput::Terminate) => Next::Close,
+                Some(CallerInput::Flush) => self.refuse_flush(),
+                Some(CallerInput::Request(request)) => self.serve_request(&request, context)?,
+            };
+            if next == Next::Close {
+                return Ok(Next::Close);
+            }
+        }
+    }
+
+    fn serve_request<Guard, Directory>(
+        &mut self,
+        request: &CallerRequest,
+        context: &CallerContext<Guard, Directory>,
+    ) -> Result<Next, Failure>
+    where
+        Guard: ServerGuard,
+        Directory: OwnerDirectory,
+    {
+        let Some(session) = &mut self.session else { return Ok(Next::Close) };
+        let started = Instant::now();
+        let mut output = BytesMut::new();
+        let outcome =
+            session.serve(request, &context.router, &mut output).map_err(protocol_failure)?;
+        context.count_request(outcome.label(), started.elapsed());
+        Ok(self.write(&output))
+    }
+
+    /// Refuses a request for early answers; the caller still ends the series.
+    fn refuse_flush(&mut self) -> Next {
+        let message = "Flush is not supported; end the series with Sync";
+        let failure = Failure::not_run(FailureKind::Unsupported, message);
+        let mut output = BytesMut::new();
+        put_failure(&mut output, Severity::Error, &failure);
+        self.write(&output)
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> Next {
+        match self.stream.write_all(bytes) {
+            Ok(()) => Next::Park,
+            Err(_) => Next::Close,
+        }
+    }
+
+    fn close_with(&mut self, failure: &Failure) -> Next {
+        let mut output = BytesMut::new();
+        put_failure(&mut output, Severity::Fatal, failure);
+        self.write(&output);
+        Next::Close
+    }
+}
+
+fn protocol_failure<Error>(error: Error) -> Failure
+where
+    Error: std::fmt::Display,
+{
+    Failure::not_run(FailureKind::Protocol, error.to_string())
+}
--- /dev/null
+++ b/daemon/src/caller/server.rs
@@ -0,0 +1,257 @@
+//! The threads that accept and serve callers.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, unbounded};
+use masticreel_base::cancellation::CancellationToken;
+use masticreel_base::ids::Incarnation;
+use masticreel_postgres::startup::CancelKey;
+use masticreel_wire::message::SessionKey;
+use slog::{Logger, error, warn};
+
+use crate::caller::connection::{Connection, Next, READ_BYTES};
+use crate::caller::parking::Parking;
+use crate::directory::OwnerDirectory;
+use crate::entry::router::{Router, RunningAt};
+use crate::metrics::Metrics;
+use crate::owner::guard::ServerGuard;
+use crate::settings::LimitSettings;
+
+/// Stack of a thread that serves callers, in bytes.
+const WORKER_STACK_BYTES: usize = 512 * 1024;
+/// Time between two looks at the connections that are left in a shutdown.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
+/// Wait after a failed accept, so that a lack of descriptors burns no time.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// What all callers' connections share.
+pub(super) struct CallerContext<Guard, Directory> {
+    pub(super) router: Router<Guard, Directory>,
+    pub(super) incarnation: Incarnation,
+    pub(super) cancel_keys: CancelKeys,
+    pub(super) is_draining: AtomicBool,
+    metrics: Metrics,
+    connections: AtomicUsize,
+}
+
+impl<Guard, Directory> CallerContext<Guard, Directory>
+where
+    Guard: ServerGuard,
+    Directory: OwnerDirectory,
+{
+    /// Cancels what the session with a key is running.
+    pub(super) fn cancel(&self, key: CancelKey) {
+        let Some((session, running_at)) = self.cancel_keys.find(key) else { return };
+        let owner = *running_at.lock().expect("no holder of the location panics");
+        if let Some(owner) = owner {
+            self.router.cancel(owner, session);
+        }
+    }
+
+    /// Counts a request that was answered.
+    pub(super) fn count_request(&self, outcome: &str, elapsed: Duration) {
+        self.metrics.requests.with_label_values(&[outcome]).inc();
+        self.metrics.request_seconds.with_label_values(&["normal"]).observe(elapsed.as_secs_f64());
+    }
+}
+
+/// The keys with which callers may cancel their requests.
+#[derive(Debug, Default)]
+pub(super) struct CancelKeys {
+    next_process: AtomicU32,
+    sessions: Mutex<HashMap<CancelKey, (SessionKey, RunningAt)>>,
+}
+
+impl CancelKeys {
+    /// Issues a key for a session.
+    pub(super) fn issue(&self, session: SessionKey, running_at: RunningAt) -> CancelKey {
+        let process = self.next_process.fetch_add(1, Ordering::Relaxed);
+        let key = CancelKey { process, secret: rand::random() };
+        self.lock().insert(key, (session, running_at));
+        key
+    }
+
+    /// Forgets the key of a session that ended.
+    pub(super) fn forget(&self, key: CancelKey) {
+        self.lock().remove(&key);
+    }
+
+    fn find(&self, key: CancelKey) -> Option<(SessionKey, RunningAt)> {
+        self.lock().get(&key).cloned()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<CancelKey, (SessionKey, RunningAt)>> {
+        self.sessions.lock().expect("no holder of the sessions panics")
+    }
+}
+
+/// Everything a caller server is made of.
+pub struct CallerServerParts<Guard, Directory> {
+    /// Sends requests to the right servers.
+    pub router: Router<Guard, Directory>,
+    /// This life of the instance.
+    pub incarnation: Incarnation,
+    /// Bounds on time and numbers.
+    pub limits: LimitSettings,
+    /// What is counted.
+    pub metrics: Metrics,
+    /// Where events are logged.
+    pub logger: Logger,
+    /// Ends the server's threads.
+    pub cancellation: CancellationToken,
+}
+
+/// Serves callers until it is drained.
+pub struct CallerServer<Guard, Directory> {
+    context: CallerContext<Guard, Directory>,
+    parking: Parking,
+    max_callers: usize,
+    logger: Logger,
+    cancellation: CancellationToken,
+}
+
+impl<Guard, Directory> CallerServer<Guard, Directory>
+where
+    Guard: ServerGuard,
+    Directory: OwnerDirectory,
+{
+    /// Starts accepting callers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system has no room for the threads or the poller.
+    pub fn start(
+        parts: CallerServerParts<Guard, Directory>,
+        listener: TcpListener,
+    ) -> io::Result<Arc<Self>> {
+        let (ready, receiver) = unbounded();
+        let context = CallerContext {
+            router: parts.router,
+            incarnation: parts.incarnation,
+            cancel_keys: CancelKeys::default(),
+            is_draining: AtomicBool::new(false),
+            metrics: parts.metrics,
+            connections: AtomicUsize::new(0),
+        };
+        let server = Arc::new(Self {
+            context,
+            parking: Parking::new(ready)?,
+            max_callers: parts.limits.max_callers,
+            logger: parts.logger,
+            cancellation: parts.cancellation,
+        });
+        for number in 0..parts.limits.max_concurrent_requests {
+            server.clone().spawn_worker(number, receiver.clone())?;
+        }
+        server.clone().spawn_poller()?;
+        server.clone().spawn_acceptor(listener)?;
+        Ok(server)
+    }
+
+    /// Stops accepting, ends idle connections and waits for the others.
+    ///
+    /// Returns whether all connections ended before the time was over.
+    pub fn drain(&self, timeout: Duration) -> bool {
+        let deadline = Instant::now() + timeout;
+        self.context.is_draining.store(true, Ordering::Release);
+        while self.context.connections.load(Ordering::Acquire) > 0 {
+            for mut connection in self.parking.take_if(Connection::is_idle) {
+                connection.say_shutting_down();
+                self.close(connection);
+            }
+            if Instant::now() >= deadline {
+                return false;
+            }
+            thread::sleep(DRAIN_INTERVAL);
+        }
+        true
+    }
+
+    fn spawn_worker(
+        self: Arc<Self>,
+        number: usize,
+        receiver: Receiver<Connection>,
+    ) -> io::Result<()> {
+        thread::Builder::new()
+            .name(format!("caller-{number}"))
+            .stack_size(WORKER_STACK_BYTES)
+            .spawn(move || {
+                let mut scratch = Vec::new();
+                for connection in receiver {
+                    scratch.resize(READ_BYTES, 0);
+                    self.serve(connection, &mut scratch);
+                }
+            })?;
+        Ok(())
+    }
+
+    fn spawn_poller(self: Arc<Self>) -> io::Result<()> {
+        thread::Builder::new().name("caller-poll".to_owned()).spawn(move || {
+            if let Err(error) = self.run_parking() {
+                error!(self.logger, "polling callers failed"; "error" => %error);
+            }
+        })?;
+        Ok(())
+    }
+
+    fn run_parking(&self) -> io::Result<()> {
+        self.parking.run(|| self.cancellation.is_cancelled(), |connection| self.close(connection))
+    }
+
+    fn spawn_acceptor(self: Arc<Self>, listener: TcpListener) -> io::Result<()> {
+        thread::Builder::new().name("caller-accept".to_owned()).spawn(move || {
+            for (number, stream) in listener.incoming().enumerate() {
+                if self.context.is_draining.load(Ordering::Acquire) {
+                    return;
+                }
+                let entered = stream.and_then(|stream| self.enter(number, stream));
+                if let Err(error) = entered {
+                    warn!(self.logger, "caller refused"; "error" => %error);
+                    thread::sleep(ACCEPT_RETRY_DELAY);
+                }
+            }
+        })?;
+        Ok(())
+    }
+
+    fn enter(&self, number: usize, stream: std::net::TcpStream) -> io::Result<()> {
+        if self.context.connections.load(Ordering::Acquire) >= self.max_callers {
+            warn!(self.logger, "caller refused"; "reason" => "max_callers reached");
+            return Ok(());
+        }
+        let connection = Connection::new(number, stream)?;
+        self.parking.enter(connection)?;
+        self.context.connections.fetch_add(1, Ordering::AcqRel);
+        self.context.metrics.callers.inc();
+        Ok(())
+    }
+
+    fn serve(&self, mut connection: Connection, scratch: &mut [u8]) {
+        match connection.serve(&self.context, scratch) {
+            Next::Park => {
+                if let Err(error) = self.parking.park(connection) {
+                    warn!(self.logger, "caller lost"; "error" => %error);
+                    self.count_closed();
+                }
+            }
+            Next::Close => self.close(connection),
+        }
+    }
+
+    fn close(&self, connection: Connection) {
+        self.parking.leave(&connection);
+        connection.close(&self.context);
+        self.count_closed();
+    }
+
+    fn count_closed(&self) {
+        self.context.connections.fetch_sub(1, Ordering::AcqRel);
+        self.context.metrics.callers.dec();
+    }
+}
--- /dev/null
+++ b/daemon/src/caller/session.rs
@@ -0,0 +1,339 @@
+//! What an instance remembers about one caller.
+
+use std::sync::Arc;
+
+use bytes::BytesMut;
+use masticreel_base::failure::{Failure, FailureKind, Verdict};
+use masticreel_postgres::failure::{Severity, put_failure};
+use masticreel_postgres::message::{RawMessage, put_message, tag};
+use masticreel_postgres::request::{
+    CallerRequest, PreparedStatements, RequestAssembler, RequestError, RequestPlan,
+};
+use masticreel_postgres::startup::{StartupParameters, put_ready};
+use masticreel_postgres::statement::StatementKind;
+use masticreel_wire::message::{SessionKey, TransactionState, UpstreamAnswer};
+use pgwire::messages::data::NoData;
+use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
+use pgwire::messages::response::{
+    CommandComplete, EmptyQueryResponse, ErrorResponse, TransactionStatus,
+};
+
+use crate::directory::OwnerDirectory;
+use crate::entry::router::{Router, SessionRoute};
+use crate::owner::guard::ServerGuard;
+
+/// SQLSTATE of statements in a transaction that has failed.
+const SQLSTATE_FAILED_TRANSACTION: &str = "25P02";
+/// Start-up parameters that are not settings of the session.
+const STARTUP_ONLY: [&str; 2] = ["replication", "masticreel"];
+
+/// One caller's session.
+pub(super) struct Session {
+    /// Takes requests off the caller's bytes.
+    pub(super) assembler: RequestAssembler,
+    /// Where the session's requests go.
+    pub(super) route: SessionRoute,
+    prepared: PreparedStatements,
+    transaction: Transaction,
+    uncommitted_settings: Vec<Arc<str>>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Transaction {
+    None,
+    Open,
+    Failed,
+    /// The connection that held the transaction is gone; nothing was committed.
+    Lost,
+}
+
+impl Session {
+    /// Opens a session.
+    pub(super) fn new(key: SessionKey, parameters: &StartupParameters) -> Self {
+        let settings = parameters
+            .settings
+            .iter()
+            .filter(|(name, _)| !STARTUP_ONLY.iter().any(|prefix| name.starts_with(prefix)))
+            .map(|(name, value)| startup_setting(name, value))
+            .collect();
+        let route = SessionRoute {
+            key,
+            user: parameters.user.as_str().into(),
+            database: parameters.database.as_str().into(),
+            settings,
+            pinned: None,
+            running_at: Arc::default(),
+        };
+        Self {
+            assembler: RequestAssembler::default(),
+            route,
+            prepared: PreparedStatements::default(),
+            transaction: Transaction::None,
+            uncommitted_settings: Vec::new(),
+        }
+    }
+
+    /// Returns whether the session is between transactions.
+    pub(super) fn is_idle(&self) -> bool {
+        self.transaction == Transaction::None && !self.assembler.is_partial()
+    }
+
+    /// Runs a request and appends its answer for the caller.
+    ///
+    /// Returns what the request came to, for the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the request is malformed. The connection must be closed.
+    pub(super) fn serve<Guard, Directory>(
+        &mut self,
+        request: &CallerRequest,
+        router: &Router<Guard, Directory>,
+        output: &mut BytesMut,
+    ) -> Result<RequestOutcome, RequestError>
+    where
+        Guard: ServerGuard,
+        Directory: OwnerDirectory,
+    {
+        let plan = RequestPlan::new(request, &self.prepared)?;
+        if self.transaction == Transaction::Lost {
+            self.answer_lost_transaction(request, &plan, output);
+            return Ok(RequestOutcome::Refused);
+        }
+        if needs_no_server(request, &plan) {
+            self.answer_locally(request, &plan, output);
+            return Ok(RequestOutcome::Answered);
+        }
+        let outcome = match self.unsupported(&plan) {
+            Some(failure) => Err(failure),
+            None => router.run(&mut self.route, &plan),
+        };
+        Ok(match outcome {
+            Ok(answer) => self.answer(&plan, &answer, output),
+            Err(failure) => self.refuse(&plan, &failure, output),
+        })
+    }
+
+    fn answer(
+        &mut self,
+        plan: &RequestPlan,
+        answer: &UpstreamAnswer,
+        output: &mut BytesMut,
+    ) -> RequestOutcome {
+        output.extend_from_slice(&answer.payload);
+        let was_open = self.transaction != Transaction::None;
+        self.transaction = match answer.state {
+            TransactionState::Idle => Transaction::None,
+            TransactionState::Open => Transaction::Open,
+            TransactionState::Failed => Transaction::Failed,
+        };
+        match answer.sqlstate {
+            None => self.prepared.apply(plan),
+            Some(_) => self.prepared.forget(plan),
+        }
+        self.note_settings(plan, answer, was_open);
+        put_ready(output, self.status());
+        if answer.sqlstate.is_some() { RequestOutcome::Failed } else { RequestOutcome::Answered }
+    }
+
+    fn refuse(
+        &mut self,
+        plan: &RequestPlan,
+        failure: &Failure,
+        output: &mut BytesMut,
+    ) -> RequestOutcome {
+        put_failure(output, Severity::Error, failure);
+        self.prepared.forget(plan);
+        let ends_transaction =
+            plan.statements.iter().any(|statement| statement.kind == StatementKind::Commit);
+        // Statements that are already on their way must not run on their own.
+        if self.transaction != Transaction::None && self.route.pinned.is_none() {
+            self.transaction = if ends_transaction { Transaction::None } else { Transaction::Lost };
+            self.uncommitted_settings.clear();
+        }
+        put_ready(output, self.status());
+        match failure.verdict {
+            Verdict::NotRun => RequestOutcome::Refused,
+            Verdict::Ran | Verdict::MayHaveRun => RequestOutcome::InDoubt,
+        }
+    }
+
+    fn status(&self) -> TransactionStatus {
+        match self.transaction {
+            Transaction::None => TransactionStatus::Idle,
+            Transaction::Open => TransactionStatus::Transaction,
+            Transaction::Failed | Transaction::Lost => TransactionStatus::Error,
+        }
+    }
+
+    /// Names what the request asks for that can't be given.
+    fn unsupported(&self, plan: &RequestPlan) -> Option<Failure> {
+        let has = |kind| plan.statements.iter().any(|statement| statement.kind == kind);
+        if has(StatementKind::Copy) {
+            return Some(Failure::not_run(FailureKind::Unsupported, "COPY is not supported"));
+        }
+        let in_transaction = self.transaction != Transaction::None || has(StatementKind::Begin);
+        if has(StatementKind::SessionState) && !in_transaction {
+            let message = "temporary objects, PREPARE, LISTEN and session locks are supported \
+                           only inside a transaction, because a session has no connection of \
+                           its own";
+            return Some(Failure::not_run(FailureKind::Unsupported, message));
+        }
+        None
+    }
+
+    fn note_settings(&mut self, plan: &RequestPlan, answer: &UpstreamAnswer, was_open: bool) {
+        if answer.sqlstate.is_some() && answer.state == TransactionState::Idle {
+            self.uncommitted_settings.clear();
+            return;
+        }
+        for statement in &plan.statements {
+            match statement.kind {
+                StatementKind::Set => self.uncommitted_settings.push(statement.text.clone()),
+                StatementKind::Rollback => self.uncommitted_settings.clear(),
+                StatementKind::Discard if discards_all(&statement.text) => {
+                    self.route.settings.clear();
+                }
+                _ => {}
+            }
+        }
+        let is_over = answer.state == TransactionState::Idle;
+        if is_over || !was_open && self.transaction == Transaction::None {
+            for setting in std::mem::take(&mut self.uncommitted_settings) {
+                adopt_setting(&mut self.route.settings, setting);
+            }
+        }
+    }
+
+    /// Answers a request that is all about the session itself.
+    fn answer_locally(
+        &mut self,
+        request: &CallerRequest,
+        plan: &RequestPlan,
+        output: &mut BytesMut,
+    ) {
+        for message in &request.messages {
+            match message.tag {
+                tag::CLOSE => put_message(output, &CloseComplete::new()),
+                tag::QUERY => put_message(output, &EmptyQueryResponse::new()),
+                _ => {}
+            }
+        }
+        self.prepared.apply(plan);
+        put_ready(output, self.status());
+    }
+
+    /// Answers on behalf of a transaction whose connection is gone.
+    fn answer_lost_transaction(
+        &mut self,
+        request: &CallerRequest,
+        plan: &RequestPlan,
+        output: &mut BytesMut,
+    ) {
+        let ends = |kind| matches!(kind, StatementKind::Commit | StatementKind::Rollback);
+        match plan.statements.as_slice() {
+            [statement] if ends(statement.kind) => {
+                self.transaction = Transaction::None;
+                put_rollback(request, output);
+            }
+            _ => put_failed_transaction(output),
+        }
+        put_ready(output, self.status());
+    }
+}
+
+/// What a request came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RequestOutcome {
+    /// The caller got its answer.
+    Answered,
+    /// The upstream answered with an error.
+    Failed,
+    /// The request was refused and did not run.
+    Refused,
+    /// The request may have run.
+    InDoubt,
+}
+
+impl RequestOutcome {
+    /// Returns the outcome's name in metrics.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Failed => "failed",
+            Self::Refused => "not_run",
+            Self::InDoubt => "may_have_run",
+        }
+    }
+}
+
+/// Returns whether a request can be answered without any server.
+fn needs_no_server(request: &CallerRequest, plan: &RequestPlan) -> bool {
+    let is_own = |message: &RawMessage| match message.tag {
+        tag::QUERY | tag::SYNC => true,
+        tag::CLOSE => message.body().first() == Some(&b'S'),
+        _ => false,
+    };
+    plan.statements.is_empty() && request.messages.iter().all(is_own)
+}
+
+fn put_rollback(request: &CallerRequest, output: &mut BytesMut) {
+    for message in &request.messages {
+        match message.tag {
+            tag::PARSE => put_message(output, &ParseComplete::new()),
+            tag::BIND => put_message(output, &BindComplete::new()),
+            tag::DESCRIBE => put_message(output, &NoData::new()),
+            tag::CLOSE => put_message(output, &CloseComplete::new()),
+            tag::QUERY | tag::EXECUTE => {
+                put_message(output, &CommandComplete::new("ROLLBACK".to_owned()));
+            }
+            _ => {}
+        }
+    }
+}
+
+fn put_failed_transaction(output: &mut BytesMut) {
+    let message = "current transaction is aborted, commands ignored until end of transaction block";
+    let fields = vec![
+        (b'S', "ERROR".to_owned()),
+        (b'V', "ERROR".to_owned()),
+        (b'C', SQLSTATE_FAILED_TRANSACTION.to_owned()),
+        (b'M', message.to_owned()),
+        (b'D', "verdict=not_run kind=transaction_lost".to_owned()),
+    ];
+    put_message(output, &ErrorResponse::new(fields));
+}
+
+/// Returns the statement that sets a start-up parameter.
+fn startup_setting(name: &str, value: &str) -> Arc<str> {
+    let name = name.replace('"', "\"\"");
+    let value = value.replace('\'', "''");
+    if name.contains('.') {
+        return format!("SET {name} TO '{value}'").into();
+    }
+    format!("SET \"{name}\" TO '{value}'").into()
+}
+
+/// Replaces the session's earlier statement for the same parameter.
+fn adopt_setting(settings: &mut Vec<Arc<str>>, setting: Arc<str>) {
+    let parameter = setting_parameter(&setting);
+    if parameter == "all" {
+        settings.clear();
+        return;
+    }
+    settings.retain(|known| setting_parameter(known) != parameter);
+    settings.push(setting);
+}
+
+/// Returns the parameter that a `SET` or `RESET` statement is about.
+fn setting_parameter(setting: &str) -> String {
+    let is_separator = |c: char| c.is_whitespace() || c == '=';
+    let mut words = setting.split(is_separator).filter(|word| !word.is_empty()).skip(1);
+    let first = words.next().unwrap_or("");
+    let name = if first.eq_ignore_ascii_case("session") { words.next() } else { Some(first) };
+    name.unwrap_or("").trim_matches('"').to_ascii_lowercase()
+}
+
+fn discards_all(text: &str) -> bool {
+    text.to_ascii_lowercase().starts_with("discard")
+}
--- /dev/null
+++ b/daemon/src/entry.rs
@@ -0,0 +1,6 @@
+//! The entry's side: where a caller's request goes and whether it is tried again.
+//!
+//! See `docs/design/05-read-your-writes.md` and `docs/design/06-verdicts.md`.
+
+pub mod dispatch;
+pub mod router;
--- /dev/null
+++ b/daemon/src/entry/dispatch.rs
@@ -0,0 +1,88 @@
+//! Sending a request to the owner of its server, here or elsewhere.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use crossbeam_channel::bounded;
+use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_document::groups::ServerSpec;
+use masticreel_wire::message::{SessionKey, UpstreamRequest};
+
+use crate::directory::{OwnerDirectory, OwnerLocation};
+use crate::link::client::LinkPool;
+use crate::owner::Owner;
+use crate::owner::guard::ServerGuard;
+use crate::owner::job::{Outcome, Reply};
+
+/// Sends requests to owners of servers.
+pub struct Dispatcher<Guard, Directory> {
+    owner: Arc<Owner<Guard>>,
+    links: LinkPool,
+    directory: Directory,
+}
+
+impl<Guard, Directory> Dispatcher<Guard, Directory>
+where
+    Guard: ServerGuard,
+    Directory: OwnerDirectory,
+{
+    /// Creates a dispatcher.
+    pub fn new(owner: Arc<Owner<Guard>>, links: LinkPool, directory: Directory) -> Self {
+        Self { owner, links, directory }
+    }
+
+    /// Returns the owners of a server, the one to ask first in front.
+    pub fn owners(&self, server: &ServerSpec) -> Vec<OwnerLocation> {
+        self.directory.owners(server)
+    }
+
+    /// Runs a request at an owner and waits for the outcome.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the owner can't be reached, refuses or does not answer
+    /// before the deadline.
+    pub fn run(
+        &self,
+        owner: OwnerLocation,
+        request: UpstreamRequest,
+        deadline: Instant,
+    ) -> Outcome {
+        let session = request.session;
+        let (sender, receiver) = bounded(1);
+        match owner {
+            OwnerLocation::Local => self.owner.submit(request, Reply::Local(sender)),
+            OwnerLocation::Remote(peer) => self.links.send_request(peer, request, sender)?,
+        }
+        receiver.recv_deadline(deadline).unwrap_or_else(|_| {
+            self.cancel(owner, session);
+            let message = "the owner of the server did not answer in time";
+            Err(Failure::may_have_run(FailureKind::Lost, message))
+        })
+    }
+
+    /// Asks an owner to cancel what a session is running.
+    pub fn cancel(&self, owner: OwnerLocation, session: SessionKey) {
+        match owner {
+            OwnerLocation::Local => self.owner.cancel(session),
+            OwnerLocation::Remote(peer) => self.links.cancel(peer, session),
+        }
+    }
+
+    /// Tells an owner that a session ended.
+    pub fn release(&self, owner: OwnerLocation, session: SessionKey) {
+        match owner {
+            OwnerLocation::Local => self.owner.release(session),
+            OwnerLocation::Remote(peer) => self.links.release(peer, session),
+        }
+    }
+
+    /// Returns the address of a remote owner.
+    pub fn peer_of(owner: OwnerLocation) -> Option<SocketAddr> {
+        match owner {
+            OwnerLocation::Local => None,
+            OwnerLocation::Remote(peer) => Some(peer),
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/groups.rs
@@ -0,0 +1,42 @@
+//! What this instance knows about the database groups.
+
+use std::sync::Arc;
+
+use masticreel_base::ids::GroupId;
+use masticreel_document::document::Document;
+use masticreel_document::groups::{GroupSpec, ServerSpec};
+
+use crate::documents::DocumentCell;
+
+/// The groups of the document in force and who leads them.
+#[derive(Debug, Clone)]
+pub struct Groups {
+    document: DocumentCell,
+}
+
+impl Groups {
+    /// Creates a view of the groups that follows the document.
+    pub fn new(document: DocumentCell) -> Self {
+        Self { document }
+    }
+
+    /// Returns the document in force.
+    pub fn document(&self) -> Arc<Document> {
+        self.document.load_full()
+    }
+
+    /// Returns the group that serves a database name.
+    pub fn by_database(&self, database: &str) -> Option<GroupSpec> {
+        self.document.load().group_of_database(database).cloned()
+    }
+
+    /// Returns the group with a name.
+    pub fn by_name(&self, name: &GroupId) -> Option<GroupSpec> {
+        self.document.load().group(name).cloned()
+    }
+
+    /// Returns the server that is thought to be the group's primary.
+    pub fn primary<'group>(&self, group: &'group GroupSpec) -> Option<&'group ServerSpec> {
+        group.servers.first()
+    }
+}
--- /dev/null
+++ b/daemon/src/instance.rs
@@ -0,0 +1,179 @@
+//! One running instance: its threads, wired together.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::{Duration, UNIX_EPOCH};
+
+use displaydoc::Display;
+use masticreel_base::cancellation::CancellationToken;
+use masticreel_base::clock::{Clock, SystemClock};
+use masticreel_base::ids::Incarnation;
+use masticreel_platform::etcd::EtcdStore;
+use masticreel_wire::frame::SharedKey;
+use masticreel_wire::message::Hello;
+use slog::{Logger, info, warn};
+
+use crate::caller::server::{CallerServer, CallerServerParts};
+use crate::directory::{Candidate, OwnerLocation, StaticDirectory};
+use crate::documents::Documents;
+use crate::entry::dispatch::Dispatcher;
+use crate::entry::router::Router;
+use crate::groups::Groups;
+use crate::link::client::LinkPool;
+use crate::link::server::LinkServer;
+use crate::metrics::Metrics;
+use crate::operator::OperatorServer;
+use crate::owner::guard::Unguarded;
+use crate::owner::{Owner, OwnerContext};
+use crate::settings::{PeerSettings, Settings};
+
+/// Why an instance can't start.
+#[derive(Debug, Display)]
+pub enum StartError {
+    /// can't listen at {address}: {error}
+    Listen {
+        /// The address in the settings.
+        address: SocketAddr,
+        /// What the system reported.
+        error: io::Error,
+    },
+    /// the system refused a resource: {0}
+    Resources(io::Error),
+}
+
+impl std::error::Error for StartError {}
+
+impl From<io::Error> for StartError {
+    fn from(error: io::Error) -> Self {
+        Self::Resources(error)
+    }
+}
+
+/// One running instance.
+pub struct Instance {
+    callers: Arc<CallerServer<Unguarded, StaticDirectory>>,
+    caller_address: SocketAddr,
+    shutdown_timeout: Duration,
+    logger: Logger,
+    cancellation: CancellationToken,
+}
+
+impl Instance {
+    /// Starts all threads of an instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address is taken or the system has no room.
+    pub fn start(settings: &Settings, logger: &Logger) -> Result<Self, StartError> {
+        let cancellation = CancellationToken::new();
+        let metrics = Metrics::new();
+        let incarnation = incarnation(&SystemClock);
+        let own = &settings.instance;
+        let caller_listener = listen(own.caller_address)?;
+        let peer_listener = listen(own.peer_address)?;
+        let operator_listener = listen(own.operator_address)?;
+        let caller_address = caller_listener.local_addr()?;
+
+        let documents = start_documents(settings, &metrics, logger, &cancellation)?;
+        let groups = Groups::new(documents.cell());
+        let context = OwnerContext {
+            guard: Unguarded,
+            limits: settings.limits.clone(),
+            metrics: metrics.clone(),
+            logger: logger.clone(),
+            cancellation: cancellation.clone(),
+        };
+        let owner = Arc::new(Owner::new(context, groups.clone()));
+        let key = SharedKey::from_text(&own.shared_key);
+        LinkServer::new(owner.clone(), key.clone(), logger.clone(), cancellation.clone())
+            .start(peer_listener)?;
+        OperatorServer::new(metrics.clone()).start(operator_listener, cancellation.clone())?;
+
+        let hello = Hello { instance: own.name.clone(), incarnation };
+        let links = LinkPool::new(hello, key);
+        let dispatcher = Dispatcher::new(owner, links, directory(settings));
+        let router = Router::new(dispatcher, groups, settings.limits.clone());
+        let parts = CallerServerParts {
+            router,
+            incarnation,
+            limits: settings.limits.clone(),
+            metrics,
+            logger: logger.clone(),
+            cancellation: cancellation.clone(),
+        };
+        let callers = CallerServer::start(parts, caller_listener)?;
+        info!(logger, "instance started"; "callers" => %caller_address, "incarnation" => %incarnation);
+        Ok(Self {
+            callers,
+            caller_address,
+            shutdown_timeout: settings.limits.shutdown_timeout(),
+            logger: logger.clone(),
+            cancellation,
+        })
+    }
+
+    /// Returns where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Finishes what is in flight, then ends all threads.
+    pub fn stop(self) {
+        info!(self.logger, "instance stopping");
+        if !self.callers.drain(self.shutdown_timeout) {
+            warn!(self.logger, "instance stopped with callers left"; "reason" => "timeout");
+        }
+        self.cancellation.cancel();
+        info!(self.logger, "instance stopped");
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).map_err(|error| StartError::Listen { address, error })
+}
+
+/// Numbers this life by the time it began, so that later lives are higher.
+fn incarnation<C>(clock: &C) -> Incarnation
+where
+    C: Clock,
+{
+    let since_epoch = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+}
+
+fn start_documents(
+    settings: &Settings,
+    metrics: &Metrics,
+    logger: &Logger,
+    cancellation: &CancellationToken,
+) -> io::Result<Documents> {
+    let platform = &settings.platform;
+    let timeout = Duration::from_millis(platform.store_timeout_ms);
+    let store = EtcdStore::new(&platform.store_endpoint, timeout);
+    let documents = Documents::new(metrics.clone(), logger.clone());
+    documents.refresh(&store);
+    let interval = Duration::from_millis(platform.document_poll_ms);
+    documents.clone().follow(store, interval, cancellation.clone())?;
+    Ok(documents)
+}
+
+fn directory(settings: &Settings) -> StaticDirectory {
+    let own = &settings.instance;
+    let mut candidates: Vec<Candidate> =
+        settings.peers.iter().filter(|peer| peer.name != own.name).map(peer_candidate).collect();
+    candidates.push(Candidate {
+        name: own.name.clone(),
+        failure_domain: own.failure_domain.clone(),
+        location: OwnerLocation::Local,
+    });
+    StaticDirectory::new(candidates)
+}
+
+fn peer_candidate(peer: &PeerSettings) -> Candidate {
+    Candidate {
+        name: peer.name.clone(),
+        failure_domain: peer.failure_domain.clone(),
+        location: OwnerLocation::Remote(peer.peer_address),
+    }
+}
--- /dev/null
+++ b/daemon/src/link/client.rs
@@ -0,0 +1,211 @@
+//! Links that this instance opens to owners of servers.
+
+use std::collections::HashMap;
+use std::io::BufReader;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::Sender;
+use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_base::ids::RequestId;
+use masticreel_wire::frame::{FrameReader, SharedKey, Side, handshake};
+use masticreel_wire::message::{
+    Hello, LinkMessage, SessionKey, UpstreamRequest, UpstreamResponse, WireClass,
+};
+
+use crate::link::configure;
+use crate::link::sender::LinkSender;
+use crate::owner::job::Outcome;
+
+/// Longest wait for a peer to accept a link.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bytes read from a link at a time.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Stack of a reader thread, in bytes.
+const READER_STACK_BYTES: usize = 256 * 1024;
+
+/// Which of the two links to a peer a message takes.
+///
+/// Large answers of ordinary requests must not delay urgent ones, and one byte
+/// stream keeps its order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Lane {
+    Urgent,
+    Ordinary,
+}
+
+impl From<WireClass> for Lane {
+    fn from(class: WireClass) -> Self {
+        match class {
+            WireClass::Urgent => Self::Urgent,
+            WireClass::Normal | WireClass::Long => Self::Ordinary,
+        }
+    }
+}
+
+/// Opens links to other instances when they are needed and keeps them.
+#[derive(Clone)]
+pub struct LinkPool {
+    inner: Arc<PoolInner>,
+}
+
+struct PoolInner {
+    hello: Hello,
+    key: SharedKey,
+    links: Mutex<HashMap<(SocketAddr, Lane), Arc<Link>>>,
+    next_request: AtomicU64,
+}
+
+struct Link {
+    sender: LinkSender,
+    pending: Mutex<HashMap<RequestId, Sender<Outcome>>>,
+    is_closed: AtomicBool,
+}
+
+impl LinkPool {
+    /// Creates a pool without links.
+    pub fn new(hello: Hello, key: SharedKey) -> Self {
+        let inner = PoolInner {
+            hello,
+            key,
+            links: Mutex::new(HashMap::new()),
+            next_request: AtomicU64::new(1),
+        };
+        Self { inner: Arc::new(inner) }
+    }
+
+    /// Sends a request to a peer; the outcome arrives on the channel.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the peer can't be reached, and says whether the request may
+    /// have arrived.
+    pub fn send_request(
+        &self,
+        peer: SocketAddr,
+        mut request: UpstreamRequest,
+        outcome: Sender<Outcome>,
+    ) -> Result<(), Failure> {
+        let link = self.link(peer, request.class.into())?;
+        request.id = RequestId(self.inner.next_request.fetch_add(1, Ordering::Relaxed));
+        link.request(request, outcome)
+    }
+
+    /// Tells a peer that a session ended, if there is a link to it.
+    pub fn release(&self, peer: SocketAddr, session: SessionKey) {
+        self.notify(peer, &LinkMessage::Release(session));
+    }
+
+    /// Asks a peer to cancel what a session is running.
+    pub fn cancel(&self, peer: SocketAddr, session: SessionKey) {
+        self.notify(peer, &LinkMessage::Cancel(session));
+    }
+
+    fn notify(&self, peer: SocketAddr, message: &LinkMessage) {
+        if let Ok(link) = self.link(peer, Lane::Urgent) {
+            // A peer that is gone has ended everything by itself.
+            let _ = link.sender.send(message);
+        }
+    }
+
+    fn link(&self, peer: SocketAddr, lane: Lane) -> Result<Arc<Link>, Failure> {
+        if let Some(link) = self.open_link(peer, lane) {
+            return Ok(link);
+        }
+        let link = Link::open(peer, &self.inner.hello, &self.inner.key)?;
+        let mut links = self.inner.links.lock().expect("no holder of the links panics");
+        links.insert((peer, lane), link.clone());
+        Ok(link)
+    }
+
+    fn open_link(&self, peer: SocketAddr, lane: Lane) -> Option<Arc<Link>> {
+        let links = self.inner.links.lock().expect("no holder of the links panics");
+        let link = links.get(&(peer, lane))?;
+        (!link.is_closed.load(Ordering::Acquire)).then(|| link.clone())
+    }
+}
+
+impl Link {
+    fn open(peer: SocketAddr, hello: &Hello, key: &SharedKey) -> Result<Arc<Self>, Failure> {
+        let unreachable = |error: &dyn std::fmt::Display| {
+            let message = format!("instance at {peer}: {error}");
+            Failure::not_run(FailureKind::Unavailable, message)
+        };
+        let mut stream = TcpStream::connect_timeout(&peer, CONNECT_TIMEOUT)
+            .map_err(|error| unreachable(&error))?;
+        configure(&stream).map_err(|error| unreachable(&error))?;
+        stream.set_read_timeout(Some(CONNECT_TIMEOUT)).map_err(|error| unreachable(&error))?;
+        let keys =
+            handshake(&mut stream, Side::Connecting, key).map_err(|error| unreachable(&error))?;
+        stream.set_read_timeout(None).map_err(|error| unreachable(&error))?;
+        let sender =
+            LinkSender::new(&stream, keys.outgoing).map_err(|error| unreachable(&error))?;
+        sender.send(&LinkMessage::Hello(hello.clone())).map_err(|error| unreachable(&error))?;
+        let link = Arc::new(Self {
+            sender,
+            pending: Mutex::new(HashMap::new()),
+            is_closed: AtomicBool::new(false),
+        });
+        let reader =
+            FrameReader::new(BufReader::with_capacity(READ_BUFFER_BYTES, stream), keys.incoming);
+        link.clone().spawn_reader(reader);
+        Ok(link)
+    }
+
+    fn spawn_reader(self: Arc<Self>, reader: FrameReader<BufReader<TcpStream>>) {
+        thread::Builder::new()
+            .name("link-reader".to_owned())
+            .stack_size(READER_STACK_BYTES)
+            .spawn(move || self.read_responses(reader))
+            .expect("the system has room for the reader threads");
+    }
+
+    fn read_responses(&self, mut reader: FrameReader<BufReader<TcpStream>>) {
+        while let Ok(message) = reader.receive::<LinkMessage>() {
+            if let LinkMessage::Response(response) = message {
+                self.deliver(response);
+            }
+        }
+        self.fail_pending();
+    }
+
+    fn deliver(&self, response: UpstreamResponse) {
+        let receiver = self.lock_pending().remove(&response.id);
+        if let Some(receiver) = receiver {
+            // A receiver that is gone has given its caller a verdict already.
+            let _ = receiver.send(response.outcome);
+        }
+    }
+
+    fn request(&self, request: UpstreamRequest, outcome: Sender<Outcome>) -> Result<(), Failure> {
+        let id = request.id;
+        self.lock_pending().insert(id, outcome);
+        if self.is_closed.load(Ordering::Acquire) {
+            self.lock_pending().remove(&id);
+            let message = "the link to the owner was closed before the request was sent";
+            return Err(Failure::not_run(FailureKind::Unavailable, message));
+        }
+        if let Err(error) = self.sender.send(&LinkMessage::Request(request)) {
+            self.lock_pending().remove(&id);
+            return Err(Failure::may_have_run(FailureKind::Lost, error.to_string()));
+        }
+        Ok(())
+    }
+
+    fn fail_pending(&self) {
+        self.is_closed.store(true, Ordering::Release);
+        self.sender.close();
+        let pending = std::mem::take(&mut *self.lock_pending());
+        for receiver in pending.into_values() {
+            let message = "the link to the owner broke before the answer came";
+            let _ = receiver.send(Err(Failure::may_have_run(FailureKind::Lost, message)));
+        }
+    }
+
+    fn lock_pending(&self) -> std::sync::MutexGuard<'_, HashMap<RequestId, Sender<Outcome>>> {
+        self.pending.lock().expect("no holder of the pending requests panics")
+    }
+}
--- /dev/null
+++ b/daemon/src/link/server.rs
@@ -0,0 +1,124 @@
+//! Links that other instances open to this one.
+
+use std::io::{self, BufReader};
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use masticreel_base::cancellation::CancellationToken;
+use masticreel_base::ids::Incarnation;
+use masticreel_wire::frame::{FrameError, FrameReader, SharedKey, Side, handshake};
+use masticreel_wire::message::LinkMessage;
+use slog::{Logger, info, warn};
+
+use crate::link::configure;
+use crate::link::sender::LinkSender;
+use crate::owner::Owner;
+use crate::owner::guard::ServerGuard;
+use crate::owner::job::Reply;
+
+/// Longest wait for a peer's part of the handshake.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes read from a link at a time.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Stack of a link's thread, in bytes.
+const LINK_STACK_BYTES: usize = 256 * 1024;
+
+/// Accepts links and passes their requests to the owner.
+pub struct LinkServer<Guard> {
+    owner: Arc<Owner<Guard>>,
+    key: SharedKey,
+    logger: Logger,
+    cancellation: CancellationToken,
+}
+
+impl<Guard> LinkServer<Guard>
+where
+    Guard: ServerGuard,
+{
+    /// Creates a server of links.
+    pub fn new(
+        owner: Arc<Owner<Guard>>,
+        key: SharedKey,
+        logger: Logger,
+        cancellation: CancellationToken,
+    ) -> Self {
+        Self { owner, key, logger, cancellation }
+    }
+
+    /// Accepts links on a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system has no room for the thread.
+    pub fn start(self, listener: TcpListener) -> io::Result<()> {
+        let server = Arc::new(self);
+        thread::Builder::new().name("link-accept".to_owned()).spawn(move || {
+            for stream in listener.incoming() {
+                if server.cancellation.is_cancelled() {
+                    return;
+                }
+                if let Ok(stream) = stream {
+                    server.clone().spawn_link(stream);
+                }
+            }
+        })?;
+        Ok(())
+    }
+
+    fn spawn_link(self: Arc<Self>, stream: TcpStream) {
+        let logger = self.logger.clone();
+        let result = thread::Builder::new()
+            .name("link".to_owned())
+            .stack_size(LINK_STACK_BYTES)
+            .spawn(move || self.serve_link(stream));
+        if let Err(error) = result {
+            warn!(logger, "link refused"; "error" => %error);
+        }
+    }
+
+    fn serve_link(&self, stream: TcpStream) {
+        let peer = stream.peer_addr().map(|address| address.to_string()).unwrap_or_default();
+        let mut incarnation = None;
+        let result = self.read_link(stream, &mut incarnation);
+        if let Some(incarnation) = incarnation {
+            self.owner.release_instance(incarnation);
+        }
+        match result {
+            Err(FrameError::Io(_)) | Ok(()) => {
+                info!(self.logger, "link closed"; "peer" => peer);
+            }
+            Err(error) => warn!(self.logger, "link refused"; "peer" => peer, "error" => %error),
+        }
+    }
+
+    fn read_link(
+        &self,
+        mut stream: TcpStream,
+        incarnation: &mut Option<Incarnation>,
+    ) -> Result<(), FrameError> {
+        configure(&stream)?;
+        stream.set_read_timeout(Some(HANDSHAKE_TIMEOUT))?;
+        let keys = handshake(&mut stream, Side::Accepting, &self.key)?;
+        let sender = LinkSender::new(&stream, keys.outgoing)?;
+        let socket = stream.try_clone()?;
+        let mut reader =
+            FrameReader::new(BufReader::with_capacity(READ_BUFFER_BYTES, stream), keys.incoming);
+        loop {
+            match reader.receive::<LinkMessage>()? {
+                LinkMessage::Hello(hello) => {
+                    socket.set_read_timeout(None)?;
+                    *incarnation = Some(hello.incarnation);
+                }
+                LinkMessage::Request(request) => {
+                    let reply = Reply::Remote { link: sender.clone(), id: request.id };
+                    self.owner.submit(request, reply);
+                }
+                LinkMessage::Cancel(session) => self.owner.cancel(session),
+                LinkMessage::Release(session) => self.owner.release(session),
+                LinkMessage::Response(_) => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/metrics.rs
@@ -0,0 +1,99 @@
+//! What the instance counts, for metrics collectors and reports.
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BUCKETS_SECONDS: [f64; 14] =
+    [0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 10.0];
+
+/// The metrics of one instance; see `docs/operating.md`.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Connections of callers.
+    pub callers: IntGauge,
+    /// Requests by outcome.
+    pub requests: IntCounterVec,
+    /// Time from a caller's request to its answer, by class.
+    pub request_seconds: HistogramVec,
+    /// Requests queued for a server.
+    pub queued: IntGaugeVec,
+    /// Connections open to a server.
+    pub upstream_connections: IntGaugeVec,
+    /// The revision of the document in force.
+    pub document_revision: IntGauge,
+}
+
+impl Metrics {
+    /// Creates and registers the metrics.
+    pub fn new() -> Self {
+        let latency = HistogramOpts::new(
+            "masticreel_request_seconds",
+            "Time from a caller's request to its answer.",
+        )
+        .buckets(LATENCY_BUCKETS_SECONDS.to_vec());
+        let metrics = Self {
+            registry: Registry::new(),
+            callers: gauge("masticreel_callers", "Connections of callers."),
+            requests: counters("masticreel_requests_total", "Requests by outcome.", &["outcome"]),
+            request_seconds: HistogramVec::new(latency, &["class"]).expect("the options are valid"),
+            queued: gauges("masticreel_queued_requests", "Requests queued.", &["server"]),
+            upstream_connections: gauges(
+                "masticreel_upstream_connections",
+                "Connections open to a server.",
+                &["server"],
+            ),
+            document_revision: gauge(
+                "masticreel_document_revision",
+                "Revision of the document in force.",
+            ),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let registry = &self.registry;
+        let results = [
+            registry.register(Box::new(self.callers.clone())),
+            registry.register(Box::new(self.requests.clone())),
+            registry.register(Box::new(self.request_seconds.clone())),
+            registry.register(Box::new(self.queued.clone())),
+            registry.register(Box::new(self.upstream_connections.clone())),
+            registry.register(Box::new(self.document_revision.clone())),
+        ];
+        for result in results {
+            result.expect("metric names are unique");
+        }
+    }
+
+    /// Returns the registry, for parts that add metrics of their own.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Renders all metrics in the text format.
+    pub fn render(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn gauge(name: &str, help: &str) -> IntGauge {
+    IntGauge::new(name, help).expect("the name is valid")
+}
+
+fn gauges(name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    IntGaugeVec::new(Opts::new(name, help), labels).expect("the name is valid")
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name, help), labels).expect("the name is valid")
+}
--- /dev/null
+++ b/daemon/src/settings.rs
@@ -0,0 +1,243 @@
+//! The settings file of one instance.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use displaydoc::Display;
+use masticreel_base::ids::{FailureDomain, InstanceId};
+use serde::Deserialize;
+
+/// Everything that an instance must know before it starts.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The instance's own name and addresses.
+    pub instance: InstanceSettings,
+    /// The platform's store.
+    pub platform: PlatformSettings,
+    /// Instances to contact first.
+    #[serde(default)]
+    pub peers: Vec<PeerSettings>,
+    /// Bounds on time and numbers.
+    #[serde(default)]
+    pub limits: LimitSettings,
+    /// What is logged.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// The instance's own name and addresses.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct InstanceSettings {
+    /// The instance's name, unique in the fleet.
+    pub name: InstanceId,
+    /// Where the instance runs.
+    pub failure_domain: FailureDomain,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other instances connect, by TCP and UDP.
+    pub peer_address: SocketAddr,
+    /// Where operators and metrics collectors connect.
+    pub operator_address: SocketAddr,
+    /// The secret that all instances of the fleet share.
+    pub shared_key: Arc<str>,
+}
+
+/// The platform's store.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// The store's etcd v3 JSON gateway, such as `http://127.0.0.1:2379`.
+    pub store_endpoint: Arc<str>,
+    /// Longest wait for an answer of the store, in milliseconds.
+    #[serde(default = "default_store_timeout_ms")]
+    pub store_timeout_ms: u64,
+    /// Time between two reads of the document, in milliseconds.
+    #[serde(default = "default_document_poll_ms")]
+    pub document_poll_ms: u64,
+}
+
+/// An instance to contact first.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerSettings {
+    /// The instance's name.
+    pub name: InstanceId,
+    /// Where it runs.
+    pub failure_domain: FailureDomain,
+    /// Where it accepts other instances.
+    pub peer_address: SocketAddr,
+}
+
+/// Bounds on time and numbers.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Connections accepted from callers.
+    pub max_callers: usize,
+    /// Requests that the instance serves for its callers at a time.
+    pub max_concurrent_requests: usize,
+    /// Longest time a request may take, in milliseconds.
+    pub request_timeout_ms: u64,
+    /// Longest time a transaction may wait for its next statement, in milliseconds.
+    pub transaction_idle_timeout_ms: u64,
+    /// Longest time an upstream may take to accept a connection, in milliseconds.
+    pub connect_timeout_ms: u64,
+    /// Longest time that shutting down may take, in milliseconds.
+    pub shutdown_timeout_ms: u64,
+}
+
+/// What is logged.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// The least important level that is logged.
+    pub level: LogLevel,
+}
+
+/// Importance of a log event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Something failed that needs attention.
+    Error,
+    /// Something failed that the fleet handles by itself.
+    Warning,
+    /// Something changed.
+    Info,
+    /// Details for developers.
+    Debug,
+}
+
+const DEFAULT_STORE_TIMEOUT_MS: u64 = 1_000;
+const DEFAULT_DOCUMENT_POLL_MS: u64 = 1_000;
+
+fn default_store_timeout_ms() -> u64 {
+    DEFAULT_STORE_TIMEOUT_MS
+}
+
+fn default_document_poll_ms() -> u64 {
+    DEFAULT_DOCUMENT_POLL_MS
+}
+
+impl PlatformSettings {
+    /// Names a store and leaves all else at its default.
+    pub fn new(store_endpoint: &str) -> Self {
+        Self {
+            store_endpoint: store_endpoint.into(),
+            store_timeout_ms: DEFAULT_STORE_TIMEOUT_MS,
+            document_poll_ms: DEFAULT_DOCUMENT_POLL_MS,
+        }
+    }
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            max_callers: 10_000,
+            max_concurrent_requests: 256,
+            request_timeout_ms: 30_000,
+            transaction_idle_timeout_ms: 60_000,
+            connect_timeout_ms: 1_000,
+            shutdown_timeout_ms: 30_000,
+        }
+    }
+}
+
+impl LimitSettings {
+    /// Returns the longest time a request may take.
+    pub fn request_timeout(&self) -> Duration {
+        Duration::from_millis(self.request_timeout_ms)
+    }
+
+    /// Returns the longest time a transaction may wait for its next statement.
+    pub fn transaction_idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.transaction_idle_timeout_ms)
+    }
+
+    /// Returns the longest time an upstream may take to accept a connection.
+    pub fn connect_timeout(&self) -> Duration {
+        Duration::from_millis(self.connect_timeout_ms)
+    }
+
+    /// Returns the longest time that shutting down may take.
+    pub fn shutdown_timeout(&self) -> Duration {
+        Duration::from_millis(self.shutdown_timeout_ms)
+    }
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self { level: LogLevel::Info }
+    }
+}
+
+/// Why a settings file can't be used.
+#[derive(Debug, Display)]
+pub enum SettingsError {
+    /// {path}: can't be read: {error}
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system reported.
+        error: std::io::Error,
+    },
+    /// {path}: {error}
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong, with line and key.
+        error: Box<toml::de::Error>,
+    },
+    /// {path}: key `{key}`: {problem}
+    OutOfRange {
+        /// The file.
+        path: PathBuf,
+        /// The key whose value can't be used.
+        key: &'static str,
+        /// What is wrong with the value.
+        problem: &'static str,
+    },
+}
+
+impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be read, has an unknown key, lacks one or
+    /// holds a value that can't be used.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| SettingsError::Unreadable { path: path.to_owned(), error })?;
+        let settings: Self = toml::from_str(&text).map_err(|error| SettingsError::Invalid {
+            path: path.to_owned(),
+            error: Box::new(error),
+        })?;
+        settings.check(path)?;
+        Ok(settings)
+    }
+
+    fn check(&self, path: &Path) -> Result<(), SettingsError> {
+        let out_of_range =
+            |key, problem| Err(SettingsError::OutOfRange { path: path.to_owned(), key, problem });
+        if self.instance.name.as_str().is_empty() {
+            return out_of_range("instance.name", "must not be empty");
+        }
+        if self.instance.shared_key.is_empty() {
+            return out_of_range("instance.shared_key", "must not be empty");
+        }
+        if self.limits.max_concurrent_requests == 0 {
+            return out_of_range("limits.max_concurrent_requests", "must be at least 1");
+        }
+        if self.limits.max_callers == 0 {
+            return out_of_range("limits.max_callers", "must be at least 1");
+        }
+        Ok(())
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -2,3 +2,4 @@
 //! tool.
 
 pub mod pg_client;
+pub mod processes;
--- /dev/null
+++ b/testutils/src/processes/deployment.rs
@@ -0,0 +1,199 @@
+//! A small deployment: a store, a database group and some instances.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use crate::processes::{Process, free_address};
+
+/// The database that callers connect to.
+pub const DATABASE: &str = "app";
+/// The failure domains that servers and instances are spread over.
+pub const FAILURE_DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
+
+/// What a deployment is made of.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DeploymentSettings {
+    /// How many servers the group has.
+    pub servers: usize,
+    /// How many instances are started.
+    pub instances: usize,
+    /// Further arguments of each server.
+    pub server_arguments: Vec<String>,
+    /// Text appended to each instance's settings.
+    pub instance_settings: String,
+    /// Text appended to the document's only section.
+    pub document: String,
+}
+
+impl Default for DeploymentSettings {
+    fn default() -> Self {
+        Self {
+            servers: 3,
+            instances: 2,
+            server_arguments: Vec::new(),
+            instance_settings: String::new(),
+            document: String::new(),
+        }
+    }
+}
+
+/// The addresses of one instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InstanceAddresses {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where other instances connect.
+    pub peers: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+}
+
+/// Running processes of one deployment; they end when it is dropped.
+pub struct Deployment {
+    /// The platform's store.
+    pub store: Process,
+    /// The database servers, the first primary in front.
+    pub servers: Vec<Process>,
+    /// The instances.
+    pub instances: Vec<Process>,
+    /// The instances' addresses, in the same order.
+    pub addresses: Vec<InstanceAddresses>,
+    settings: DeploymentSettings,
+    folder: PathBuf,
+}
+
+impl Deployment {
+    /// Starts everything and writes the document.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a program is not built or does not start.
+    pub fn start(name: &str, settings: DeploymentSettings) -> io::Result<Self> {
+        let folder = std::env::temp_dir().join(format!("masticreel-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let store = Process::start("masticreel-standin", &words("store"), None)?;
+        let servers = start_servers(&settings)?;
+        let addresses = (0..settings.instances)
+            .map(|_| InstanceAddresses::free())
+            .collect::<io::Result<Vec<_>>>()?;
+        let mut deployment =
+            Self { store, servers, instances: Vec::new(), addresses, settings, folder };
+        deployment.write_document()?;
+        for number in 0..deployment.settings.instances {
+            let instance = deployment.start_instance(number)?;
+            deployment.instances.push(instance);
+        }
+        Ok(deployment)
+    }
+
+    /// Starts an instance, or another life of one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance does not start.
+    pub fn start_instance(&self, number: usize) -> io::Result<Process> {
+        let path = self.folder.join(format!("instance-{number}.toml"));
+        std::fs::write(&path, self.instance_text(number)?)?;
+        let arguments = vec!["--settings".to_owned(), path.display().to_string()];
+        Process::start("masticreeld", &arguments, Some(&self.log_path(number)))
+    }
+
+    /// Returns where an instance logs its events.
+    pub fn log_path(&self, number: usize) -> PathBuf {
+        self.folder.join(format!("instance-{number}.log"))
+    }
+
+    /// Returns the store's endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store did not say where it listens.
+    pub fn store_endpoint(&self) -> io::Result<String> {
+        let address = self.store.address("address").ok_or_else(|| missing("store"))?;
+        Ok(format!("http://{address}"))
+    }
+
+    fn instance_text(&self, number: usize) -> io::Result<String> {
+        let own = &self.addresses[number];
+        let domain = FAILURE_DOMAINS[number % FAILURE_DOMAINS.len()];
+        let mut text = format!(
+            "[instance]\nname = \"instance-{number}\"\nfailure_domain = \"{domain}\"\n\
+             caller_address = \"{}\"\npeer_address = \"{}\"\noperator_address = \"{}\"\n\
+             shared_key = \"test key\"\n\n[platform]\nstore_endpoint = \"{}\"\n\
+             document_poll_ms = 200\n",
+            own.callers,
+            own.peers,
+            own.operators,
+            self.store_endpoint()?,
+        );
+        for (peer, addresses) in self.addresses.iter().enumerate() {
+            let domain = FAILURE_DOMAINS[peer % FAILURE_DOMAINS.len()];
+            text.push_str(&format!(
+                "\n[[peers]]\nname = \"instance-{peer}\"\nfailure_domain = \"{domain}\"\n\
+                 peer_address = \"{}\"\n",
+                addresses.peers
+            ));
+        }
+        text.push_str(&self.settings.instance_settings);
+        Ok(text)
+    }
+
+    /// Returns the text of the document's only section.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a server did not say where it listens.
+    pub fn document_text(&self) -> io::Result<String> {
+        let mut text = format!("[[groups]]\nname = \"{DATABASE}\"\ndatabase = \"{DATABASE}\"\n");
+        for (number, server) in self.servers.iter().enumerate() {
+            let address = server.address("address").ok_or_else(|| missing("server"))?;
+            let domain = FAILURE_DOMAINS[number % FAILURE_DOMAINS.len()];
+            text.push_str(&format!(
+                "\n[[groups.servers]]\nname = \"{DATABASE}-{number}\"\naddress = \"{address}\"\n\
+                 failure_domain = \"{domain}\"\n"
+            ));
+        }
+        text.push_str(&self.settings.document);
+        Ok(text)
+    }
+
+    fn write_document(&self) -> io::Result<()> {
+        crate::processes::document::write(&self.store_endpoint()?, &self.document_text()?)
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // What can't be removed is left to the system's clean-up.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl InstanceAddresses {
+    fn free() -> io::Result<Self> {
+        Ok(Self { callers: free_address()?, peers: free_address()?, operators: free_address()? })
+    }
+}
+
+fn start_servers(settings: &DeploymentSettings) -> io::Result<Vec<Process>> {
+    let mut servers: Vec<Process> = Vec::new();
+    for number in 0..settings.servers {
+        let mut arguments = words(&format!("upstream --name {DATABASE}-{number}"));
+        if let Some(primary) = servers.first() {
+            let address = primary.address("address").ok_or_else(|| missing("server"))?;
+            arguments.extend(words(&format!("--initial-role replica --primary {address}")));
+        }
+        arguments.extend(settings.server_arguments.iter().cloned());
+        servers.push(Process::start("masticreel-standin", &arguments, None)?);
+    }
+    Ok(servers)
+}
+
+fn words(text: &str) -> Vec<String> {
+    text.split_whitespace().map(str::to_owned).collect()
+}
+
+fn missing(what: &str) -> io::Error {
+    io::Error::other(format!("the {what} did not say where it listens"))
+}
--- /dev/null
+++ b/testutils/src/processes/document.rs
@@ -0,0 +1,37 @@
+//! Writing the document of a deployment into the store.
+
+use std::io;
+use std::time::Duration;
+
+use masticreel_base::cancellation::CancellationToken;
+use masticreel_base::clock::SystemClock;
+use masticreel_base::ids::Revision;
+use masticreel_document::edit::{EditOutcome, EditRequest};
+use masticreel_platform::editor::{EditTiming, Editor};
+use masticreel_platform::etcd::EtcdStore;
+
+const TIMING: EditTiming =
+    EditTiming { deadline: Duration::from_secs(5), retry_pause: Duration::from_millis(50) };
+/// The section that holds all that tests write.
+const SECTION: &str = "test";
+
+/// Writes the first text of the only section.
+///
+/// # Errors
+///
+/// Fails when the text is not accepted.
+pub fn write(endpoint: &str, text: &str) -> io::Result<()> {
+    let store = EtcdStore::new(endpoint, Duration::from_secs(1));
+    let editor = Editor::new(store, SystemClock, TIMING, CancellationToken::new());
+    let request = EditRequest {
+        section: SECTION.into(),
+        base: Revision(0),
+        text: text.into(),
+        author: "test".into(),
+        edited_at_ms: 0,
+    };
+    match editor.apply(request, rand::random::<u64>().into()) {
+        EditOutcome::Landed(_) => Ok(()),
+        other => Err(io::Error::other(format!("the document was not accepted: {other:?}"))),
+    }
+}
