admission: queue, expected times, fair shares, budgets and pool as pure decisions

Cause: 16 or 30 connections and 2 slots a server can't be shared by instances that don't talk; the owner needs rules for who executes next. Change: ServerQueue takes events with the time and returns starts and refusals. Urgent work goes first and a slot is reserved for it, lent to normal work that is expected to be short; long work never holds the last slot; order within a share is a trait (first come, shortest expected with a waiting bound). Shares are fair among caller bases and entries. Ruled out: a reserved slot for urgent work alone, which with two slots leaves normal work blocked behind a long statement; both stay selectable to measure. Left: the measurement of the order and the reservation, wiring into the daemon.

--- /dev/null
+++ b/lib/admission/src/class_queue.rs
@@ -0,0 +1,319 @@
+//! The waiting requests of one class at one server.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use masticreel_base::ids::{InstanceId, RequestId};
+
+use crate::fair_shares::FairShares;
+use crate::order::QueueOrder;
+use crate::request::{AdmissionRequest, CallerBase, ConnectionNeed};
+
+/// A request with the moment from which it waits.
+#[derive(Debug, Clone)]
+pub(crate) struct Waiting {
+    pub(crate) request: AdmissionRequest,
+    pub(crate) since: Instant,
+}
+
+/// Tells where a waiting request is kept.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Place {
+    /// Among the statements of transactions that hold a connection.
+    Held(Arrival),
+    /// In the flow of its caller base and entry.
+    Flow(CallerBase, InstanceId, Arrival),
+}
+
+/// Numbers the requests of a class in the order of their arrival.
+pub(crate) type Arrival = u64;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Precedence<Rank> {
+    Overdue(Arrival),
+    Ranked(Rank, Arrival),
+}
+
+impl<Rank> Precedence<Rank> {
+    fn arrival(&self) -> Arrival {
+        match self {
+            Precedence::Overdue(arrival) | Precedence::Ranked(_, arrival) => *arrival,
+        }
+    }
+}
+
+/// How far one share may run ahead of the least served one.
+const SHARE_ALLOWANCE: Duration = Duration::from_millis(50);
+
+#[derive(Debug)]
+pub(crate) struct ClassQueue<Order>
+where
+    Order: QueueOrder,
+{
+    order: Order,
+    next_arrival: Arrival,
+    held: BTreeMap<Arrival, Waiting>,
+    bases: BTreeMap<CallerBase, BaseQueue<Order>>,
+    base_shares: FairShares<CallerBase>,
+    len: usize,
+    work: Duration,
+}
+
+#[derive(Debug)]
+struct BaseQueue<Order>
+where
+    Order: QueueOrder,
+{
+    flows: BTreeMap<InstanceId, FlowQueue<Order>>,
+    entry_shares: FairShares<InstanceId>,
+    work: Duration,
+}
+
+#[derive(Debug)]
+struct FlowQueue<Order>
+where
+    Order: QueueOrder,
+{
+    by_arrival: BTreeMap<Arrival, Waiting>,
+    by_rank: BTreeSet<(Order::Rank, Arrival)>,
+}
+
+impl<Order> ClassQueue<Order>
+where
+    Order: QueueOrder,
+{
+    pub(crate) fn new(order: Order) -> Self {
+        Self {
+            order,
+            next_arrival: 0,
+            held: BTreeMap::new(),
+            bases: BTreeMap::new(),
+            base_shares: FairShares::new(SHARE_ALLOWANCE),
+            len: 0,
+            work: Duration::ZERO,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(crate) fn push(&mut self, request: AdmissionRequest, now: Instant) -> Place {
+        let arrival = self.next_arrival;
+        self.next_arrival += 1;
+        self.len += 1;
+        self.work += request.expected;
+        let waiting = Waiting { request, since: now };
+        if waiting.request.need == ConnectionNeed::Held {
+            self.held.insert(arrival, waiting);
+            return Place::Held(arrival);
+        }
+        self.push_flow(waiting, arrival)
+    }
+
+    fn push_flow(&mut self, waiting: Waiting, arrival: Arrival) -> Place {
+        let caller_base = waiting.request.caller_base.clone();
+        let entry = waiting.request.entry.clone();
+        self.base_shares.enqueued(&caller_base);
+        let base = self.bases.entry(caller_base.clone()).or_insert_with(BaseQueue::new);
+        base.work += waiting.request.expected;
+        base.entry_shares.enqueued(&entry);
+        let flow = base.flows.entry(entry.clone()).or_insert_with(FlowQueue::new);
+        flow.by_rank.insert((self.order.rank(waiting.request.expected), arrival));
+        flow.by_arrival.insert(arrival, waiting);
+        Place::Flow(caller_base, entry, arrival)
+    }
+
+    /// Returns the place of the request that is to be served next.
+    ///
+    /// Statements of open transactions go first, because they hold a connection
+    /// and perhaps locks that others wait for.
+    pub(crate) fn next<Admissible>(&self, now: Instant, admissible: Admissible) -> Option<Place>
+    where
+        Admissible: Fn(&AdmissionRequest) -> bool,
+    {
+        let held = self.held.iter().find(|(_, waiting)| admissible(&waiting.request));
+        if let Some((arrival, _)) = held {
+            return Some(Place::Held(*arrival));
+        }
+        self.next_in_flows(now, &admissible, true)
+            .or_else(|| self.next_in_flows(now, &admissible, false))
+    }
+
+    fn next_in_flows<Admissible>(
+        &self,
+        now: Instant,
+        admissible: &Admissible,
+        fair: bool,
+    ) -> Option<Place>
+    where
+        Admissible: Fn(&AdmissionRequest) -> bool,
+    {
+        let mut best: Option<(Precedence<Order::Rank>, &CallerBase, &InstanceId)> = None;
+        for (caller_base, base) in &self.bases {
+            if fair && !self.base_shares.is_within_share(caller_base) {
+                continue;
+            }
+            for (entry, flow) in &base.flows {
+                if fair && !base.entry_shares.is_within_share(entry) {
+                    continue;
+                }
+                let Some(precedence) = flow.next(now, self.order.waiting_bound(), admissible)
+                else {
+                    continue;
+                };
+                if best.as_ref().is_none_or(|(first, ..)| precedence < *first) {
+                    best = Some((precedence, caller_base, entry));
+                }
+            }
+        }
+        let (precedence, caller_base, entry) = best?;
+        Some(Place::Flow(caller_base.clone(), entry.clone(), precedence.arrival()))
+    }
+
+    /// Returns how long the request at a place is expected to execute.
+    pub(crate) fn expected(&self, place: &Place) -> Option<Duration> {
+        let waiting = match place {
+            Place::Held(arrival) => self.held.get(arrival)?,
+            Place::Flow(caller_base, entry, arrival) => {
+                self.bases.get(caller_base)?.flows.get(entry)?.by_arrival.get(arrival)?
+            }
+        };
+        Some(waiting.request.expected)
+    }
+
+    /// Removes a request because it starts, and charges its share for it.
+    pub(crate) fn take_to_start(&mut self, place: &Place) -> Option<Waiting> {
+        self.remove(place, true)
+    }
+
+    /// Removes a request that will not be served.
+    pub(crate) fn discard(&mut self, place: &Place) -> Option<Waiting> {
+        self.remove(place, false)
+    }
+
+    fn remove(&mut self, place: &Place, charged: bool) -> Option<Waiting> {
+        let waiting = match place {
+            Place::Held(arrival) => self.held.remove(arrival)?,
+            Place::Flow(caller_base, entry, arrival) => {
+                self.remove_from_flow(caller_base, entry, *arrival, charged)?
+            }
+        };
+        self.len -= 1;
+        self.work -= waiting.request.expected;
+        Some(waiting)
+    }
+
+    fn remove_from_flow(
+        &mut self,
+        caller_base: &CallerBase,
+        entry: &InstanceId,
+        arrival: Arrival,
+        charged: bool,
+    ) -> Option<Waiting> {
+        let base = self.bases.get_mut(caller_base)?;
+        let flow = base.flows.get_mut(entry)?;
+        let waiting = flow.by_arrival.remove(&arrival)?;
+        let expected = waiting.request.expected;
+        flow.by_rank.remove(&(self.order.rank(expected), arrival));
+        if flow.by_arrival.is_empty() {
+            base.flows.remove(entry);
+        }
+        base.work -= expected;
+        if charged {
+            base.entry_shares.started(entry, expected);
+            self.base_shares.started(caller_base, expected);
+        } else {
+            base.entry_shares.removed(entry);
+            self.base_shares.removed(caller_base);
+        }
+        if base.flows.is_empty() {
+            self.bases.remove(caller_base);
+        }
+        Some(waiting)
+    }
+
+    /// Returns the work that a new request of this caller base waits for.
+    ///
+    /// The base's own work times the number of bases bounds it, because each
+    /// base gets its fair share.
+    pub(crate) fn work_before(&self, caller_base: &CallerBase) -> Duration {
+        let own = self.bases.get(caller_base).map_or(Duration::ZERO, |base| base.work);
+        let others = u32::try_from(self.base_shares.backlogged()).unwrap_or(u32::MAX).max(1);
+        own.saturating_mul(others).min(self.work)
+    }
+
+    pub(crate) fn work(&self) -> Duration {
+        self.work
+    }
+
+    /// Returns the youngest request of the base with the most requests waiting,
+    /// if it has more than the given base would have with one more.
+    pub(crate) fn surplus_over(&self, caller_base: &CallerBase) -> Option<RequestId> {
+        let (largest, waiting) = self.base_shares.most_waiting()?;
+        if waiting <= self.base_shares.waiting(caller_base) + 1 {
+            return None;
+        }
+        let base = self.bases.get(largest)?;
+        let (entry, _) = base.entry_shares.most_waiting()?;
+        let (_, youngest) = base.flows.get(entry)?.by_arrival.last_key_value()?;
+        Some(youngest.request.id)
+    }
+
+    /// Returns how long the oldest request has waited.
+    pub(crate) fn longest_wait(&self, now: Instant) -> Duration {
+        let flows = self.bases.values().flat_map(|base| base.flows.values());
+        let oldest = flows.filter_map(|flow| flow.by_arrival.first_key_value());
+        let held = self.held.first_key_value();
+        let since = oldest.chain(held).map(|(_, waiting)| waiting.since).min();
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+}
+
+impl<Order> BaseQueue<Order>
+where
+    Order: QueueOrder,
+{
+    fn new() -> Self {
+        Self {
+            flows: BTreeMap::new(),
+            entry_shares: FairShares::new(SHARE_ALLOWANCE),
+            work: Duration::ZERO,
+        }
+    }
+}
+
+impl<Order> FlowQueue<Order>
+where
+    Order: QueueOrder,
+{
+    fn new() -> Self {
+        Self { by_arrival: BTreeMap::new(), by_rank: BTreeSet::new() }
+    }
+
+    fn next<Admissible>(
+        &self,
+        now: Instant,
+        waiting_bound: Duration,
+        admissible: &Admissible,
+    ) -> Option<Precedence<Order::Rank>>
+    where
+        Admissible: Fn(&AdmissionRequest) -> bool,
+    {
+        let is_overdue =
+            |waiting: &Waiting| now.saturating_duration_since(waiting.since) >= waiting_bound;
+        let overdue = self
+            .by_arrival
+            .iter()
+            .take_while(|(_, waiting)| is_overdue(waiting))
+            .find(|(_, waiting)| admissible(&waiting.request));
+        if let Some((arrival, _)) = overdue {
+            return Some(Precedence::Overdue(*arrival));
+        }
+        let (rank, arrival) = self
+            .by_rank
+            .iter()
+            .find(|(_, arrival)| admissible(&self.by_arrival[arrival].request))?;
+        Some(Precedence::Ranked(*rank, *arrival))
+    }
+}
--- /dev/null
+++ b/lib/admission/src/door_limit.rs
@@ -0,0 +1,87 @@
+//! A bound on the requests that an entry instance works on at a time.
+
+use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_document::class::Class;
+
+/// Counts the requests inside an entry and keeps a part for urgent ones.
+#[derive(Debug, Clone)]
+pub struct DoorLimit {
+    total: u32,
+    kept_for_urgent: u32,
+    long_limit: u32,
+    urgent: u32,
+    normal: u32,
+    long: u32,
+}
+
+/// One part in this many of the limit is kept for urgent requests.
+const URGENT_PART: u32 = 4;
+
+/// Long requests may use one part in this many of the limit.
+const LONG_PART: u32 = 4;
+
+impl DoorLimit {
+    /// Creates a limit for this many requests at a time.
+    pub fn new(total: u32) -> Self {
+        let total = total.max(2);
+        Self {
+            total,
+            kept_for_urgent: (total / URGENT_PART).max(1),
+            long_limit: (total / LONG_PART).max(1),
+            urgent: 0,
+            normal: 0,
+            long: 0,
+        }
+    }
+
+    /// Lets a request in; [`Self::leave`] must follow when it is done.
+    ///
+    /// # Errors
+    ///
+    /// Fails with verdict "not run" when the limit for the class is reached.
+    pub fn enter(&mut self, class: Class) -> Result<(), Failure> {
+        if !self.has_room(class) {
+            return Err(Failure::not_run(
+                FailureKind::Overloaded,
+                "the instance works on as many requests as it can",
+            ));
+        }
+        *self.count(class) += 1;
+        Ok(())
+    }
+
+    /// Notes that a request that was let in is done.
+    pub fn leave(&mut self, class: Class) {
+        let count = self.count(class);
+        *count = count.saturating_sub(1);
+    }
+
+    /// Returns how many requests of a class are inside.
+    pub fn inside(&self, class: Class) -> u32 {
+        match class {
+            Class::Urgent => self.urgent,
+            Class::Normal => self.normal,
+            Class::Long => self.long,
+        }
+    }
+
+    fn has_room(&self, class: Class) -> bool {
+        let shared = self.total - self.kept_for_urgent;
+        let others = self.normal + self.long;
+        match class {
+            Class::Urgent => self.urgent + others < self.total,
+            Class::Normal => others < shared && self.urgent + others < self.total,
+            Class::Long => {
+                self.long < self.long_limit && others < shared && self.urgent + others < self.total
+            }
+        }
+    }
+
+    fn count(&mut self, class: Class) -> &mut u32 {
+        match class {
+            Class::Urgent => &mut self.urgent,
+            Class::Normal => &mut self.normal,
+            Class::Long => &mut self.long,
+        }
+    }
+}
--- /dev/null
+++ b/lib/admission/tests/test_server_queue.rs
@@ -0,0 +1,497 @@
+//! Properties of the queue of one upstream server.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use masticreel_admission::order::{FirstCome, ShortestExpected};
+use masticreel_admission::request::{Action, AdmissionRequest, ConnectionAfter, ConnectionNeed};
+use masticreel_admission::server_queue::slots::Reservation;
+use masticreel_admission::server_queue::{QueueSettings, ServerQueue};
+use masticreel_base::failure::{FailureKind, Verdict};
+use masticreel_base::ids::{InstanceId, RequestId};
+use masticreel_document::class::Class;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const SEED: u64 = 5;
+
+fn request(id: u64, class: Class, expected_ms: u64) -> AdmissionRequest {
+    AdmissionRequest {
+        id: RequestId(id),
+        class,
+        expected: Duration::from_millis(expected_ms),
+        deadline: start() + Duration::from_secs(3600),
+        caller_base: "technicians".into(),
+        entry: InstanceId::from("entry-1"),
+        need: ConnectionNeed::Statement,
+    }
+}
+
+fn of_base(mut request: AdmissionRequest, caller_base: &str) -> AdmissionRequest {
+    request.caller_base = caller_base.into();
+    request
+}
+
+fn start() -> Instant {
+    static START: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+    *START.get_or_init(Instant::now)
+}
+
+fn queue(slots: u32, connections: u32) -> ServerQueue<ShortestExpected> {
+    let mut queue =
+        ServerQueue::new(QueueSettings::new(slots, connections), ShortestExpected::default());
+    for _ in 0..connections {
+        queue.connection_opened(start());
+    }
+    queue
+}
+
+fn started(actions: &[Action]) -> Vec<u64> {
+    let ids = actions.iter().filter_map(|action| match action {
+        Action::Start(id) => Some(id.0),
+        Action::Refuse(..) => None,
+    });
+    ids.collect()
+}
+
+fn refused(actions: &[Action]) -> Vec<u64> {
+    let ids = actions.iter().filter_map(|action| match action {
+        Action::Refuse(id, failure) => {
+            assert_eq!(failure.verdict, Verdict::NotRun);
+            Some(id.0)
+        }
+        Action::Start(_) => None,
+    });
+    ids.collect()
+}
+
+#[test]
+fn test_long_work_leaves_a_slot_to_urgent_work() {
+    let mut queue = queue(2, 8);
+    assert_eq!(started(&queue.submit(request(1, Class::Long, 5000), start())), [1]);
+    assert!(started(&queue.submit(request(2, Class::Long, 5000), start())).is_empty());
+    assert_eq!(started(&queue.submit(request(3, Class::Urgent, 3), start())), [3]);
+}
+
+#[test]
+fn test_short_work_passes_long_work_through_the_reserved_slot() {
+    let mut queue = queue(2, 8);
+    queue.submit(request(1, Class::Long, 5000), start());
+    assert_eq!(started(&queue.submit(request(2, Class::Normal, 5), start())), [2]);
+}
+
+#[test]
+fn test_work_that_is_not_short_does_not_get_the_reserved_slot() {
+    let mut queue = queue(2, 8);
+    queue.submit(request(1, Class::Normal, 300), start());
+    assert!(started(&queue.submit(request(2, Class::Normal, 300), start())).is_empty());
+    assert_eq!(started(&queue.submit(request(3, Class::Urgent, 3), start())), [3]);
+}
+
+#[test]
+fn test_reserved_slot_stays_idle_when_it_is_for_urgent_work_only() {
+    let mut settings = QueueSettings::new(2, 8);
+    settings.slots.reservation = Reservation::UrgentOnly;
+    let mut queue = ServerQueue::new(settings, FirstCome);
+    for _ in 0..4 {
+        queue.connection_opened(start());
+    }
+    queue.submit(request(1, Class::Normal, 5), start());
+    assert!(started(&queue.submit(request(2, Class::Normal, 5), start())).is_empty());
+}
+
+#[test]
+fn test_single_slot_serves_long_work_when_nothing_else_waits() {
+    let mut queue = queue(1, 4);
+    queue.submit(request(1, Class::Normal, 5), start());
+    queue.submit(request(2, Class::Long, 5000), start());
+    queue.submit(request(3, Class::Normal, 5), start());
+    queue.submit(request(4, Class::Urgent, 5), start());
+    let mut order = Vec::new();
+    for id in [1, 4, 3] {
+        order.extend(started(&queue.finished(RequestId(id), ConnectionAfter::Idle, start())));
+    }
+    assert_eq!(order, [4, 3, 2]);
+}
+
+#[test]
+fn test_long_work_that_waited_for_its_bound_gets_the_next_slot() {
+    let mut queue = queue(2, 8);
+    queue.submit(request(1, Class::Normal, 5), start());
+    queue.submit(request(2, Class::Normal, 5), start());
+    queue.submit(request(3, Class::Long, 5000), start());
+    queue.submit(request(4, Class::Normal, 5), start());
+    let later = start() + Duration::from_secs(3);
+    assert_eq!(started(&queue.finished(RequestId(1), ConnectionAfter::Idle, later)), [3]);
+}
+
+#[test]
+fn test_shortest_goes_first_until_another_has_waited_too_long() {
+    let mut queue = queue(1, 4);
+    queue.submit(request(1, Class::Normal, 5), start());
+    queue.submit(request(2, Class::Normal, 90), start());
+    queue.submit(request(3, Class::Normal, 10), start());
+    let soon = start() + Duration::from_millis(100);
+    assert_eq!(started(&queue.finished(RequestId(1), ConnectionAfter::Idle, soon)), [3]);
+    queue.submit(request(4, Class::Normal, 10), soon);
+    let late = start() + Duration::from_millis(600);
+    assert_eq!(started(&queue.finished(RequestId(3), ConnectionAfter::Idle, late)), [2]);
+}
+
+#[test]
+fn test_deadline_that_cannot_be_met_is_refused_at_the_door() {
+    let mut queue = queue(2, 8);
+    for id in 0..40 {
+        queue.submit(request(id, Class::Normal, 10), start());
+    }
+    let mut hurried = request(100, Class::Normal, 10);
+    hurried.deadline = start() + Duration::from_millis(100);
+    let actions = queue.submit(hurried, start());
+    assert_eq!(refused(&actions), [100]);
+}
+
+#[test]
+fn test_request_whose_deadline_passes_in_the_queue_is_refused() {
+    let mut queue = queue(1, 4);
+    queue.submit(request(1, Class::Normal, 10), start());
+    let mut hurried = request(2, Class::Normal, 10);
+    hurried.deadline = start() + Duration::from_millis(100);
+    queue.submit(hurried, start());
+    assert_eq!(queue.next_deadline(), Some(start() + Duration::from_millis(100)));
+    let late = start() + Duration::from_millis(100);
+    assert_eq!(refused(&queue.finished(RequestId(1), ConnectionAfter::Idle, late)), [2]);
+}
+
+#[test]
+fn test_full_queue_gives_a_small_base_the_place_of_a_large_one() {
+    let mut queue = queue(1, 4);
+    for id in 0..513 {
+        queue.submit(of_base(request(id, Class::Normal, 5), "crowd"), start());
+    }
+    let crowd = of_base(request(600, Class::Normal, 5), "crowd");
+    assert_eq!(refused(&queue.submit(crowd, start())), [600]);
+    let few = of_base(request(601, Class::Normal, 5), "few");
+    assert_eq!(refused(&queue.submit(few, start())), [512]);
+    assert_eq!(queue.waiting(Class::Normal), 512);
+}
+
+#[test]
+fn test_flood_of_one_base_does_not_starve_another() {
+    let mut queue = queue(1, 4);
+    queue.submit(of_base(request(0, Class::Normal, 5), "crowd"), start());
+    for id in 1..400 {
+        queue.submit(of_base(request(id, Class::Normal, 5), "crowd"), start());
+    }
+    for id in 1000..1010 {
+        queue.submit(of_base(request(id, Class::Normal, 15), "few"), start());
+    }
+    let mut running = 0;
+    let mut served_few = 0;
+    for step in 1..=60 {
+        let now = start() + Duration::from_millis(5 * step);
+        let next = started(&queue.finished(RequestId(running), ConnectionAfter::Idle, now));
+        running = next[0];
+        served_few += usize::from(running >= 1000);
+    }
+    assert_eq!(served_few, 10);
+}
+
+#[test]
+fn test_flood_through_one_entry_does_not_starve_another() {
+    let mut queue = queue(1, 4);
+    for id in 0..400 {
+        queue.submit(request(id, Class::Normal, 5), start());
+    }
+    let mut other = request(1000, Class::Normal, 19);
+    other.entry = InstanceId::from("entry-2");
+    queue.submit(other, start());
+    let mut order = Vec::new();
+    let mut running = 0;
+    for step in 1..=20 {
+        let now = start() + Duration::from_millis(5 * step);
+        running = started(&queue.finished(RequestId(running), ConnectionAfter::Idle, now))[0];
+        order.push(running);
+    }
+    assert!(order.contains(&1000), "{order:?}");
+}
+
+#[test]
+fn test_transactions_leave_connections_to_single_statements() {
+    let mut queue = queue(2, 6);
+    let mut open = 0;
+    for id in 0..6 {
+        let mut begin = request(id, Class::Normal, 1);
+        begin.need = ConnectionNeed::Transaction;
+        if started(&queue.submit(begin, start())).is_empty() {
+            break;
+        }
+        queue.finished(RequestId(id), ConnectionAfter::Pinned, start());
+        open += 1;
+    }
+    assert_eq!(open, 3);
+    assert_eq!(started(&queue.submit(request(50, Class::Normal, 1), start())), [50]);
+    let mut held = request(51, Class::Normal, 1);
+    held.need = ConnectionNeed::Held;
+    assert_eq!(started(&queue.submit(held, start())), [51]);
+    let next = queue.finished(RequestId(51), ConnectionAfter::Idle, start());
+    assert_eq!(started(&next), [3], "the transaction that waited takes the connection");
+    assert_eq!(queue.transactions(), 3);
+}
+
+#[test]
+fn test_closed_queue_takes_only_statements_of_open_transactions() {
+    let mut queue = queue(1, 4);
+    queue.submit(request(1, Class::Normal, 1), start());
+    queue.submit(request(2, Class::Normal, 1), start());
+    let closing = start() + Duration::from_secs(3);
+    queue.close_at(closing);
+    assert!(refused(&queue.expire(start())).is_empty());
+    let mut held = request(3, Class::Normal, 1);
+    held.need = ConnectionNeed::Held;
+    let actions = queue.submit(held, closing);
+    assert_eq!(refused(&actions), [2]);
+    let actions = queue.submit(request(4, Class::Urgent, 1), closing);
+    assert_eq!(refused(&actions), [4]);
+    assert_eq!(started(&queue.finished(RequestId(1), ConnectionAfter::Idle, closing)), [3]);
+}
+
+#[test]
+fn test_cancelled_request_never_starts() {
+    let mut queue = queue(1, 4);
+    queue.submit(request(1, Class::Normal, 1), start());
+    queue.submit(request(2, Class::Normal, 1), start());
+    let actions = queue.cancel(RequestId(2));
+    assert!(
+        matches!(&actions[..], [Action::Refuse(_, failure)] if failure.kind == FailureKind::Cancelled)
+    );
+    assert!(queue.cancel(RequestId(1)).is_empty());
+    assert!(queue.finished(RequestId(1), ConnectionAfter::Idle, start()).is_empty());
+}
+
+/// One step of a random run.
+#[derive(Debug, Clone)]
+enum Step {
+    Submit { class: Class, expected_ms: u64, patience_ms: u64, base: u8, entry: u8, begins: bool },
+    Continue { expected_ms: u64 },
+    Finish { index: usize, outcome: u8 },
+    Cancel { index: usize },
+    Wait { ms: u64 },
+    Connect,
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let class = prop_oneof![Just(Class::Urgent), Just(Class::Normal), Just(Class::Long)];
+    prop_oneof![
+        4 => (class, 1..400u64, 1..3000u64, 0..4u8, 0..6u8, any::<bool>()).prop_map(
+            |(class, expected_ms, patience_ms, base, entry, begins)| Step::Submit {
+                class, expected_ms, patience_ms, base, entry, begins,
+            }
+        ),
+        1 => (1..50u64).prop_map(|expected_ms| Step::Continue { expected_ms }),
+        4 => (0..8usize, 0..4u8).prop_map(|(index, outcome)| Step::Finish { index, outcome }),
+        1 => (0..64usize).prop_map(|index| Step::Cancel { index }),
+        2 => (1..300u64).prop_map(|ms| Step::Wait { ms }),
+        1 => Just(Step::Connect),
+    ]
+}
+
+/// A model of what the queue was told and what it answered.
+struct Run {
+    queue: ServerQueue<ShortestExpected>,
+    slots: usize,
+    connections: u32,
+    open_connections: u32,
+    idle_transactions: u32,
+    now: Instant,
+    submitted: BTreeMap<u64, AdmissionRequest>,
+    waiting: BTreeSet<u64>,
+    running: BTreeSet<u64>,
+    concluded: BTreeSet<u64>,
+}
+
+impl Run {
+    fn new(slots: u32, connections: u32) -> Self {
+        Self {
+            queue: ServerQueue::new(
+                QueueSettings::new(slots, connections),
+                ShortestExpected::default(),
+            ),
+            slots: slots as usize,
+            connections,
+            open_connections: 0,
+            idle_transactions: 0,
+            now: start(),
+            submitted: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            running: BTreeSet::new(),
+            concluded: BTreeSet::new(),
+        }
+    }
+
+    fn apply(&mut self, step: Step) {
+        let actions = match step {
+            Step::Submit { class, expected_ms, patience_ms, base, entry, begins } => {
+                let mut request = request(self.next_id(), class, expected_ms);
+                request.deadline = self.now + Duration::from_millis(patience_ms);
+                request.caller_base = format!("base-{base}").into();
+                request.entry = InstanceId::from(format!("entry-{entry}"));
+                if begins {
+                    request.need = ConnectionNeed::Transaction;
+                }
+                self.submit(request)
+            }
+            Step::Continue { .. } if self.idle_transactions == 0 => return,
+            Step::Continue { expected_ms } => {
+                let mut request = request(self.next_id(), Class::Normal, expected_ms);
+                request.need = ConnectionNeed::Held;
+                self.idle_transactions -= 1;
+                self.submit(request)
+            }
+            Step::Finish { index, outcome } => {
+                let Some(id) = self.running.iter().nth(index).copied() else { return };
+                self.finish(id, outcome)
+            }
+            Step::Cancel { index } => {
+                let Some(id) = self.waiting.iter().nth(index).copied() else { return };
+                self.queue.cancel(RequestId(id))
+            }
+            Step::Wait { ms } => {
+                self.now += Duration::from_millis(ms);
+                self.queue.expire(self.now)
+            }
+            Step::Connect if self.open_connections >= self.connections => return,
+            Step::Connect => {
+                self.open_connections += 1;
+                self.queue.connection_opened(self.now)
+            }
+        };
+        self.record(actions);
+        self.check();
+    }
+
+    fn next_id(&self) -> u64 {
+        self.submitted.len() as u64
+    }
+
+    fn submit(&mut self, request: AdmissionRequest) -> Vec<Action> {
+        let id = request.id.0;
+        self.submitted.insert(id, request.clone());
+        self.waiting.insert(id);
+        self.queue.submit(request, self.now)
+    }
+
+    fn finish(&mut self, id: u64, outcome: u8) -> Vec<Action> {
+        self.running.remove(&id);
+        self.concluded.insert(id);
+        let may_pin = self.submitted[&id].need != ConnectionNeed::Statement;
+        let connection = match outcome {
+            0 if may_pin => ConnectionAfter::Pinned,
+            1 => ConnectionAfter::Closed,
+            _ => ConnectionAfter::Idle,
+        };
+        self.idle_transactions += u32::from(connection == ConnectionAfter::Pinned);
+        self.open_connections -= u32::from(connection == ConnectionAfter::Closed);
+        self.queue.finished(RequestId(id), connection, self.now)
+    }
+
+    fn record(&mut self, actions: Vec<Action>) {
+        for id in started(&actions) {
+            assert!(self.waiting.remove(&id), "{id} started without waiting");
+            assert!(self.submitted[&id].deadline > self.now, "{id} started too late");
+            self.running.insert(id);
+        }
+        for id in refused(&actions) {
+            assert!(self.waiting.remove(&id), "{id} refused without waiting");
+            self.concluded.insert(id);
+            let held = self.submitted[&id].need == ConnectionNeed::Held;
+            self.idle_transactions += u32::from(held);
+        }
+    }
+
+    fn running_of(&self, class: Class) -> usize {
+        self.running.iter().filter(|id| self.submitted[id].class == class).count()
+    }
+
+    fn check(&self) {
+        assert!(self.running.len() <= self.slots);
+        assert_eq!(self.queue.running(), self.running.len());
+        let waiting =
+            [Class::Urgent, Class::Normal, Class::Long].map(|class| self.queue.waiting(class));
+        assert_eq!(waiting.iter().sum::<usize>(), self.waiting.len());
+        self.check_connections();
+        if self.slots > 1 {
+            assert!(self.running_of(Class::Long) < self.slots, "long work holds the last slot");
+            self.check_reserved_slot();
+        }
+        self.check_urgent_first();
+    }
+
+    /// Every open connection is idle, in use by a statement or with a transaction.
+    fn check_connections(&self) {
+        let single = self
+            .running
+            .iter()
+            .filter(|id| self.submitted[id].need == ConnectionNeed::Statement)
+            .count() as u32;
+        let accounted = self.queue.idle_connections() + self.queue.transactions() + single;
+        assert_eq!(accounted, self.open_connections);
+    }
+
+    /// If nothing urgent runs in a full server, one of its statements is short.
+    fn check_reserved_slot(&self) {
+        if self.running.len() < self.slots || self.running_of(Class::Urgent) > 0 {
+            return;
+        }
+        let short = Duration::from_millis(20);
+        assert!(self.running.iter().any(|id| self.submitted[id].expected <= short));
+    }
+
+    /// An urgent statement never waits while a slot and a connection are free.
+    fn check_urgent_first(&self) {
+        let free = self.running.len() < self.slots && self.queue.idle_connections() > 0;
+        let waits = self.waiting.iter().any(|id| {
+            let request = &self.submitted[id];
+            request.class == Class::Urgent && request.need == ConnectionNeed::Statement
+        });
+        assert!(!(free && waits), "an urgent statement waits beside a free slot");
+    }
+
+    /// Finishes all that runs until nothing is left.
+    fn drain(&mut self) {
+        while self.open_connections < self.connections {
+            self.apply(Step::Connect);
+        }
+        for _ in 0..self.idle_transactions {
+            let actions = self.queue.transaction_ended(ConnectionAfter::Idle, self.now);
+            self.record(actions);
+        }
+        self.idle_transactions = 0;
+        while !self.running.is_empty() {
+            self.apply(Step::Finish { index: 0, outcome: 2 });
+        }
+        assert!(self.waiting.is_empty(), "{:?} are stuck", self.waiting);
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn test_every_request_is_concluded_once_within_all_bounds(
+        slots in 1..4u32,
+        connections in 4..10u32,
+        steps in prop::collection::vec(any_step(), 1..200),
+    ) {
+        let mut run = Run::new(slots, connections);
+        for step in steps {
+            run.apply(step);
+        }
+        run.drain();
+        prop_assert_eq!(run.concluded.len(), run.submitted.len());
+    }
+}
