admission: join a server's queue and connections in one state machine

Cause: the daemon's owner needs one decision for who runs on which connection. Change: ServerAdmission joins ServerQueue, ConnectionPool and ExpectedTimes; it numbers requests, keeps which session holds which connection, prefers a connection of the request's user and database and opens more, within the limit, when users vary. Ruled out: a pool of its own for each user, which would divide 10 connections. Left: wiring into the daemon.

--- a/lib/admission/src/connection_pool.rs
+++ b/lib/admission/src/connection_pool.rs
@@ -145,13 +145,25 @@
         self.retry_at = Some(now + self.settings.retry_delay);
     }
 
-    /// Takes the idle connection that was used last, so that others can age.
-    pub fn take(&mut self) -> Option<ConnectionId> {
-        let idle = self.connections.iter().filter_map(|(id, state)| match state {
-            State::Idle { opened_at, since } => Some((*since, *id, *opened_at)),
-            State::Opening | State::InUse { .. } => None,
-        });
-        let (_, id, opened_at) = idle.max()?;
+    /// Takes the idle connection that was used last among those that fit.
+    ///
+    /// If none fits it takes the one that was used least recently, which has to
+    /// be opened anew for its next user.
+    pub fn take<Fits>(&mut self, fits: Fits) -> Option<ConnectionId>
+    where
+        Fits: Fn(ConnectionId) -> bool,
+    {
+        let mut idle: Vec<(Instant, ConnectionId, Instant)> = self
+            .connections
+            .iter()
+            .filter_map(|(id, state)| match state {
+                State::Idle { opened_at, since } => Some((*since, *id, *opened_at)),
+                State::Opening | State::InUse { .. } => None,
+            })
+            .collect();
+        idle.sort();
+        let fitting = idle.iter().rev().find(|(_, id, _)| fits(*id));
+        let (_, id, opened_at) = *fitting.or(idle.first())?;
         self.connections.insert(id, State::InUse { opened_at });
         Some(id)
     }
--- a/lib/admission/src/lib.rs
+++ b/lib/admission/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Everything here is a pure state machine: the time is passed in, and the
 //! caller carries out the actions that come back. The owner of an upstream
-//! server holds a [`server_queue::ServerQueue`] and a
-//! [`connection_pool::ConnectionPool`] for it; an entry instance holds a
+//! server holds a [`server_admission::ServerAdmission`] for it, which joins its
+//! queue and its connections; an entry instance holds a
 //! [`door_limit::DoorLimit`] and [`retry_budget::RetryBudget`]s. See
 //! `docs/design/02-ownership.md` and `docs/design/07-admission.md`.
 
@@ -15,4 +15,5 @@
 pub mod order;
 pub mod request;
 pub mod retry_budget;
+pub mod server_admission;
 pub mod server_queue;
--- a/lib/admission/tests/test_connection_pool.rs
+++ b/lib/admission/tests/test_connection_pool.rs
@@ -73,6 +73,20 @@
     assert_eq!(closes(&pool.plan(1, now + Duration::from_secs(30))).len(), 2);
 }
 
+#[test]
+fn test_fitting_connection_is_taken_before_the_least_recently_used() {
+    let now = Instant::now();
+    let mut pool = ConnectionPool::new(PoolSettings::new(13));
+    let ids = opens(&pool.plan(3, now));
+    for (index, id) in ids.iter().enumerate() {
+        pool.opened(*id, now + Duration::from_secs(index as u64));
+    }
+    assert_eq!(pool.take(|id| id == ids[1]), Some(ids[1]));
+    assert_eq!(pool.take(|id| id == ids[1]), Some(ids[0]));
+    assert_eq!(pool.take(|_| true), Some(ids[2]));
+    assert_eq!(pool.take(|_| true), None);
+}
+
 #[test]
 fn test_old_and_new_owner_fit_into_a_servers_connections() {
     for max_connections in 5..200 {
@@ -148,7 +162,7 @@
                     }
                 }
                 Step::Take => {
-                    if let Some(id) = pool.take() {
+                    if let Some(id) = pool.take(|_| true) {
                         prop_assert!(in_use.insert(id), "one connection serves two requests");
                     }
                 }
--- /dev/null
+++ b/lib/admission/tests/test_server_admission.rs
@@ -0,0 +1,311 @@
+//! Properties of a server's queue and connections together.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use masticreel_admission::connection_pool::{ConnectionId, Ownership};
+use masticreel_admission::expected_times::Fingerprint;
+use masticreel_admission::request::{ConnectionAfter, ConnectionNeed};
+use masticreel_admission::server_admission::{ServerAction, ServerAdmission, Submission};
+use masticreel_base::failure::{FailureKind, Verdict};
+use masticreel_base::ids::{InstanceId, RequestId};
+use masticreel_document::class::Class;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const SEED: u64 = 13;
+const MAX_CONNECTIONS: u32 = 16;
+const SOLE_CONNECTIONS: usize = 10;
+
+type Admission = ServerAdmission<u8, u8>;
+type Actions = Vec<ServerAction<u8>>;
+
+fn submission(session: u8, need: ConnectionNeed, deadline: Instant) -> Submission<u8, u8> {
+    Submission {
+        session,
+        identity: session % 3,
+        class: Class::Normal,
+        fingerprint: Fingerprint::of("select 1"),
+        deadline,
+        caller_base: format!("base-{}", session % 3).into(),
+        entry: InstanceId::from("entry-1"),
+        need,
+    }
+}
+
+fn opened_admission(now: Instant) -> Admission {
+    let mut admission = Admission::new(MAX_CONNECTIONS, 2, Ownership::Sole);
+    let deadline = now + Duration::from_millis(1);
+    let (_, mut actions) =
+        admission.submit(submission(0, ConnectionNeed::Statement, deadline), now);
+    while let Some(action) = actions.pop() {
+        if let ServerAction::Open(connection, identity) = action {
+            actions.extend(admission.connection_opened(connection, identity, now));
+        }
+    }
+    admission.finished(RequestId(0), ConnectionAfter::Idle, None, now);
+    admission
+}
+
+fn started_on(actions: &Actions) -> Option<ConnectionId> {
+    actions.iter().find_map(|action| match action {
+        ServerAction::Start(_, connection) => Some(*connection),
+        _ => None,
+    })
+}
+
+#[test]
+fn test_transaction_keeps_its_connection_until_it_ends() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(5);
+    let mut admission = opened_admission(now);
+    let (begin, actions) =
+        admission.submit(submission(1, ConnectionNeed::Transaction, deadline), now);
+    let connection = started_on(&actions);
+    admission.finished(begin, ConnectionAfter::Pinned, None, now);
+    assert_eq!(admission.holder(&1), connection);
+    let (other, actions) =
+        admission.submit(submission(2, ConnectionNeed::Statement, deadline), now);
+    assert_ne!(started_on(&actions), connection);
+    admission.finished(other, ConnectionAfter::Idle, None, now);
+    let (commit, actions) = admission.submit(submission(1, ConnectionNeed::Held, deadline), now);
+    assert_eq!(started_on(&actions), connection);
+    admission.finished(commit, ConnectionAfter::Idle, None, now);
+    assert_eq!(admission.holder(&1), None);
+    assert!(admission.is_quiet());
+}
+
+#[test]
+fn test_statement_of_a_lost_transaction_is_refused() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(5);
+    let mut admission = opened_admission(now);
+    let (_, actions) = admission.submit(submission(1, ConnectionNeed::Held, deadline), now);
+    let [ServerAction::Refuse(_, failure)] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!((failure.kind, failure.verdict), (FailureKind::TransactionLost, Verdict::NotRun));
+}
+
+#[test]
+fn test_learned_time_keeps_slow_statements_out_of_the_reserved_slot() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(5);
+    let mut admission = opened_admission(now);
+    let statement = |session| submission(session, ConnectionNeed::Statement, deadline);
+    let (id, _) = admission.submit(statement(1), now);
+    admission.finished(id, ConnectionAfter::Idle, Some(Duration::from_millis(300)), now);
+    let (_, actions) = admission.submit(statement(1), now);
+    assert!(started_on(&actions).is_some());
+    let (_, actions) = admission.submit(statement(2), now);
+    assert!(started_on(&actions).is_none());
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Submit { session: u8, begins: bool, patience_ms: u64 },
+    Finish { index: usize, outcome: u8 },
+    End { session: u8 },
+    Cancel { session: u8 },
+    Connect { index: usize, succeeds: bool },
+    Wait { ms: u64 },
+    Dispute(bool),
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..24u8, any::<bool>(), 1..2000u64).prop_map(|(session, begins, patience_ms)| {
+            Step::Submit { session, begins, patience_ms }
+        }),
+        5 => (0..4usize, 0..5u8).prop_map(|(index, outcome)| Step::Finish { index, outcome }),
+        1 => (0..24u8).prop_map(|session| Step::End { session }),
+        1 => (0..24u8).prop_map(|session| Step::Cancel { session }),
+        4 => (0..3usize, prop::bool::weighted(0.9))
+            .prop_map(|(index, succeeds)| Step::Connect { index, succeeds }),
+        2 => (1..20_000u64).prop_map(|ms| Step::Wait { ms }),
+        1 => any::<bool>().prop_map(Step::Dispute),
+    ]
+}
+
+struct Run {
+    admission: Admission,
+    now: Instant,
+    opening: Vec<(ConnectionId, u8)>,
+    open: BTreeSet<ConnectionId>,
+    waiting: BTreeMap<RequestId, (u8, ConnectionNeed)>,
+    running: BTreeMap<RequestId, (u8, ConnectionNeed, ConnectionId)>,
+    holders: BTreeMap<u8, ConnectionId>,
+}
+
+impl Run {
+    fn new() -> Self {
+        Self {
+            admission: Admission::new(MAX_CONNECTIONS, 2, Ownership::Sole),
+            now: Instant::now(),
+            opening: Vec::new(),
+            open: BTreeSet::new(),
+            waiting: BTreeMap::new(),
+            running: BTreeMap::new(),
+            holders: BTreeMap::new(),
+        }
+    }
+
+    fn apply(&mut self, step: Step) {
+        let actions = match step {
+            Step::Submit { session, begins, patience_ms } => {
+                if self.has_request(session) {
+                    return;
+                }
+                self.submit(session, begins, Duration::from_millis(patience_ms))
+            }
+            Step::Finish { index, outcome } => self.finish(index, outcome),
+            Step::End { session } => {
+                let is_running = self.running.values().any(|(other, ..)| *other == session);
+                if is_running || self.holders.remove(&session).is_none() {
+                    return;
+                }
+                self.admission.transaction_ended(&session, ConnectionAfter::Idle, self.now)
+            }
+            Step::Cancel { session } => self.admission.cancel(&session).0,
+            Step::Connect { index, succeeds } => self.connect(index, succeeds),
+            Step::Wait { ms } => {
+                self.now += Duration::from_millis(ms);
+                self.admission.tick(self.now)
+            }
+            Step::Dispute(disputed) => {
+                let ownership = if disputed { Ownership::Disputed } else { Ownership::Sole };
+                self.admission.set_ownership(ownership);
+                self.admission.tick(self.now)
+            }
+        };
+        self.record(actions);
+        assert!(self.open.len() + self.opening.len() <= SOLE_CONNECTIONS);
+        assert_eq!(self.admission.pool().len() as usize, self.open.len() + self.opening.len());
+    }
+
+    fn has_request(&self, session: u8) -> bool {
+        self.waiting.values().any(|(other, _)| *other == session)
+            || self.running.values().any(|(other, ..)| *other == session)
+    }
+
+    fn submit(&mut self, session: u8, begins: bool, patience: Duration) -> Actions {
+        let need = match (self.holders.contains_key(&session), begins) {
+            (true, _) => ConnectionNeed::Held,
+            (false, true) => ConnectionNeed::Transaction,
+            (false, false) => ConnectionNeed::Statement,
+        };
+        let submission = submission(session, need, self.now + patience);
+        let (id, actions) = self.admission.submit(submission, self.now);
+        self.waiting.insert(id, (session, need));
+        actions
+    }
+
+    fn finish(&mut self, index: usize, outcome: u8) -> Actions {
+        let Some(id) = self.running.keys().nth(index).copied() else { return Vec::new() };
+        let (session, need, connection) = self.running.remove(&id).expect("the key was found");
+        let after = match outcome {
+            0 | 1 if need != ConnectionNeed::Statement => ConnectionAfter::Pinned,
+            2 => ConnectionAfter::Closed,
+            _ => ConnectionAfter::Idle,
+        };
+        self.holders.remove(&session);
+        match after {
+            ConnectionAfter::Pinned => {
+                self.holders.insert(session, connection);
+            }
+            ConnectionAfter::Closed => {
+                self.open.remove(&connection);
+            }
+            ConnectionAfter::Idle => {}
+        }
+        self.admission.finished(id, after, Some(Duration::from_millis(5)), self.now)
+    }
+
+    fn connect(&mut self, index: usize, succeeds: bool) -> Actions {
+        if index >= self.opening.len() {
+            return Vec::new();
+        }
+        let (connection, identity) = self.opening.remove(index);
+        if !succeeds {
+            return self.admission.connection_failed(connection, self.now);
+        }
+        self.open.insert(connection);
+        self.admission.connection_opened(connection, identity, self.now)
+    }
+
+    fn record(&mut self, actions: Actions) {
+        for action in actions {
+            match action {
+                ServerAction::Open(connection, identity) => {
+                    self.opening.push((connection, identity));
+                }
+                ServerAction::Close(connection) => {
+                    assert!(!self.is_busy(connection), "a connection in use is closed");
+                    assert!(self.open.remove(&connection));
+                }
+                ServerAction::Start(id, connection) => self.start(id, connection),
+                ServerAction::Refuse(id, failure) => {
+                    assert_eq!(failure.verdict, Verdict::NotRun);
+                    assert!(self.waiting.remove(&id).is_some(), "{id} is refused twice");
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, id: RequestId, connection: ConnectionId) {
+        let (session, need) = self.waiting.remove(&id).expect("only what waits is started");
+        assert!(self.open.contains(&connection), "a closed connection is used");
+        let in_use = self.running.values().any(|(.., other)| *other == connection);
+        assert!(!in_use, "two requests share a connection");
+        match need {
+            ConnectionNeed::Held => assert_eq!(self.holders[&session], connection),
+            _ => assert!(!self.is_busy(connection), "a held connection is given away"),
+        }
+        self.running.insert(id, (session, need, connection));
+    }
+
+    fn is_busy(&self, connection: ConnectionId) -> bool {
+        self.holders.values().any(|held| *held == connection)
+            || self.running.values().any(|(.., used)| *used == connection)
+    }
+
+    fn drain(&mut self) {
+        for _ in 0..1000 {
+            self.apply(Step::Wait { ms: 200 });
+            while !self.opening.is_empty() {
+                self.apply(Step::Connect { index: 0, succeeds: true });
+            }
+            while !self.running.is_empty() {
+                self.apply(Step::Finish { index: 0, outcome: 3 });
+            }
+            for session in self.holders.keys().copied().collect::<Vec<_>>() {
+                self.apply(Step::End { session });
+            }
+            if self.admission.is_quiet() {
+                return;
+            }
+        }
+        panic!("{:?} and {:?} are stuck", self.waiting, self.holders);
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn test_no_connection_serves_two_sessions_at_once(
+        steps in prop::collection::vec(any_step(), 1..250),
+    ) {
+        let mut run = Run::new();
+        for step in steps {
+            run.apply(step);
+        }
+        run.drain();
+        prop_assert!(run.waiting.is_empty());
+    }
+}
