--- a/lib/admission/src/server_queue/slots.rs
+++ b/lib/admission/src/server_queue/slots.rs
@@ -110,7 +110,7 @@
             Class::Normal if unreserved_free => Some(Seat::Normal),
             Class::Normal => {
                 let lends = limits.reservation == Reservation::LentToShort;
-                (lends && expected <= limits.short && self.lent == 0).then_some(Seat::Lent)
+                (lends && expected <= limits.short).then_some(Seat::Lent)
             }
             Class::Long => (unreserved_free && self.long < limits.long).then_some(Seat::Long),
         }
--- a/lib/admission/tests/test_server_queue.rs
+++ b/lib/admission/tests/test_server_queue.rs
@@ -159,6 +159,7 @@
     hurried.deadline = start() + Duration::from_millis(100);
     queue.submit(hurried, start());
     assert_eq!(queue.next_deadline(), Some(start() + Duration::from_millis(90)));
+    assert!(queue.expire(start() + Duration::from_millis(89)).is_empty());
     let late = start() + Duration::from_millis(90);
     assert_eq!(refused(&queue.finished(RequestId(1), ConnectionAfter::Idle, late)), [2]);
 }
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,3 +1,5 @@
-//! Tools for tests and measurements; nothing here is shipped.
+//! What tests and experiments use: a client, the scenario language, a load
+//! tool and the comparison of admission policies.
 
 pub mod experiment;
+pub mod pg_client;
