--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,5 +1,6 @@
-//! What tests and experiments use: a client, the scenario language and a load
-//! tool.
+//! What tests and experiments use: a client, the scenario language, a load
+//! tool and the comparison of admission policies.
 
+pub mod experiment;
 pub mod pg_client;
 pub mod processes;
