platform: wait for changes of the store

Few instances watch the document's head; they need one call that ends at the first change after a revision, at a time-out, or with a failure when the connection was cut and a change may have been missed. A watch whose revisions are compacted tells of a change.

--- a/lib/platform/src/etcd.rs
+++ b/lib/platform/src/etcd.rs
@@ -1,5 +1,6 @@
 //! The store interface on the etcd v3 JSON gateway.
 
+use std::io::{self, BufRead as _, BufReader};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -61,6 +62,56 @@
         }
         Ok(CommitOutcome::Committed(parse_number(&response.header.revision)?))
     }
+
+    fn wait_for_change(
+        &self,
+        prefix: &str,
+        after_revision: u64,
+        timeout: Duration,
+    ) -> Result<bool, StoreError> {
+        let request = WatchRequest { create_request: WatchCreate::new(prefix, after_revision) };
+        let response = self
+            .agent
+            .post(&format!("{}/v3/watch", self.endpoint))
+            .config()
+            .timeout_global(Some(timeout))
+            .build()
+            .send_json(request)
+            .map_err(|error| StoreError::Unavailable(error.to_string()))?;
+        wait_for_event(BufReader::new(response.into_body().into_reader()))
+    }
+}
+
+/// Reads lines of a watch until one carries an event.
+fn wait_for_event<Reader>(mut lines: BufReader<Reader>) -> Result<bool, StoreError>
+where
+    Reader: io::Read,
+{
+    let mut line = String::new();
+    loop {
+        line.clear();
+        match lines.read_line(&mut line) {
+            Ok(0) => return Err(StoreError::Unavailable("the watch ended".to_owned())),
+            Ok(_) => {}
+            Err(error) => return watch_broke(error),
+        }
+        if line.trim().is_empty() {
+            continue;
+        }
+        let response: WatchResponse =
+            serde_json::from_str(&line).map_err(|error| StoreError::Protocol(error.to_string()))?;
+        if response.result.tells_of_change() {
+            return Ok(true);
+        }
+    }
+}
+
+/// Tells a watch that saw nothing until its timeout from one that was cut.
+fn watch_broke(error: io::Error) -> Result<bool, StoreError> {
+    match ureq::Error::from(error) {
+        ureq::Error::Timeout(_) => Ok(false),
+        error => Err(StoreError::Unavailable(error.to_string())),
+    }
 }
 
 /// Returns the first key after all keys that start with the prefix.
@@ -167,3 +218,46 @@
     #[serde(default)]
     succeeded: bool,
 }
+
+#[derive(Serialize)]
+struct WatchRequest {
+    create_request: WatchCreate,
+}
+
+#[derive(Serialize)]
+struct WatchCreate {
+    key: String,
+    range_end: String,
+    start_revision: String,
+}
+
+impl WatchCreate {
+    fn new(prefix: &str, after_revision: u64) -> Self {
+        Self {
+            key: STANDARD.encode(prefix),
+            range_end: STANDARD.encode(prefix_end(prefix)),
+            start_revision: (after_revision + 1).to_string(),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct WatchResponse {
+    result: WatchResult,
+}
+
+#[derive(Deserialize)]
+struct WatchResult {
+    #[serde(default)]
+    events: Vec<serde::de::IgnoredAny>,
+    #[serde(default)]
+    canceled: bool,
+}
+
+impl WatchResult {
+    /// A watch is cancelled by the store when the revisions after which it
+    /// looks are compacted, so there were changes.
+    fn tells_of_change(&self) -> bool {
+        !self.events.is_empty() || self.canceled
+    }
+}
--- a/lib/platform/src/store.rs
+++ b/lib/platform/src/store.rs
@@ -1,5 +1,7 @@
 //! What masticreel needs from the platform's key-value service.
 
+use std::time::Duration;
+
 use displaydoc::Display;
 
 /// A key with its value and the store revision that last changed it.
@@ -80,4 +82,20 @@
     /// Fails when the store is unreachable, slow or not understood; the write
     /// may have taken effect all the same.
     fn commit(&self, conditions: &[Compare], puts: &[Put]) -> Result<CommitOutcome, StoreError>;
+
+    /// Waits until a key that starts with the prefix changes after a store
+    /// revision; returns whether one did within the timeout.
+    ///
+    /// The store counts a waiting call as one, so only a few instances wait.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store is unreachable or not understood. A connection that
+    /// breaks while waiting is a failure too, since a change may have been missed.
+    fn wait_for_change(
+        &self,
+        prefix: &str,
+        after_revision: u64,
+        timeout: Duration,
+    ) -> Result<bool, StoreError>;
 }
--- a/lib/platform/tests/support/faulty_store.rs
+++ b/lib/platform/tests/support/faulty_store.rs
@@ -145,4 +145,14 @@
             }
         }
     }
+
+    fn wait_for_change(
+        &self,
+        prefix: &str,
+        after_revision: u64,
+        _timeout: Duration,
+    ) -> Result<bool, StoreError> {
+        let snapshot = self.read_prefix(prefix)?;
+        Ok(snapshot.entries.iter().any(|entry| entry.mod_revision > after_revision))
+    }
 }
