burn: compare service levels with the last hour

Operators need to see how fast a level spends its error budget, and an alert that neither a short disturbance nor a past one raises. Requests go into one histogram for each class and 30 s, at most 120 a class, so memory is bounded and a level that the document adds or changes is judged over the past hour at once.

Ruled out: counters against a bound, which forget the past hour when a level changes.

--- /dev/null
+++ b/lib/burn/src/recorder.rs
@@ -0,0 +1,197 @@
+//! Latencies and failures of the last hour, in bounded memory.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use masticreel_document::class::Class;
+use masticreel_document::levels::ServiceLevel;
+
+use crate::report::{LevelReport, Tally};
+
+/// The short window, which shows whether a level burns now.
+pub const SHORT_WINDOW: Duration = Duration::from_secs(5 * 60);
+
+/// The long window, which shows whether the burning matters.
+pub const LONG_WINDOW: Duration = Duration::from_secs(60 * 60);
+
+/// The time that one histogram covers.
+const BUCKET: Duration = Duration::from_secs(30);
+
+const SHORT_BUCKETS: u64 = SHORT_WINDOW.as_secs() / BUCKET.as_secs();
+const LONG_BUCKETS: u64 = LONG_WINDOW.as_secs() / BUCKET.as_secs();
+
+/// How many histograms one point of a report's course joins.
+const BUCKETS_PER_POINT: u64 = 2;
+
+/// Longer latencies are recorded as this one, in microseconds.
+const MAX_LATENCY_US: u64 = 600_000_000;
+
+/// Two digits keep a histogram near 12 KB and its values within one percent.
+const SIGNIFICANT_DIGITS: u8 = 2;
+
+/// How a request ended, as far as service levels are concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    /// The caller got the answer to its request, be it a database's error.
+    Served,
+    /// The system refused the request or lost it.
+    Failed,
+}
+
+/// Records requests by class and time.
+///
+/// It keeps histograms and not counts against a bound, so that a level which
+/// the document adds or changes is judged over the past hour at once. It holds
+/// at most 120 histograms for each of the three classes.
+#[derive(Debug)]
+pub struct BurnRecorder {
+    started: Instant,
+    urgent: ClassHistory,
+    normal: ClassHistory,
+    long: ClassHistory,
+}
+
+#[derive(Debug, Default)]
+struct ClassHistory {
+    /// Buckets in the order of time; those without requests are left out.
+    buckets: VecDeque<Bucket>,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    number: u64,
+    failed: u64,
+    latencies_us: Histogram<u32>,
+}
+
+impl BurnRecorder {
+    /// Starts without any request.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            started: now,
+            urgent: ClassHistory::default(),
+            normal: ClassHistory::default(),
+            long: ClassHistory::default(),
+        }
+    }
+
+    /// Records one request.
+    pub fn record(&mut self, class: Class, latency: Duration, answer: Answer, now: Instant) {
+        let number = self.bucket_number(now);
+        let bucket = self.history_mut(class).bucket_mut(number);
+        match answer {
+            Answer::Failed => bucket.failed += 1,
+            Answer::Served => {
+                let latency_us = u64::try_from(latency.as_micros()).unwrap_or(MAX_LATENCY_US);
+                bucket.latencies_us.saturating_record(latency_us);
+            }
+        }
+    }
+
+    /// Compares the last hour with a level.
+    pub fn report(&self, level: &ServiceLevel, now: Instant) -> LevelReport {
+        let number = self.bucket_number(now);
+        let history = self.history(level.class);
+        let bound_us = level.latency_ms.saturating_mul(1_000);
+        let mut latencies_us = new_histogram();
+        for bucket in history.since(number, LONG_BUCKETS) {
+            latencies_us += &bucket.latencies_us;
+        }
+        LevelReport {
+            name: level.name.clone(),
+            class: level.class,
+            latency_ms: level.latency_ms,
+            objective_percent: level.objective_percent,
+            short: history.tally(number, SHORT_BUCKETS, bound_us),
+            long: history.tally(number, LONG_BUCKETS, bound_us),
+            p50_us: latencies_us.value_at_quantile(0.5),
+            p99_us: latencies_us.value_at_quantile(0.99),
+            course: history.course(number, bound_us),
+        }
+    }
+
+    /// Returns how many histograms are held, which bounds the memory.
+    pub fn bucket_count(&self) -> usize {
+        [&self.urgent, &self.normal, &self.long].iter().map(|history| history.buckets.len()).sum()
+    }
+
+    fn bucket_number(&self, now: Instant) -> u64 {
+        now.saturating_duration_since(self.started).as_secs() / BUCKET.as_secs()
+    }
+
+    fn history(&self, class: Class) -> &ClassHistory {
+        match class {
+            Class::Urgent => &self.urgent,
+            Class::Normal => &self.normal,
+            Class::Long => &self.long,
+        }
+    }
+
+    fn history_mut(&mut self, class: Class) -> &mut ClassHistory {
+        match class {
+            Class::Urgent => &mut self.urgent,
+            Class::Normal => &mut self.normal,
+            Class::Long => &mut self.long,
+        }
+    }
+}
+
+impl ClassHistory {
+    /// Returns the newest bucket, which is a later one if the clock readings
+    /// of two threads came crossed.
+    fn bucket_mut(&mut self, number: u64) -> &mut Bucket {
+        if self.buckets.back().is_none_or(|newest| newest.number < number) {
+            self.forget_before(number.saturating_sub(LONG_BUCKETS - 1));
+            self.buckets.push_back(Bucket::new(number));
+        }
+        self.buckets.back_mut().expect("a bucket was just added if there was none")
+    }
+
+    fn forget_before(&mut self, number: u64) {
+        while self.buckets.front().is_some_and(|oldest| oldest.number < number) {
+            self.buckets.pop_front();
+        }
+    }
+
+    /// Returns the buckets of a window that ends with the bucket numbered.
+    fn since(&self, number: u64, window_buckets: u64) -> impl Iterator<Item = &Bucket> {
+        let first = (number + 1).saturating_sub(window_buckets);
+        self.buckets.iter().filter(move |bucket| bucket.number >= first)
+    }
+
+    fn tally(&self, number: u64, window_buckets: u64, bound_us: u64) -> Tally {
+        self.since(number, window_buckets).map(|bucket| bucket.tally(bound_us)).sum()
+    }
+
+    /// Returns one tally a minute over the long window, the newest last.
+    fn course(&self, number: u64, bound_us: u64) -> Vec<Tally> {
+        let points = LONG_BUCKETS / BUCKETS_PER_POINT;
+        let mut course = vec![Tally::default(); usize::try_from(points).unwrap_or_default()];
+        for bucket in self.since(number, LONG_BUCKETS) {
+            let age = number.saturating_sub(bucket.number) / BUCKETS_PER_POINT;
+            let place = points.saturating_sub(1 + age);
+            if let Some(tally) = course.get_mut(usize::try_from(place).unwrap_or_default()) {
+                *tally += bucket.tally(bound_us);
+            }
+        }
+        course
+    }
+}
+
+impl Bucket {
+    fn new(number: u64) -> Self {
+        Self { number, failed: 0, latencies_us: new_histogram() }
+    }
+
+    fn tally(&self, bound_us: u64) -> Tally {
+        let served = self.latencies_us.len();
+        let good = self.latencies_us.count_between(0, bound_us);
+        Tally { total: served + self.failed, bad: served - good + self.failed }
+    }
+}
+
+fn new_histogram() -> Histogram<u32> {
+    Histogram::new_with_bounds(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+        .expect("the bounds are constants")
+}
