cli: let operators edit the document and read the reports

Operators drive the system only by editing their section and reading what comes back.

lib/report holds the types that both sides share; lib/wire signs documents that a client hands over. Ruled out: starting an editor (a process starts no other process), and applying a file without a base revision, which would overwrite what another team wrote meanwhile.

A missing key of a TOML text's root was reported under the first key of the text; found by test_settings_errors_name_file_line_and_key.

Left: the operators' port itself, and tests with separate processes, which need the daemon and the store stand-in.

--- /dev/null
+++ b/cli/src/commands/apply.rs
@@ -0,0 +1,150 @@
+//! Puts a changed section into force.
+
+use std::io::Write;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use masticreel_base::cancellation::CancellationToken;
+use masticreel_base::clock::{Clock as _, SystemClock};
+use masticreel_base::ids::{Revision, SectionName};
+use masticreel_document::edit::{EditOutcome, EditRequest};
+use masticreel_document::edit_id::Nonce;
+use masticreel_platform::editor::{EditTiming, Editor};
+use masticreel_platform::etcd::EtcdStore;
+use masticreel_report::fleet::Progress;
+use masticreel_report::instances::MemberReport;
+use masticreel_report::operators::INSTANCES_PATH;
+use masticreel_wire::frame::SharedKey;
+
+use crate::arguments::{ApplyArguments, SettleArguments};
+use crate::commands::edit::read_copy;
+use crate::commands::outcome::OutcomeView;
+use crate::context::Context;
+use crate::error::CliError;
+use crate::exit::Exit;
+use crate::time::unix_ms;
+
+/// The pause after a call to the store that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// How often instances are asked whether the revision is in force.
+const PROGRESS_PAUSE: Duration = Duration::from_millis(50);
+
+/// Puts a changed section into force.
+///
+/// # Errors
+///
+/// Fails when the file can't be read or does not tell what it changes. How the
+/// edit ended is an exit code and not an error.
+pub fn apply<Out>(
+    context: &mut Context<'_, Out>,
+    arguments: &ApplyArguments,
+) -> Result<Exit, CliError>
+where
+    Out: Write,
+{
+    let request = request(context, arguments)?;
+    let outcome = editor(context).apply(request, Nonce::from(rand::random::<u64>()));
+    finish(context, outcome, arguments.wait.then_some(arguments.wait_timeout_ms))
+}
+
+/// Finds out whether an edit landed whose answer was lost.
+///
+/// # Errors
+///
+/// Fails when the id is not one.
+pub fn settle<Out>(
+    context: &mut Context<'_, Out>,
+    arguments: &SettleArguments,
+) -> Result<Exit, CliError>
+where
+    Out: Write,
+{
+    let edit = arguments.edit.parse()?;
+    let outcome = editor(context).settle(edit);
+    finish(context, outcome, None)
+}
+
+fn request<Out>(
+    context: &Context<'_, Out>,
+    arguments: &ApplyArguments,
+) -> Result<EditRequest, CliError> {
+    let path = Path::new(&arguments.file);
+    let copy = read_copy(path)?;
+    let origin = copy.origin.as_ref();
+    let section = arguments
+        .section
+        .as_deref()
+        .map(SectionName::from)
+        .or_else(|| origin.map(|origin| origin.section.clone()));
+    let base = arguments.base.map(Revision).or_else(|| origin.map(|origin| origin.base));
+    let (Some(section), Some(base)) = (section, base) else {
+        return Err(CliError::NoBase(path.to_owned()));
+    };
+    let author = arguments
+        .author
+        .as_deref()
+        .map(Arc::from)
+        .or_else(|| context.settings.author.clone())
+        .ok_or(CliError::NoAuthor)?;
+    let edited_at_ms = unix_ms(SystemClock.wall());
+    Ok(EditRequest { section, base, text: copy.text, author, edited_at_ms })
+}
+
+fn editor<Out>(context: &Context<'_, Out>) -> Editor<EtcdStore, SystemClock> {
+    let timing = EditTiming { deadline: context.settings.edit_timeout(), retry_pause: RETRY_PAUSE };
+    Editor::new(context.store.clone(), SystemClock, timing, CancellationToken::new())
+}
+
+fn finish<Out>(
+    context: &mut Context<'_, Out>,
+    outcome: EditOutcome,
+    wait_ms: Option<u64>,
+) -> Result<Exit, CliError>
+where
+    Out: Write,
+{
+    let mut view = OutcomeView::from(outcome);
+    if let OutcomeView::Landed { revision, progress, not_handed_over } = &mut view {
+        *not_handed_over = hand_over(context, *revision).err().map(|error| error.to_string());
+        *progress = wait_ms.map(|wait_ms| wait_until_in_force(context, *revision, wait_ms));
+    }
+    context.print(&view, OutcomeView::render)?;
+    Ok(view.exit())
+}
+
+/// Hands the document to an instance, so that an outage of the store right
+/// after the edit can't delay it.
+fn hand_over<Out>(context: &Context<'_, Out>, revision: Revision) -> Result<(), CliError>
+where
+    Out: Write,
+{
+    if context.settings.instances.is_empty() {
+        return Err(CliError::NoInstances);
+    }
+    let Some(key) = &context.settings.shared_key else {
+        return Err(CliError::NoSharedKey);
+    };
+    let stored = context.read_document()?;
+    let Ok(document) = stored.to_document() else {
+        return Err(CliError::NoRevision(revision));
+    };
+    Ok(context.operators.hand_over(&document, &SharedKey::from_text(key))?)
+}
+
+fn wait_until_in_force<Out>(
+    context: &Context<'_, Out>,
+    revision: Revision,
+    wait_ms: u64,
+) -> Progress {
+    let deadline = Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        let members: Vec<MemberReport> = context.operators.get(INSTANCES_PATH).unwrap_or_default();
+        let progress = Progress::of(&members, revision);
+        if progress.is_complete() || Instant::now() >= deadline {
+            return progress;
+        }
+        std::thread::sleep(PROGRESS_PAUSE);
+    }
+}
--- /dev/null
+++ b/cli/src/commands/history.rs
@@ -0,0 +1,110 @@
+//! Shows the last edits.
+
+use std::io::Write;
+
+use masticreel_base::clock::{Clock as _, SystemClock};
+use masticreel_base::ids::Revision;
+use masticreel_document::diff::SectionDiff;
+use masticreel_document::records::{EditEntry, HistoryRecord};
+use masticreel_platform::document_store::read_history;
+use serde::Serialize;
+
+use crate::arguments::HistoryArguments;
+use crate::context::Context;
+use crate::error::CliError;
+use crate::exit::Exit;
+use crate::time::{ago, unix_ms};
+
+#[derive(Serialize)]
+struct Change {
+    #[serde(flatten)]
+    entry: EditEntry,
+    text: String,
+    /// Empty if the text that was replaced is no longer kept.
+    diff: String,
+}
+
+/// Shows the last edits, or the change of one.
+///
+/// # Errors
+///
+/// Fails when the store does not answer or no longer keeps the revision.
+pub fn history<Out>(
+    context: &mut Context<'_, Out>,
+    arguments: &HistoryArguments,
+) -> Result<Exit, CliError>
+where
+    Out: Write,
+{
+    match arguments.revision {
+        Some(revision) => show_change(context, Revision(revision))?,
+        None => show_recent(context)?,
+    }
+    Ok(Exit::Done)
+}
+
+fn show_recent<Out>(context: &mut Context<'_, Out>) -> Result<(), CliError>
+where
+    Out: Write,
+{
+    let recent = context.read_document()?.head.record.recent;
+    let now_ms = unix_ms(SystemClock.wall());
+    context.print(&recent, |recent| {
+        let lines: String = recent.iter().map(|entry| render_entry(entry, now_ms)).collect();
+        format!("{:>8}  {:<24} {:<16} {}\n{lines}", "revision", "section", "author", "when")
+    })
+}
+
+fn render_entry(entry: &EditEntry, now_ms: u64) -> String {
+    format!(
+        "{:>8}  {:<24} {:<16} {}\n",
+        entry.revision.0,
+        entry.section.as_str(),
+        entry.author,
+        ago(entry.edited_at_ms, now_ms)
+    )
+}
+
+fn show_change<Out>(context: &mut Context<'_, Out>, revision: Revision) -> Result<(), CliError>
+where
+    Out: Write,
+{
+    let record = kept(context, revision)?.ok_or(CliError::NoRevision(revision))?;
+    let replaced = match record.entry.replaces {
+        Revision(0) => Some(String::new()),
+        replaces => kept(context, replaces)?.map(|record| record.text.to_string()),
+    };
+    let diff = replaced.map_or_else(SectionDiff::default, |old| diff(&record, &old));
+    let change = Change {
+        text: record.text.to_string(),
+        diff: diff.as_str().to_owned(),
+        entry: record.entry,
+    };
+    context.print(&change, render_change)
+}
+
+fn diff(record: &HistoryRecord, old: &str) -> SectionDiff {
+    let entry = &record.entry;
+    let old_name = format!("{} at revision {}", entry.section, entry.replaces);
+    let new_name = format!("{} at revision {}", entry.section, entry.revision);
+    SectionDiff::between(&old_name, old, &new_name, &record.text)
+}
+
+fn render_change(change: &Change) -> String {
+    if change.diff.is_empty() {
+        return format!(
+            "The text before revision {} is no longer kept. The section since then:\n{}",
+            change.entry.revision, change.text
+        );
+    }
+    change.diff.clone()
+}
+
+/// Returns a revision's record unless a later one took its slot.
+fn kept<Out>(
+    context: &Context<'_, Out>,
+    revision: Revision,
+) -> Result<Option<HistoryRecord>, CliError> {
+    let record = read_history(&context.store, revision)?;
+    Ok(record.filter(|record| record.entry.revision == revision))
+}
--- /dev/null
+++ b/cli/src/commands/outcome.rs
@@ -0,0 +1,161 @@
+//! How an edit ended, as text, JSON and exit code.
+
+use masticreel_base::ids::Revision;
+use masticreel_document::edit::EditOutcome;
+use masticreel_document::error::DocumentError;
+use masticreel_report::fleet::Progress;
+use serde::Serialize;
+
+use crate::exit::Exit;
+
+/// How an edit ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(tag = "outcome", rename_all = "snake_case")]
+pub enum OutcomeView {
+    /// The edit was accepted.
+    Landed {
+        /// The revision that it made.
+        revision: Revision,
+        /// On how many instances it is in force, if that was waited for.
+        progress: Option<Progress>,
+        /// Why no instance was handed the document, if none was.
+        not_handed_over: Option<String>,
+    },
+    /// The section already had this text.
+    Unchanged {
+        /// The revision since which it has.
+        revision: Revision,
+    },
+    /// The edit has no effect and never will.
+    NotLanded {
+        /// Why it was given up.
+        reason: String,
+    },
+    /// Another edit of the section came first.
+    Conflict {
+        /// The section's revision now.
+        current: Revision,
+        /// Who wrote it.
+        author: String,
+        /// From the present text to the one that was to be written.
+        diff: String,
+    },
+    /// The document would be faulty.
+    Invalid {
+        /// All faults.
+        errors: Vec<ErrorView>,
+    },
+    /// The store did not answer.
+    Unknown {
+        /// The edit's id.
+        edit: String,
+    },
+}
+
+/// One fault of the document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ErrorView {
+    section: String,
+    line: usize,
+    key: String,
+    problem: String,
+}
+
+impl From<&DocumentError> for ErrorView {
+    fn from(error: &DocumentError) -> Self {
+        Self {
+            section: error.section.to_string(),
+            line: error.line,
+            key: error.key.to_string(),
+            problem: error.problem.to_string(),
+        }
+    }
+}
+
+impl From<EditOutcome> for OutcomeView {
+    fn from(outcome: EditOutcome) -> Self {
+        match outcome {
+            EditOutcome::Landed(revision) => {
+                Self::Landed { revision, progress: None, not_handed_over: None }
+            }
+            EditOutcome::Unchanged(revision) => Self::Unchanged { revision },
+            EditOutcome::NotLanded(reason) => Self::NotLanded { reason: reason.to_string() },
+            EditOutcome::Conflict(conflict) => Self::Conflict {
+                current: conflict.current,
+                author: conflict.author.to_string(),
+                diff: conflict.diff.as_str().to_owned(),
+            },
+            EditOutcome::Invalid(errors) => {
+                Self::Invalid { errors: errors.iter().map(ErrorView::from).collect() }
+            }
+            EditOutcome::Unknown(edit) => Self::Unknown { edit: edit.to_string() },
+        }
+    }
+}
+
+impl OutcomeView {
+    /// Returns the exit code.
+    pub fn exit(&self) -> Exit {
+        match self {
+            Self::Landed { progress: Some(progress), .. } if !progress.is_complete() => {
+                Exit::NotInForce
+            }
+            Self::Landed { .. } | Self::Unchanged { .. } => Exit::Done,
+            Self::NotLanded { .. } => Exit::NotLanded,
+            Self::Conflict { .. } => Exit::Conflict,
+            Self::Invalid { .. } => Exit::Invalid,
+            Self::Unknown { .. } => Exit::Unknown,
+        }
+    }
+
+    /// Returns the outcome as text.
+    pub fn render(&self) -> String {
+        match self {
+            Self::Landed { revision, progress, not_handed_over } => {
+                render_landed(*revision, *progress, not_handed_over.as_deref())
+            }
+            Self::Unchanged { revision } => {
+                format!("Unchanged: the section has this text since revision {revision}.\n")
+            }
+            Self::NotLanded { reason } => format!("Not landed, and never will be: {reason}.\n"),
+            Self::Conflict { current, author, diff } => format!(
+                "Conflict: {} changed the section meanwhile (now revision {current}).\n\
+                 Nothing was written. From the present text to yours:\n{diff}\
+                 Fetch the section again with `masticreel document edit` and repeat the change.\n",
+                if author.is_empty() { "another edit" } else { author },
+            ),
+            Self::Invalid { errors } => {
+                let lines: String = errors.iter().map(render_error).collect();
+                format!("Refused, nothing was written:\n{lines}")
+            }
+            Self::Unknown { edit } => format!(
+                "Unknown: the store did not answer, so the edit may have landed.\n\
+                 When the store is back: masticreel document settle {edit}\n"
+            ),
+        }
+    }
+}
+
+fn render_landed(
+    revision: Revision,
+    progress: Option<Progress>,
+    not_handed_over: Option<&str>,
+) -> String {
+    let mut text = format!("Landed as revision {revision}.\n");
+    if let Some(reason) = not_handed_over {
+        text.push_str(&format!(
+            "No instance was handed the document ({reason}); instances read it from the store.\n"
+        ));
+    }
+    if let Some(Progress { in_force, counted }) = progress {
+        text.push_str(&format!("In force on {in_force} of {counted} instances.\n"));
+    }
+    text
+}
+
+fn render_error(error: &ErrorView) -> String {
+    format!(
+        "  section {}, line {}, key {:?}: {}\n",
+        error.section, error.line, error.key, error.problem
+    )
+}
--- /dev/null
+++ b/cli/src/commands/show.rs
@@ -0,0 +1,129 @@
+//! Shows the document: what teams wrote and what the system reports back.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+
+use masticreel_base::clock::{Clock as _, SystemClock};
+use masticreel_base::ids::{Revision, SectionName};
+use masticreel_document::layout::REPORT_PREFIX;
+use masticreel_document::records::decode;
+use masticreel_document::section::SectionText;
+use masticreel_document::wire::WireDocument;
+use masticreel_platform::document_store::ReadError;
+use masticreel_platform::store::PlatformStore as _;
+use masticreel_report::fleet::{FleetReport, instances_by_revision};
+use masticreel_report::operators::DOCUMENT_PATH;
+use serde::Serialize;
+
+use crate::arguments::ShowArguments;
+use crate::commands::views::{render_groups, render_members};
+use crate::context::Context;
+use crate::error::CliError;
+use crate::exit::Exit;
+use crate::time::{ago, unix_ms};
+
+#[derive(Serialize)]
+struct DocumentView {
+    revision: Revision,
+    /// Whether the store answered, or else an instance.
+    from_store: bool,
+    sections: BTreeMap<SectionName, SectionText>,
+    reported: Vec<FleetReport>,
+}
+
+/// Shows the sections and what the system reports back.
+///
+/// # Errors
+///
+/// Fails when neither the store nor an instance answers, and when there is no
+/// such section.
+pub fn show<Out>(
+    context: &mut Context<'_, Out>,
+    arguments: &ShowArguments,
+) -> Result<Exit, CliError>
+where
+    Out: Write,
+{
+    let mut view = match read_from_store(context) {
+        Ok(view) => view,
+        Err(error) => read_from_instance(context, error)?,
+    };
+    if let Some(name) = arguments.section.as_deref().map(SectionName::from) {
+        view.sections.retain(|section, _| *section == name);
+        if view.sections.is_empty() {
+            return Err(CliError::NoSection(name));
+        }
+    }
+    let now_ms = unix_ms(SystemClock.wall());
+    context.print(&view, |view| render(view, now_ms))?;
+    Ok(Exit::Done)
+}
+
+fn read_from_store<Out>(context: &Context<'_, Out>) -> Result<DocumentView, ReadError>
+where
+    Out: Write,
+{
+    let stored = masticreel_platform::document_store::read_document(&context.store)?;
+    let reports = context.store.read_prefix(REPORT_PREFIX)?;
+    // A report of another version of the program is passed over.
+    let reported =
+        reports.entries.iter().filter_map(|entry| decode(&entry.key, &entry.value).ok()).collect();
+    Ok(DocumentView {
+        revision: stored.head.record.revision,
+        from_store: true,
+        sections: stored.texts(),
+        reported,
+    })
+}
+
+fn read_from_instance<Out>(
+    context: &Context<'_, Out>,
+    error: ReadError,
+) -> Result<DocumentView, CliError> {
+    match context.operators.get::<WireDocument>(DOCUMENT_PATH) {
+        Ok(document) => Ok(DocumentView {
+            revision: document.revision,
+            from_store: false,
+            sections: document.sections,
+            reported: Vec::new(),
+        }),
+        Err(operators) => Err(CliError::NothingAnswers(error, operators)),
+    }
+}
+
+fn render(view: &DocumentView, now_ms: u64) -> String {
+    let mut text = format!("# document at revision {}\n", view.revision);
+    if !view.from_store {
+        text.push_str("# the store does not answer; this is in force at an instance\n");
+    }
+    for (name, section) in &view.sections {
+        text.push_str(&format!(
+            "\n## section {name}, revision {}, by {}\n{}",
+            section.revision, section.author, section.text
+        ));
+        if !section.text.ends_with('\n') {
+            text.push('\n');
+        }
+    }
+    for report in &view.reported {
+        text.push_str(&render_report(report, now_ms));
+    }
+    text
+}
+
+fn render_report(report: &FleetReport, now_ms: u64) -> String {
+    let revisions: Vec<String> = instances_by_revision(&report.members)
+        .iter()
+        .rev()
+        .map(|(revision, count)| format!("revision {revision} on {count}"))
+        .collect();
+    format!(
+        "\n## reported by {}, {}\nin force: {}\n\n{}\n{}\n{}",
+        report.reporter,
+        ago(report.written_at_ms, now_ms),
+        revisions.join(", "),
+        render_members(&report.members),
+        render_groups(&report.groups),
+        masticreel_burn::table::render_table(&report.levels),
+    )
+}
--- /dev/null
+++ b/cli/src/commands/views.rs
@@ -0,0 +1,156 @@
+//! Shows what instances answer on their operators' ports.
+
+use std::io::Write;
+use std::path::Path;
+
+use masticreel_burn::page::render_page;
+use masticreel_burn::report::{LevelReport, merge_reports};
+use masticreel_burn::table::render_table;
+use masticreel_report::groups::{GroupReport, ServerReport};
+use masticreel_report::instances::{InstanceReport, MemberReport};
+use masticreel_report::operators::{GROUPS_PATH, INSTANCES_PATH, REPORT_PATH, STATUS_PATH};
+
+use crate::arguments::ReportArguments;
+use crate::context::Context;
+use crate::error::CliError;
+use crate::exit::Exit;
+
+/// Shows how an instance is.
+///
+/// # Errors
+///
+/// Fails when no instance answers.
+pub fn status<Out>(context: &mut Context<'_, Out>) -> Result<Exit, CliError>
+where
+    Out: Write,
+{
+    let report: InstanceReport = context.operators.get(STATUS_PATH)?;
+    context.print(&report, render_status)?;
+    Ok(Exit::Done)
+}
+
+/// Shows the instances, as one of them sees the fleet.
+///
+/// # Errors
+///
+/// Fails when no instance answers.
+pub fn instances<Out>(context: &mut Context<'_, Out>) -> Result<Exit, CliError>
+where
+    Out: Write,
+{
+    let members: Vec<MemberReport> = context.operators.get(INSTANCES_PATH)?;
+    context.print(&members, |members| render_members(members))?;
+    Ok(Exit::Done)
+}
+
+/// Shows the database groups.
+///
+/// # Errors
+///
+/// Fails when no instance answers.
+pub fn groups<Out>(context: &mut Context<'_, Out>) -> Result<Exit, CliError>
+where
+    Out: Write,
+{
+    let groups: Vec<GroupReport> = context.operators.get(GROUPS_PATH)?;
+    context.print(&groups, |groups| render_groups(groups))?;
+    Ok(Exit::Done)
+}
+
+/// Shows how fast the service levels burn, over all instances that answer.
+///
+/// # Errors
+///
+/// Fails when no instance answers or the page can't be written.
+pub fn report<Out>(
+    context: &mut Context<'_, Out>,
+    arguments: &ReportArguments,
+) -> Result<Exit, CliError>
+where
+    Out: Write,
+{
+    let members: Vec<MemberReport> = context.operators.get(INSTANCES_PATH)?;
+    let mut answered = 0;
+    let mut all: Vec<LevelReport> = Vec::new();
+    for address in members.iter().filter_map(|member| member.operators) {
+        if let Ok(levels) = context.operators.get_from::<Vec<LevelReport>>(address, REPORT_PATH) {
+            answered += 1;
+            all.extend(levels);
+        }
+    }
+    let levels = merge_reports(all);
+    if let Some(file) = &arguments.html {
+        let title = format!("service levels of {answered} instances");
+        std::fs::write(file, render_page(&title, &levels))
+            .map_err(|error| CliError::File(Path::new(file).to_owned(), error))?;
+    }
+    context.print(&levels, |levels| {
+        format!("{}from {answered} of {} instances\n", render_table(levels), members.len())
+    })?;
+    Ok(Exit::Done)
+}
+
+fn render_status(report: &InstanceReport) -> String {
+    let refused = match &report.refused {
+        Some(reason) => format!("refused   {reason}\n"),
+        None => String::new(),
+    };
+    format!(
+        "instance  {}\nversion   {}\ndomain    {}\nstate     {}\nrevision  {}\nstore     {}\n{refused}",
+        report.name,
+        report.version,
+        report.failure_domain,
+        report.state,
+        report.revision,
+        report.store,
+    )
+}
+
+/// Renders one line for each member of the fleet.
+pub fn render_members(members: &[MemberReport]) -> String {
+    let mut table = format!(
+        "{:<20} {:<16} {:<22} {:<8} {:>8}\n",
+        "instance", "failure domain", "address", "health", "revision"
+    );
+    for member in members {
+        table.push_str(&format!(
+            "{:<20} {:<16} {:<22} {:<8} {:>8}\n",
+            member.name.as_str(),
+            member.failure_domain.as_str(),
+            member.address.to_string(),
+            member.health.to_string(),
+            member.revision.0
+        ));
+    }
+    table
+}
+
+/// Renders the groups with one line for each server.
+pub fn render_groups(groups: &[GroupReport]) -> String {
+    let mut table = format!(
+        "{:<20} {:<22} {:<16} {:<8} {:<12} {:<20}\n",
+        "group / server", "address", "failure domain", "role", "applied", "owner"
+    );
+    for group in groups {
+        let primary = group.primary.as_ref().map_or("none", |primary| primary.as_str());
+        table.push_str(&format!(
+            "{} (database {}, term {}, primary {primary})\n",
+            group.name, group.database, group.term
+        ));
+        table.extend(group.servers.iter().map(render_server));
+    }
+    table
+}
+
+fn render_server(server: &ServerReport) -> String {
+    let leaving = if server.leaving { " leaving" } else { "" };
+    format!(
+        "  {:<18} {:<22} {:<16} {:<8} {:<12} {:<20}{leaving}\n",
+        server.name.as_str(),
+        server.address.to_string(),
+        server.failure_domain.as_str(),
+        server.role,
+        server.applied.as_deref().unwrap_or("-"),
+        server.owner.as_ref().map_or("-", |owner| owner.as_str()),
+    )
+}
--- /dev/null
+++ b/cli/src/context.rs
@@ -0,0 +1,77 @@
+//! What all commands need: settings, the store, instances and the output.
+
+use std::io::Write;
+
+use masticreel_base::ids::{Revision, SectionName};
+use masticreel_document::records::StoredDocument;
+use masticreel_platform::document_store::read_document;
+use masticreel_platform::etcd::EtcdStore;
+use serde::Serialize;
+
+use crate::error::CliError;
+use crate::operators::Operators;
+use crate::settings::Settings;
+
+/// How a command reaches the outside.
+pub struct Context<'out, Out> {
+    /// The client's settings.
+    pub settings: Settings,
+    /// The platform's store.
+    pub store: EtcdStore,
+    /// The instances.
+    pub operators: Operators,
+    out: &'out mut Out,
+    json: bool,
+}
+
+impl<'out, Out> Context<'out, Out>
+where
+    Out: Write,
+{
+    /// Prepares clients according to the settings.
+    pub fn new(settings: Settings, json: bool, out: &'out mut Out) -> Self {
+        let timeout = settings.call_timeout();
+        let store = EtcdStore::new(&settings.platform, timeout);
+        let operators = Operators::new(&settings.instances, timeout);
+        Self { settings, store, operators, out, json }
+    }
+
+    /// Prints a result as text, or as JSON if that was asked for.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the output can't be written.
+    pub fn print<Value, Render>(&mut self, value: &Value, render: Render) -> Result<(), CliError>
+    where
+        Value: Serialize,
+        Render: FnOnce(&Value) -> String,
+    {
+        if self.json {
+            let text = serde_json::to_string_pretty(value).expect("reports have string keys only");
+            writeln!(self.out, "{text}")?;
+        } else {
+            write!(self.out, "{}", render(value))?;
+        }
+        Ok(())
+    }
+
+    /// Reads the document from the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer.
+    pub fn read_document(&self) -> Result<StoredDocument, CliError> {
+        Ok(read_document(&self.store)?)
+    }
+}
+
+/// Returns a section's revision and text; revision 0 if it does not exist.
+pub fn section_of<'stored>(
+    stored: &'stored StoredDocument,
+    name: &SectionName,
+) -> (Revision, &'stored str) {
+    match stored.sections.get(name) {
+        Some(section) => (section.record.revision, &section.record.text),
+        None => (Revision(0), ""),
+    }
+}
--- /dev/null
+++ b/cli/src/settings.rs
@@ -0,0 +1,118 @@
+//! The client's settings.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use displaydoc::Display;
+use masticreel_document::toml_source::{KeyPath, TomlError, TomlSource};
+use serde::Deserialize;
+
+/// The variable that names the settings file when the command line does not.
+pub const SETTINGS_VARIABLE: &str = "MASTICREEL_SETTINGS";
+
+/// The settings file when nothing names another.
+pub const DEFAULT_PATH: &str = "masticreel.toml";
+
+/// The client's settings.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The endpoint of the platform's store, such as `http://127.0.0.1:2379`.
+    pub platform: Arc<str>,
+    /// Operators' ports of some instances; the first that answers is asked.
+    #[serde(default)]
+    pub instances: Vec<SocketAddr>,
+    /// The secret of the fleet; needed to hand an accepted document to an instance.
+    #[serde(default)]
+    pub shared_key: Option<Arc<str>>,
+    /// Who makes the edits.
+    #[serde(default)]
+    pub author: Option<Arc<str>>,
+    /// How long one call may take, in milliseconds.
+    #[serde(default = "default_call_timeout_ms")]
+    pub call_timeout_ms: u64,
+    /// How long an edit may take with all its calls, in milliseconds.
+    #[serde(default = "default_edit_timeout_ms")]
+    pub edit_timeout_ms: u64,
+}
+
+const DEFAULT_CALL_TIMEOUT_MS: u64 = 2_000;
+const DEFAULT_EDIT_TIMEOUT_MS: u64 = 20_000;
+
+fn default_call_timeout_ms() -> u64 {
+    DEFAULT_CALL_TIMEOUT_MS
+}
+
+fn default_edit_timeout_ms() -> u64 {
+    DEFAULT_EDIT_TIMEOUT_MS
+}
+
+/// Why settings can't be used.
+#[derive(Debug, Display)]
+pub enum SettingsError {
+    /// can't read the settings {0:?}: {1}
+    Unreadable(PathBuf, io::Error),
+    /// {path:?}:{line}: key {key}: {message}
+    Faulty {
+        /// The file.
+        path: PathBuf,
+        /// The line, counted from 1.
+        line: usize,
+        /// The key.
+        key: KeyPath,
+        /// What is wrong.
+        message: String,
+    },
+}
+
+impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be read, and when a key is unknown, missing
+    /// or has a wrong value; the error then names file, line and key.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| SettingsError::Unreadable(path.to_owned(), error))?;
+        Self::parse(&text).map_err(|error| SettingsError::Faulty {
+            path: path.to_owned(),
+            line: error.line,
+            key: error.key,
+            message: error.message,
+        })
+    }
+
+    /// Reads settings from a text.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the line and the key of the first fault.
+    pub fn parse(text: &str) -> Result<Self, TomlError> {
+        TomlSource::parse(text).map(|(_, settings)| settings)
+    }
+
+    /// Returns how long one call may take.
+    pub fn call_timeout(&self) -> Duration {
+        Duration::from_millis(self.call_timeout_ms)
+    }
+
+    /// Returns how long an edit may take with all its calls.
+    pub fn edit_timeout(&self) -> Duration {
+        Duration::from_millis(self.edit_timeout_ms)
+    }
+}
+
+/// Returns the path of the settings file.
+pub fn settings_path(given: Option<&str>) -> PathBuf {
+    match given {
+        Some(path) => PathBuf::from(path),
+        None => std::env::var_os(SETTINGS_VARIABLE)
+            .map_or_else(|| PathBuf::from(DEFAULT_PATH), PathBuf::from),
+    }
+}
--- /dev/null
+++ b/cli/src/working_copy.rs
@@ -0,0 +1,57 @@
+//! Files in which operators edit a section.
+//!
+//! The first line tells the section and the revision that the edit starts
+//! from, so that another team's change in between is noticed.
+
+use std::sync::Arc;
+
+use masticreel_base::ids::{Revision, SectionName};
+
+const MARK: &str = "# masticreel section ";
+const BASE_MARK: &str = " from revision ";
+
+/// A section's text with what is known of its origin.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkingCopy {
+    /// Where the text comes from; none if the file does not tell.
+    pub origin: Option<Origin>,
+    /// The section's text without the line about its origin.
+    pub text: Arc<str>,
+}
+
+/// Which section an edit changes, and from which revision it starts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Origin {
+    /// The section.
+    pub section: SectionName,
+    /// The revision of the text that the edit starts from; 0 for a new section.
+    pub base: Revision,
+}
+
+impl WorkingCopy {
+    /// Reads a file's content.
+    pub fn parse(content: &str) -> Self {
+        let (first, rest) = content.split_once('\n').unwrap_or((content, ""));
+        match Origin::parse(first.trim_end()) {
+            Some(origin) => Self { origin: Some(origin), text: rest.into() },
+            None => Self { origin: None, text: content.into() },
+        }
+    }
+
+    /// Returns the file's content.
+    pub fn render(&self) -> String {
+        match &self.origin {
+            Some(Origin { section, base }) => {
+                format!("{MARK}{section}{BASE_MARK}{base}\n{}", self.text)
+            }
+            None => self.text.to_string(),
+        }
+    }
+}
+
+impl Origin {
+    fn parse(line: &str) -> Option<Self> {
+        let (section, base) = line.strip_prefix(MARK)?.split_once(BASE_MARK)?;
+        Some(Self { section: section.into(), base: Revision(base.parse().ok()?) })
+    }
+}
--- a/lib/document/src/toml_source.rs
+++ b/lib/document/src/toml_source.rs
@@ -186,5 +186,6 @@
 }
 
 fn contains(outer: &Range<usize>, inner: &Range<usize>) -> bool {
-    outer.start <= inner.start && inner.end <= outer.end && !outer.is_empty()
+    // The root table has an empty range, which lies within no key.
+    !inner.is_empty() && outer.start <= inner.start && inner.end <= outer.end
 }
--- a/lib/wire/src/lib.rs
+++ b/lib/wire/src/lib.rs
@@ -5,3 +5,4 @@
 
 pub mod frame;
 pub mod message;
+pub mod signature;
