--- a/lib/burn/src/recorder.rs
+++ b/lib/burn/src/recorder.rs
@@ -1,6 +1,7 @@
 //! Latencies and failures of the last hour, in bounded memory.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
@@ -44,7 +45,10 @@
 /// It keeps histograms and not counts against a bound, so that a level which
 /// the document adds or changes is judged over the past hour at once. It holds
 /// at most 120 histograms for each of the three classes.
-#[derive(Debug)]
+///
+/// A clone shares the histograms until either side changes one, so that a
+/// report can be made from a clone while requests go on.
+#[derive(Debug, Clone)]
 pub struct BurnRecorder {
     started: Instant,
     urgent: ClassHistory,
@@ -52,13 +56,13 @@
     long: ClassHistory,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct ClassHistory {
     /// Buckets in the order of time; those without requests are left out.
-    buckets: VecDeque<Bucket>,
+    buckets: VecDeque<Arc<Bucket>>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Bucket {
     number: u64,
     failed: u64,
@@ -143,9 +147,10 @@
     fn bucket_mut(&mut self, number: u64) -> &mut Bucket {
         if self.buckets.back().is_none_or(|newest| newest.number < number) {
             self.forget_before(number.saturating_sub(LONG_BUCKETS - 1));
-            self.buckets.push_back(Bucket::new(number));
+            self.buckets.push_back(Arc::new(Bucket::new(number)));
         }
-        self.buckets.back_mut().expect("a bucket was just added if there was none")
+        let newest = self.buckets.back_mut().expect("a bucket was just added if there was none");
+        Arc::make_mut(newest)
     }
 
     fn forget_before(&mut self, number: u64) {
@@ -157,7 +162,7 @@
     /// Returns the buckets of a window that ends with the bucket numbered.
     fn since(&self, number: u64, window_buckets: u64) -> impl Iterator<Item = &Bucket> {
         let first = (number + 1).saturating_sub(window_buckets);
-        self.buckets.iter().filter(move |bucket| bucket.number >= first)
+        self.buckets.iter().map(Arc::as_ref).filter(move |bucket| bucket.number >= first)
     }
 
     fn tally(&self, number: u64, window_buckets: u64, bound_us: u64) -> Tally {
--- a/lib/burn/tests/test_burn.rs
+++ b/lib/burn/tests/test_burn.rs
@@ -74,6 +74,17 @@
     assert_eq!(recorder.bucket_count(), 2 * 120);
 }
 
+#[test]
+fn test_a_clone_does_not_see_later_requests() {
+    let start = Instant::now();
+    let mut recorder = BurnRecorder::new(start);
+    record(&mut recorder, 1, 5, start);
+    let snapshot = recorder.clone();
+    record(&mut recorder, 1, 5, start);
+    assert_eq!(snapshot.report(&level(99.0), start).long.total, 1);
+    assert_eq!(recorder.report(&level(99.0), start).long.total, 2);
+}
+
 #[test]
 fn test_an_alert_needs_both_windows() {
     let start = Instant::now();
--- a/lib/platform/src/document_store.rs
+++ b/lib/platform/src/document_store.rs
@@ -5,7 +5,7 @@
 use masticreel_document::edit::{EditCommit, FenceCommit};
 use masticreel_document::layout::{DOCUMENT_PREFIX, HEAD_KEY, history_key, section_key};
 use masticreel_document::records::{
-    HistoryRecord, RecordError, StoreVersion, StoredDocument, decode, encode,
+    HeadRecord, HistoryRecord, RecordError, StoreVersion, StoredDocument, Versioned, decode, encode,
 };
 
 use crate::store::{CommitOutcome, Compare, PlatformStore, Put, StoreError};
@@ -49,6 +49,23 @@
     Ok(StoredDocument::from_entries(entries)?)
 }
 
+/// Reads the head only, to learn cheaply whether there is a newer revision.
+///
+/// # Errors
+///
+/// Fails when the store does not answer or holds a record that is not valid.
+pub fn read_head<Store>(store: &Store) -> Result<Versioned<HeadRecord>, ReadError>
+where
+    Store: PlatformStore,
+{
+    let snapshot = store.read_prefix(HEAD_KEY)?;
+    let Some(entry) = snapshot.entries.iter().find(|entry| entry.key == HEAD_KEY) else {
+        return Ok(Versioned::default());
+    };
+    let version = StoreVersion(entry.mod_revision);
+    Ok(Versioned { version, record: decode(HEAD_KEY, &entry.value)? })
+}
+
 /// Reads the record in a revision's history slot, which may be of a later revision.
 ///
 /// # Errors
--- a/lib/platform/tests/test_editor.rs
+++ b/lib/platform/tests/test_editor.rs
@@ -15,7 +15,7 @@
 use masticreel_document::edit_id::Nonce;
 use masticreel_document::layout::{HEAD_KEY, history_key, section_key};
 use masticreel_document::records::{RECENT_EDITS, StoredDocument, encode};
-use masticreel_platform::document_store::{read_document, read_history};
+use masticreel_platform::document_store::{read_document, read_head, read_history};
 use masticreel_platform::editor::{EditTiming, Editor};
 use masticreel_platform::store::Put;
 use proptest::prelude::*;
@@ -63,11 +63,13 @@
 #[test]
 fn test_an_edit_lands_and_is_kept_in_the_history() {
     let bench = bench();
+    assert_eq!(read_head(&bench.store).unwrap().record.revision, Revision(0));
     assert_eq!(bench.apply(1, request("control", 0, "a")), EditOutcome::Landed(Revision(1)));
     assert_eq!(bench.apply(2, request("control", 1, "b")), EditOutcome::Landed(Revision(2)));
     let stored = bench.stored();
     assert_eq!(stored.head.record.revision, Revision(2));
     assert_eq!(stored.to_document().unwrap().rules()[0].pattern, "b");
+    assert_eq!(read_head(&bench.store).unwrap(), stored.head);
     let first = read_history(&bench.store, Revision(1)).unwrap().unwrap();
     assert!(first.text.contains("\"a\""));
 }
