--- a/lib/platform/src/lib.rs
+++ b/lib/platform/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod document_store;
 pub mod editor;
 pub mod etcd;
+pub mod instance_list;
 pub mod store;
