--- a/standins/src/store/api.rs
+++ b/standins/src/store/api.rs
@@ -3,11 +3,17 @@
 //! Keys and values are base64, 64-bit integers are strings, and fields with
 //! their default value are left out.
 
+mod txn;
+mod watch;
+
+pub use txn::{ResponseOp, TxnRequest, TxnResponse};
+pub use watch::{Streamed, WatchCreateRequest, WatchEvent, WatchRequest, WatchResponse};
+
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use serde::{Deserialize, Deserializer, Serialize};
 
-use crate::store::keyspace::{Event, KeyRange, Keyspace, Operation, Outcome, Record};
+use crate::store::keyspace::{KeyRange, Keyspace, Operation, Record};
 
 /// Bytes as base64.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
@@ -224,153 +230,6 @@
     pub deleted: Int64,
 }
 
-/// Does one thing or another, depending on conditions.
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-pub struct TxnRequest {
-    /// The conditions.
-    pub compare: Vec<Compare>,
-    /// What to do if all hold.
-    pub success: Vec<RequestOp>,
-    /// What to do otherwise.
-    pub failure: Vec<RequestOp>,
-}
-
-/// What a condition looks at.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
-pub enum CompareTarget {
-    /// How often the key was changed.
-    #[default]
-    Version,
-    /// The revision at its creation.
-    Create,
-    /// The revision at its last change.
-    Mod,
-    /// Its value.
-    Value,
-}
-
-/// How a condition compares.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
-pub enum CompareResult {
-    /// The key's must be equal.
-    #[default]
-    Equal,
-    /// The key's must be greater.
-    Greater,
-    /// The key's must be less.
-    Less,
-    /// The key's must differ.
-    NotEqual,
-}
-
-/// A condition on a key.
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-pub struct Compare {
-    key: Bytes,
-    target: CompareTarget,
-    result: CompareResult,
-    version: Int64,
-    create_revision: Int64,
-    mod_revision: Int64,
-    value: Bytes,
-}
-
-impl Compare {
-    /// Returns whether the condition holds.
-    pub fn holds(&self, keyspace: &Keyspace) -> bool {
-        let record = keyspace.get(&self.key.0);
-        let number = |field: fn(&Record) -> i64| record.map_or(0, field);
-        let order = match self.target {
-            CompareTarget::Version => number(|record| record.version).cmp(&self.version.0),
-            CompareTarget::Create => {
-                number(|record| record.create_revision).cmp(&self.create_revision.0)
-            }
-            CompareTarget::Mod => number(|record| record.mod_revision).cmp(&self.mod_revision.0),
-            // A key that is not there has no value, so no condition on it holds.
-            CompareTarget::Value => match record {
-                Some(record) => record.value.cmp(&self.value.0),
-                None => return false,
-            },
-        };
-        match self.result {
-            CompareResult::Equal => order.is_eq(),
-            CompareResult::Greater => order.is_gt(),
-            CompareResult::Less => order.is_lt(),
-            CompareResult::NotEqual => order.is_ne(),
-        }
-    }
-}
-
-/// One operation of a transaction.
-#[derive(Debug, Deserialize)]
-pub enum RequestOp {
-    /// Reads keys.
-    #[serde(rename = "request_range", alias = "requestRange")]
-    Range(RangeRequest),
-    /// Writes a value.
-    #[serde(rename = "request_put", alias = "requestPut")]
-    Put(PutRequest),
-    /// Deletes keys.
-    #[serde(rename = "request_delete_range", alias = "requestDeleteRange")]
-    DeleteRange(DeleteRangeRequest),
-}
-
-impl From<RequestOp> for Operation {
-    fn from(request: RequestOp) -> Self {
-        match request {
-            RequestOp::Range(request) => Self::Range(request.range()),
-            RequestOp::Put(request) => request.into(),
-            RequestOp::DeleteRange(request) => request.into(),
-        }
-    }
-}
-
-/// What one operation of a transaction returned.
-#[derive(Debug, Serialize)]
-pub enum ResponseOp {
-    /// The keys found.
-    #[serde(rename = "response_range")]
-    Range(RangeResponse),
-    /// The value was written.
-    #[serde(rename = "response_put")]
-    Put(HeaderResponse),
-    /// How many keys were deleted.
-    #[serde(rename = "response_delete_range")]
-    DeleteRange(DeleteRangeResponse),
-}
-
-impl ResponseOp {
-    /// Describes an outcome.
-    pub fn new(outcome: Outcome, header: &ResponseHeader) -> Self {
-        let header = header.clone();
-        match outcome {
-            Outcome::Put => Self::Put(HeaderResponse { header }),
-            Outcome::Deleted(count) => {
-                let deleted = Int64(count);
-                Self::DeleteRange(DeleteRangeResponse { header, deleted })
-            }
-            Outcome::Found(records) => Self::Range(RangeRequest::default().answer(header, records)),
-        }
-    }
-}
-
-/// Which branch a transaction took, and what it returned.
-#[derive(Debug, Serialize)]
-pub struct TxnResponse {
-    /// The header.
-    pub header: ResponseHeader,
-    /// Whether all conditions held.
-    #[serde(skip_serializing_if = "is_default")]
-    pub succeeded: bool,
-    /// What the operations returned.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub responses: Vec<ResponseOp>,
-}
-
 /// Names a lease.
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
@@ -396,65 +255,6 @@
     pub ttl_s: Int64,
 }
 
-/// Asks for events.
-#[derive(Debug, Deserialize)]
-pub struct WatchRequest {
-    /// The only kind of request that the gateway takes.
-    pub create_request: WatchCreateRequest,
-}
-
-/// Says which events are wanted.
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-pub struct WatchCreateRequest {
-    /// The first key.
-    pub key: Bytes,
-    /// The first key after the range.
-    pub range_end: Bytes,
-    /// The revision of the first event wanted, 0 for those to come.
-    pub start_revision: Int64,
-}
-
-/// An element of a streamed answer.
-#[derive(Debug, Serialize)]
-pub struct Streamed<Body> {
-    /// The element.
-    pub result: Body,
-}
-
-/// Events, or the beginning or end of a watch.
-#[derive(Debug, Serialize)]
-pub struct WatchResponse {
-    /// The header.
-    pub header: ResponseHeader,
-    /// Whether the watch has just begun.
-    #[serde(skip_serializing_if = "is_default")]
-    pub created: bool,
-    /// Whether the watch has ended.
-    #[serde(skip_serializing_if = "is_default")]
-    pub canceled: bool,
-    /// The oldest revision known, if an older one was asked for.
-    #[serde(skip_serializing_if = "is_default")]
-    pub compact_revision: Int64,
-    /// The events.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub events: Vec<WatchEvent>,
-}
-
-/// A change of a key.
-#[derive(Debug, Serialize)]
-pub struct WatchEvent {
-    #[serde(rename = "type", skip_serializing_if = "Option::is_none")]
-    kind: Option<&'static str>,
-    kv: KeyValue,
-}
-
-impl From<Event> for WatchEvent {
-    fn from(event: Event) -> Self {
-        Self { kind: event.is_deletion.then_some("DELETE"), kv: event.record.into() }
-    }
-}
-
 /// An error as the gateway describes it.
 #[derive(Debug, Serialize)]
 pub struct ErrorResponse {
--- /dev/null
+++ b/standins/src/store/api/watch.rs
@@ -0,0 +1,65 @@
+//! The messages of watches.
+
+use serde::{Deserialize, Serialize};
+
+use crate::store::api::{Bytes, Int64, KeyValue, ResponseHeader, is_default};
+use crate::store::keyspace::Event;
+
+/// Asks for events.
+#[derive(Debug, Deserialize)]
+pub struct WatchRequest {
+    /// The only kind of request that the gateway takes.
+    pub create_request: WatchCreateRequest,
+}
+
+/// Says which events are wanted.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct WatchCreateRequest {
+    /// The first key.
+    pub key: Bytes,
+    /// The first key after the range.
+    pub range_end: Bytes,
+    /// The revision of the first event wanted, 0 for those to come.
+    pub start_revision: Int64,
+}
+
+/// An element of a streamed answer.
+#[derive(Debug, Serialize)]
+pub struct Streamed<Body> {
+    /// The element.
+    pub result: Body,
+}
+
+/// Events, or the beginning or end of a watch.
+#[derive(Debug, Serialize)]
+pub struct WatchResponse {
+    /// The header.
+    pub header: ResponseHeader,
+    /// Whether the watch has just begun.
+    #[serde(skip_serializing_if = "is_default")]
+    pub created: bool,
+    /// Whether the watch has ended.
+    #[serde(skip_serializing_if = "is_default")]
+    pub canceled: bool,
+    /// The oldest revision known, if an older one was asked for.
+    #[serde(skip_serializing_if = "is_default")]
+    pub compact_revision: Int64,
+    /// The events.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub events: Vec<WatchEvent>,
+}
+
+/// A change of a key.
+#[derive(Debug, Serialize)]
+pub struct WatchEvent {
+    #[serde(rename = "type", skip_serializing_if = "Option::is_none")]
+    kind: Option<&'static str>,
+    kv: KeyValue,
+}
+
+impl From<Event> for WatchEvent {
+    fn from(event: Event) -> Self {
+        Self { kind: event.is_deletion.then_some("DELETE"), kv: event.record.into() }
+    }
+}
--- a/standins/src/upstream/database.rs
+++ b/standins/src/upstream/database.rs
@@ -17,6 +17,9 @@
 /// How many prepared statements a connection keeps.
 const STATEMENT_CACHE_CAPACITY: usize = 128;
 
+/// How the names of all directories start.
+const DIRECTORY_PREFIX: &str = "masticreel-standin";
+
 /// Distinguishes the directories of servers in one process.
 static NEXT_DIRECTORY: AtomicU64 = AtomicU64::new(0);
 
@@ -33,8 +36,9 @@
     ///
     /// Fails when the directory can't be created.
     pub fn create(name: &str) -> io::Result<Self> {
+        remove_abandoned();
         let number = NEXT_DIRECTORY.fetch_add(1, Ordering::Relaxed);
-        let leaf = format!("masticreel-standin-{name}-{}-{number}", std::process::id());
+        let leaf = format!("{DIRECTORY_PREFIX}-{}-{number}-{name}", std::process::id());
         let directory = std::env::temp_dir().join(leaf);
         std::fs::create_dir_all(&directory)?;
         Ok(Self { directory })
@@ -82,6 +86,25 @@
     }
 }
 
+/// Removes the directories of processes that were killed.
+fn remove_abandoned() {
+    let Ok(entries) = std::fs::read_dir(std::env::temp_dir()) else {
+        return;
+    };
+    for entry in entries.flatten() {
+        let name = entry.file_name().to_string_lossy().into_owned();
+        let rest = name.strip_prefix(DIRECTORY_PREFIX).and_then(|rest| rest.strip_prefix('-'));
+        let pid = rest.and_then(|rest| rest.split('-').next());
+        let is_abandoned = pid.is_some_and(|pid| {
+            pid.parse::<u32>().is_ok() && !Path::new("/proc").join(pid).exists()
+        });
+        if is_abandoned {
+            // Another server may be removing it at the same time.
+            let _ = std::fs::remove_dir_all(entry.path());
+        }
+    }
+}
+
 /// Adds the functions of PostgreSQL that SQLite lacks.
 fn add_functions(connection: &Connection, interrupt: &Arc<Interrupt>) -> rusqlite::Result<()> {
     let flags = FunctionFlags::SQLITE_UTF8;
--- a/standins/src/upstream/executor.rs
+++ b/standins/src/upstream/executor.rs
@@ -148,8 +148,8 @@
     }
 
     fn is_fenced(&self) -> bool {
-        let epoch = self.server.group.lock().epoch;
-        self.writing.as_ref().is_some_and(|writing| writing.epoch != epoch)
+        let server = &self.server;
+        self.writing.as_ref().is_some_and(|writing| writing.epoch != server.group.lock().epoch)
     }
 
     fn run(&mut self, statement: &Statement, values: &[Value]) -> Result<ResultSet, SqlError> {
--- a/standins/src/upstream/session.rs
+++ b/standins/src/upstream/session.rs
@@ -1,5 +1,7 @@
 //! The protocol of one connection, from its first message to its last.
 
+mod extended;
+
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Write};
 use std::net::TcpStream;
@@ -7,10 +9,7 @@
 
 use bytes::BytesMut;
 use masticreel_base::position::TermPosition;
-use pgwire::messages::data::{DataRow, NoData, ParameterDescription};
-use pgwire::messages::extendedquery::{
-    Bind, BindComplete, CloseComplete, Execute, Parse, ParseComplete, PortalSuspended,
-};
+use pgwire::messages::data::DataRow;
 use pgwire::messages::response::{
     CommandComplete, EmptyQueryResponse, ErrorResponse, ReadyForQuery,
 };
@@ -27,6 +26,7 @@
 use crate::upstream::replication;
 use crate::upstream::result::{Column, ResultSet, row_description};
 use crate::upstream::server::{Admission, CONTROL_USER, Server};
+use crate::upstream::session::extended::{Portal, Prepared};
 use crate::upstream::sql::{self, Command, Statement};
 use crate::upstream::startup::{self, Opening};
 use crate::upstream::value::{self, Format};
@@ -90,22 +90,6 @@
     message.encode(output).expect("the stand-in's messages have a valid size");
 }
 
-/// A prepared statement.
-struct Prepared {
-    statement: Statement,
-    parameter_oids: Vec<u32>,
-    columns: Vec<Column>,
-}
-
-/// A bound statement, with its rows once it was executed.
-struct Portal {
-    prepared: Arc<Prepared>,
-    values: Vec<Value>,
-    formats: Vec<i16>,
-    result: Option<ResultSet>,
-    sent_rows: usize,
-}
-
 struct Session<'a> {
     server: &'a Arc<Server>,
     stream: &'a TcpStream,
@@ -227,31 +211,6 @@
         }
     }
 
-    fn extended(&mut self, message: PgWireFrontendMessage) -> Result<(), SqlError> {
-        match message {
-            PgWireFrontendMessage::Parse(parse) => self.parse(parse),
-            PgWireFrontendMessage::Bind(bind) => self.bind(bind),
-            PgWireFrontendMessage::Describe(describe) => {
-                let name = describe.name.unwrap_or_default();
-                match describe.target_type {
-                    b'S' => self.describe_statement(&name),
-                    _ => self.describe_portal(&name),
-                }
-            }
-            PgWireFrontendMessage::Execute(execute) => self.execute(&execute),
-            PgWireFrontendMessage::Close(close) => {
-                let name = close.name.unwrap_or_default();
-                match close.target_type {
-                    b'S' => drop(self.statements.remove(&name)),
-                    _ => drop(self.portals.remove(&name)),
-                }
-                encode(&mut self.output, &CloseComplete::new());
-                Ok(())
-            }
-            _ => Err(SqlError::new(state::PROTOCOL_VIOLATION, "unexpected message")),
-        }
-    }
-
     fn simple_query(&mut self, text: &str) -> io::Result<()> {
         self.statements.remove("");
         self.portals.clear();
@@ -343,110 +302,6 @@
         }
     }
 
-    fn parse(&mut self, parse: Parse) -> Result<(), SqlError> {
-        let name = parse.name.unwrap_or_default();
-        if !name.is_empty() && self.statements.contains_key(&name) {
-            let message = format!("prepared statement \"{name}\" already exists");
-            return Err(SqlError::new(state::DUPLICATE_STATEMENT, message));
-        }
-        if sql::split(&parse.query).len() > 1 {
-            let message = "cannot insert multiple commands into a prepared statement";
-            return Err(SqlError::new(state::SYNTAX_ERROR, message));
-        }
-        let statement = sql::parse(&parse.query);
-        let (count, columns) = match &statement.command {
-            Command::Query(_) => self.executor.describe(&statement)?,
-            Command::Show(name) => (0, vec![Column::new(name, value::ColumnType::Text)]),
-            Command::Control { .. } => (0, control::columns()),
-            _ => (0, Vec::new()),
-        };
-        let parameter_oids = parameter_oids(&parse.type_oids, count, &statement);
-        self.statements.insert(name, Arc::new(Prepared { statement, parameter_oids, columns }));
-        encode(&mut self.output, &ParseComplete::new());
-        Ok(())
-    }
-
-    fn bind(&mut self, bind: Bind) -> Result<(), SqlError> {
-        let name = bind.statement_name.unwrap_or_default();
-        let prepared = self.statements.get(&name).ok_or_else(|| unknown_statement(&name))?;
-        if bind.parameters.len() != prepared.parameter_oids.len() {
-            let message = format!(
-                "bind message supplies {} parameters, but the statement requires {}",
-                bind.parameters.len(),
-                prepared.parameter_oids.len()
-            );
-            return Err(SqlError::new(state::PROTOCOL_VIOLATION, message));
-        }
-        let mut values = Vec::with_capacity(bind.parameters.len());
-        for (index, parameter) in bind.parameters.iter().enumerate() {
-            let format = Format::of(&bind.parameter_format_codes, index);
-            values.push(match parameter {
-                Some(bytes) => value::decode(bytes, prepared.parameter_oids[index], format)?,
-                None => Value::Null,
-            });
-        }
-        let portal = Portal {
-            prepared: Arc::clone(prepared),
-            values,
-            formats: bind.result_column_format_codes,
-            result: None,
-            sent_rows: 0,
-        };
-        self.portals.insert(bind.portal_name.unwrap_or_default(), portal);
-        encode(&mut self.output, &BindComplete::new());
-        Ok(())
-    }
-
-    fn describe_statement(&mut self, name: &str) -> Result<(), SqlError> {
-        let prepared = self.statements.get(name).ok_or_else(|| unknown_statement(name))?;
-        let parameters = ParameterDescription::new(prepared.parameter_oids.clone());
-        encode(&mut self.output, &parameters);
-        describe_rows(&mut self.output, &prepared.columns, &[]);
-        Ok(())
-    }
-
-    fn describe_portal(&mut self, name: &str) -> Result<(), SqlError> {
-        let portal = self.portals.get(name).ok_or_else(|| unknown_portal(name))?;
-        describe_rows(&mut self.output, &portal.prepared.columns, &portal.formats);
-        Ok(())
-    }
-
-    fn execute(&mut self, execute: &Execute) -> Result<(), SqlError> {
-        let name = execute.name.clone().unwrap_or_default();
-        let mut portal = self.portals.remove(&name).ok_or_else(|| unknown_portal(&name))?;
-        if portal.prepared.statement.command == Command::Empty {
-            encode(&mut self.output, &EmptyQueryResponse::new());
-            self.portals.insert(name, portal);
-            return Ok(());
-        }
-        let result = match portal.result.take() {
-            Some(result) => result,
-            None => self.run_statement(&portal.prepared.statement, &portal.values)?,
-        };
-        let limit = usize::try_from(execute.max_rows).ok().filter(|limit| *limit > 0);
-        let rest = &result.rows[portal.sent_rows..];
-        let count = limit.map_or(rest.len(), |limit| limit.min(rest.len()));
-        for row in &rest[..count] {
-            let columns = &portal.prepared.columns;
-            encode(&mut self.output, &data_row(row, columns, &portal.formats));
-        }
-        // A full count leaves open whether there is more, as in PostgreSQL.
-        if limit == Some(count) {
-            encode(&mut self.output, &PortalSuspended::new());
-        } else {
-            let tag = if result.columns.is_empty() || portal.sent_rows == 0 {
-                result.tag.clone()
-            } else {
-                format!("SELECT {count}")
-            };
-            encode(&mut self.output, &CommandComplete::new(tag));
-        }
-        portal.sent_rows += count;
-        portal.result = Some(result);
-        self.portals.insert(name, portal);
-        Ok(())
-    }
-
     fn sync(&mut self) -> io::Result<()> {
         self.skips_to_sync = false;
         if let Err(error) = self.executor.finish_implicit() {
@@ -483,29 +338,6 @@
     }
 }
 
-/// Completes the declared parameter types by those of casts, else by text.
-fn parameter_oids(declared: &[u32], count: usize, statement: &Statement) -> Vec<u32> {
-    let mut oids = declared.to_vec();
-    oids.resize(count.max(declared.len()), 0);
-    for (number, column_type) in &statement.parameter_casts {
-        if let Some(oid) = number.checked_sub(1).and_then(|index| oids.get_mut(index)) {
-            *oid = if *oid == 0 { column_type.oid() } else { *oid };
-        }
-    }
-    for oid in &mut oids {
-        *oid = if *oid == 0 { value::ColumnType::Text.oid() } else { *oid };
-    }
-    oids
-}
-
-fn describe_rows(output: &mut BytesMut, columns: &[Column], formats: &[i16]) {
-    if columns.is_empty() {
-        encode(output, &NoData::new());
-    } else {
-        encode(output, &row_description(columns, formats));
-    }
-}
-
 fn data_row(row: &[Value], columns: &[Column], formats: &[i16]) -> DataRow {
     let mut data = BytesMut::new();
     for (index, (field, column)) in row.iter().zip(columns).enumerate() {
@@ -518,7 +350,3 @@
     let message = format!("prepared statement \"{name}\" does not exist");
     SqlError::new(state::UNKNOWN_STATEMENT, message)
 }
-
-fn unknown_portal(name: &str) -> SqlError {
-    SqlError::new(state::UNKNOWN_PORTAL, format!("portal \"{name}\" does not exist"))
-}
