testutils: add a closed-loop load tool

masticreel-load draws statements by share from a seed and prints the rate and the latency of each kind. A caller that loses its connection goes to the next target and counts the statement as lost.

Ruled out: a ready-made load tool, which would not name the verdicts of the product. Left: classes and swings.

--- /dev/null
+++ b/testutils/src/load.rs
@@ -0,0 +1,58 @@
+//! Load from callers that each send the next statement after the last answer.
+//!
+//! The caller's statements are drawn at random by their shares, from a seed,
+//! so that two runs send the same statements.
+
+mod caller;
+pub mod report;
+pub mod settings;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use masticreel_base::cancellation::CancellationToken;
+
+use crate::load::caller::Caller;
+use crate::load::report::Report;
+use crate::load::settings::LoadSettings;
+use crate::pg_client::{ClientError, PgClient};
+
+/// Runs the statements that prepare the data, then the load.
+///
+/// # Errors
+///
+/// Fails when the first target does not carry out the preparation.
+pub fn run(settings: LoadSettings) -> Result<Report, ClientError> {
+    set_up(&settings)?;
+    let settings = Arc::new(settings);
+    let token = CancellationToken::new();
+    let start = Instant::now();
+    let callers: Vec<_> = (0..settings.callers)
+        .map(|number| {
+            let caller = Caller::new(Arc::clone(&settings), number, token.child());
+            std::thread::spawn(move || caller.run())
+        })
+        .collect();
+    std::thread::sleep(Duration::from_secs_f64(settings.seconds));
+    token.cancel();
+    let elapsed = start.elapsed();
+    let mut report = Report::new(&settings, elapsed);
+    for caller in callers {
+        report.add(&caller.join().expect("a caller does not panic"));
+    }
+    Ok(report)
+}
+
+fn set_up(settings: &LoadSettings) -> Result<(), ClientError> {
+    if settings.setup.is_empty() {
+        return Ok(());
+    }
+    let mut client =
+        PgClient::connect(settings.targets[0], &settings.start_up(), settings.timeout())?;
+    for sql in &settings.setup {
+        if let Some(error) = client.query(sql)?.error {
+            return Err(ClientError::Refused(error));
+        }
+    }
+    client.close()
+}
