--- a/lib/wire/src/lib.rs
+++ b/lib/wire/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod frame;
 pub mod group;
 pub mod message;
+pub mod signature;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,6 +1,7 @@
-//! What tests and experiments use: a client, the scenario language and a load
-//! tool.
+//! What tests and experiments use: a client, the scenario language, a load
+//! tool and the comparison of admission policies.
 
-pub mod cluster;
+pub mod experiment;
+pub mod load;
 pub mod pg_client;
-pub mod process;
+pub mod processes;
