testutils: cut, kill and restart servers of a deployment; measure the gap

Cause: failover must be tried and measured against processes that fail. Change: a deployment may reach its servers through links that can be cut; a killed server starts again with its log. masticreel-failover-gap fails the primary at seeded moments and reports how long the worst of three callers waits for an acknowledged write that it began after the fault, and how many acknowledged writes are lost. Ports are taken on a random loopback address, since deployments that started together took each other's.

--- /dev/null
+++ b/testutils/src/bin/masticreel-failover-gap.rs
@@ -0,0 +1,199 @@
+//! Measures how long callers wait for an acknowledged write when a primary fails.
+
+use std::collections::BTreeSet;
+use std::io;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use derive_more::{Display, FromStr};
+use masticreel_testutils::pg_client::PgClient;
+use masticreel_testutils::processes::Signal;
+use masticreel_testutils::processes::deployment::{Deployment, DeploymentSettings};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Instances of a deployment, each with one caller that writes.
+const INSTANCES: usize = 3;
+/// Pause between two writes of a caller.
+const WRITE_PAUSE: Duration = Duration::from_millis(2);
+/// The fault comes after a random part of this time.
+const MAX_QUIET_MS: u64 = 500;
+/// How long callers go on after the fault.
+const OBSERVED: Duration = Duration::from_secs(6);
+
+/// How the primary fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, FromStr)]
+#[display(rename_all = "lowercase")]
+#[from_str(rename_all = "lowercase")]
+enum Fault {
+    /// The process is killed.
+    Kill,
+    /// The process is stopped without its connections closing.
+    Freeze,
+    /// Its link is cut.
+    Cut,
+}
+
+/// Measures the failover gap over many runs.
+#[derive(FromArgs)]
+struct Arguments {
+    /// kill, freeze or cut
+    #[argh(option)]
+    fault: Fault,
+    /// whether the store is killed before the fault
+    #[argh(switch)]
+    store_down: bool,
+    /// runs, each with a new deployment
+    #[argh(option, default = "20")]
+    runs: usize,
+    /// seed of the moments at which the fault comes
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how long log entries are under way to replicas, in milliseconds
+    #[argh(option, default = "5")]
+    receive_lag_ms: u64,
+}
+
+/// An acknowledged write.
+struct Acknowledged {
+    id: String,
+    started_at: Instant,
+    acknowledged_at: Instant,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match measure(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("failover-gap: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn measure(arguments: &Arguments) -> io::Result<()> {
+    let mut random = ChaCha8Rng::seed_from_u64(arguments.seed);
+    let mut gaps_ms = Vec::new();
+    let mut lost = 0;
+    for run in 0..arguments.runs {
+        let quiet = Duration::from_millis(random.random_range(0..MAX_QUIET_MS));
+        let outcome = run_once(arguments, quiet)?;
+        println!("run={run} gap_ms={} lost={}", outcome.gap_ms, outcome.lost);
+        gaps_ms.push(outcome.gap_ms);
+        lost += outcome.lost;
+    }
+    gaps_ms.sort_unstable();
+    let at = |share: f64| gaps_ms[((gaps_ms.len() - 1) as f64 * share).round() as usize];
+    println!(
+        "fault={} store={} runs={} seed={} p50_ms={} p99_ms={} max_ms={} lost={lost}",
+        arguments.fault,
+        if arguments.store_down { "down" } else { "up" },
+        arguments.runs,
+        arguments.seed,
+        at(0.5),
+        at(0.99),
+        at(1.0),
+    );
+    Ok(())
+}
+
+struct RunOutcome {
+    /// Time from the fault until every caller had a write acknowledged that it
+    /// began after the fault.
+    gap_ms: u128,
+    /// Acknowledged writes that can't be read any more.
+    lost: usize,
+}
+
+fn run_once(arguments: &Arguments, quiet: Duration) -> io::Result<RunOutcome> {
+    let lag_ms = arguments.receive_lag_ms.to_string();
+    let settings = DeploymentSettings {
+        instances: INSTANCES,
+        server_arguments: vec!["--receive-lag-ms".to_owned(), lag_ms],
+        has_links: true,
+        ..DeploymentSettings::default()
+    };
+    let mut deployment = Deployment::start("failover-gap", settings)?;
+    deployment.wait_until_ready()?;
+    if arguments.store_down {
+        deployment.store.signal(Signal::Kill)?;
+    }
+    let is_done = AtomicBool::new(false);
+    let mut clients = Vec::new();
+    for instance in 0..INSTANCES {
+        clients.push(deployment.client(instance, &[]).map_err(io::Error::other)?);
+    }
+    let (failed_at, writes) = thread::scope(|scope| {
+        let is_done = &is_done;
+        let writers: Vec<_> = clients
+            .into_iter()
+            .enumerate()
+            .map(|(number, client)| scope.spawn(move || write_until(client, number, is_done)))
+            .collect();
+        thread::sleep(quiet);
+        let failed_at = Instant::now();
+        let failed = fail(&mut deployment, arguments.fault);
+        thread::sleep(OBSERVED);
+        is_done.store(true, Ordering::Relaxed);
+        let writes: Vec<Vec<Acknowledged>> =
+            writers.into_iter().map(|writer| writer.join().unwrap_or_default()).collect();
+        failed.map(|()| (failed_at, writes))
+    })?;
+    let gap = writes.iter().map(|writes| gap(writes, failed_at)).max().unwrap_or(OBSERVED);
+    let lost = count_lost(&deployment, &writes)?;
+    Ok(RunOutcome { gap_ms: gap.as_millis(), lost })
+}
+
+fn fail(deployment: &mut Deployment, fault: Fault) -> io::Result<()> {
+    match fault {
+        Fault::Kill => deployment.kill_server(0),
+        Fault::Freeze => deployment.servers[0].signal(Signal::Stop),
+        Fault::Cut => deployment.order_link(0, "cut"),
+    }
+}
+
+fn write_until(mut client: PgClient, writer: usize, is_done: &AtomicBool) -> Vec<Acknowledged> {
+    let mut acknowledged = Vec::new();
+    for number in 0.. {
+        if is_done.load(Ordering::Relaxed) {
+            break;
+        }
+        let id = format!("w{writer}-{number}");
+        let started_at = Instant::now();
+        let answer = client.query(&format!("INSERT INTO notes VALUES ('{id}', {number})"));
+        match answer {
+            Ok(answer) if answer.error.is_none() => {
+                acknowledged.push(Acknowledged { id, started_at, acknowledged_at: Instant::now() });
+            }
+            Ok(_) => {}
+            Err(_) => break,
+        }
+        thread::sleep(WRITE_PAUSE);
+    }
+    acknowledged
+}
+
+fn gap(writes: &[Acknowledged], failed_at: Instant) -> Duration {
+    writes
+        .iter()
+        .filter(|write| write.started_at >= failed_at)
+        .map(|write| write.acknowledged_at - failed_at)
+        .min()
+        .unwrap_or(OBSERVED)
+}
+
+fn count_lost(deployment: &Deployment, writes: &[Vec<Acknowledged>]) -> io::Result<usize> {
+    let mut client = deployment.client(1, &[]).map_err(io::Error::other)?;
+    let answer = client.query("SELECT id FROM notes").map_err(io::Error::other)?;
+    if let Some(error) = &answer.error {
+        return Err(io::Error::other(error.to_string()));
+    }
+    let kept: BTreeSet<&str> =
+        answer.rows().iter().filter_map(|row| row.first()?.as_deref()).collect();
+    let all = writes.iter().flatten();
+    Ok(all.filter(|write| !kept.contains(write.id.as_str())).count())
+}
--- a/testutils/src/processes.rs
+++ b/testutils/src/processes.rs
@@ -4,9 +4,10 @@
 
 pub mod deployment;
 mod document;
+mod faults;
 
 use std::io::{self, BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
@@ -141,9 +142,14 @@
 
 /// Returns an address that nothing listens at now.
 ///
+/// The loopback address is a random one, so that deployments that start at the
+/// same time don't take each other's ports.
+///
 /// # Errors
 ///
 /// Fails when the system has no free port.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+    let [a, b, c]: [u8; 3] = rand::random();
+    let loopback = Ipv4Addr::new(127, a.max(1), b, c.clamp(1, 254));
+    TcpListener::bind((loopback, 0))?.local_addr()
 }
--- a/testutils/src/processes/deployment.rs
+++ b/testutils/src/processes/deployment.rs
@@ -24,6 +24,8 @@
     pub instance_settings: String,
     /// Text appended to the document's only section.
     pub document: String,
+    /// Whether each server is reached through a link that can be cut.
+    pub has_links: bool,
 }
 
 impl Default for DeploymentSettings {
@@ -34,6 +36,7 @@
             server_arguments: Vec::new(),
             instance_settings: String::new(),
             document: String::new(),
+            has_links: false,
         }
     }
 }
@@ -55,6 +58,8 @@
     pub store: Process,
     /// The database servers, the first primary in front.
     pub servers: Vec<Process>,
+    /// The links to the servers, if there are any.
+    pub links: Vec<Process>,
     /// The instances.
     pub instances: Vec<Process>,
     /// The instances' addresses, in the same order.
@@ -73,12 +78,19 @@
         let folder = std::env::temp_dir().join(format!("masticreel-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let store = Process::start("masticreel-standin", &words("store"), None)?;
-        let servers = start_servers(&settings)?;
         let addresses = (0..settings.instances)
             .map(|_| InstanceAddresses::free())
             .collect::<io::Result<Vec<_>>>()?;
-        let mut deployment =
-            Self { store, servers, instances: Vec::new(), addresses, settings, folder };
+        let mut deployment = Self {
+            store,
+            servers: Vec::new(),
+            links: Vec::new(),
+            instances: Vec::new(),
+            addresses,
+            settings,
+            folder,
+        };
+        deployment.start_servers()?;
         deployment.write_document()?;
         for number in 0..deployment.settings.instances {
             let instance = deployment.start_instance(number)?;
@@ -87,6 +99,47 @@
         Ok(deployment)
     }
 
+    fn start_servers(&mut self) -> io::Result<()> {
+        for number in 0..self.settings.servers {
+            if self.settings.has_links {
+                let link = words(&format!("relay --target {UNUSED_ADDRESS}"));
+                self.links.push(Process::start("masticreel-standin", &link, None)?);
+            }
+            let server = self.start_server(number)?;
+            self.servers.push(server);
+            self.point_link(number)?;
+        }
+        Ok(())
+    }
+
+    /// Starts a server, or another life of one, with the log that it had.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the server does not start.
+    pub fn start_server(&self, number: usize) -> io::Result<Process> {
+        let mut arguments = words(&format!("upstream --name {DATABASE}-{number}"));
+        if number > 0 {
+            let primary = self.server_address(0)?;
+            arguments.extend(words(&format!("--initial-role replica --primary {primary}")));
+        }
+        let data = self.folder.join(format!("data-{number}"));
+        arguments.extend(["--data-dir".to_owned(), data.display().to_string()]);
+        arguments.extend(self.settings.server_arguments.iter().cloned());
+        Process::start("masticreel-standin", &arguments, None)
+    }
+
+    /// Returns the address under which a server is known to others.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the server or its link did not say where it listens.
+    pub fn server_address(&self, number: usize) -> io::Result<SocketAddr> {
+        let process = self.links.get(number).or_else(|| self.servers.get(number));
+        let address = process.and_then(|process| process.address("address"));
+        address.ok_or_else(|| missing("server"))
+    }
+
     /// Starts an instance, or another life of one.
     ///
     /// # Errors
@@ -146,8 +199,8 @@
     /// Fails when a server did not say where it listens.
     pub fn document_text(&self) -> io::Result<String> {
         let mut text = format!("[[groups]]\nname = \"{DATABASE}\"\ndatabase = \"{DATABASE}\"\n");
-        for (number, server) in self.servers.iter().enumerate() {
-            let address = server.address("address").ok_or_else(|| missing("server"))?;
+        for number in 0..self.servers.len() {
+            let address = self.server_address(number)?;
             let domain = FAILURE_DOMAINS[number % FAILURE_DOMAINS.len()];
             text.push_str(&format!(
                 "\n[[groups.servers]]\nname = \"{DATABASE}-{number}\"\naddress = \"{address}\"\n\
@@ -176,19 +229,8 @@
     }
 }
 
-fn start_servers(settings: &DeploymentSettings) -> io::Result<Vec<Process>> {
-    let mut servers: Vec<Process> = Vec::new();
-    for number in 0..settings.servers {
-        let mut arguments = words(&format!("upstream --name {DATABASE}-{number}"));
-        if let Some(primary) = servers.first() {
-            let address = primary.address("address").ok_or_else(|| missing("server"))?;
-            arguments.extend(words(&format!("--initial-role replica --primary {address}")));
-        }
-        arguments.extend(settings.server_arguments.iter().cloned());
-        servers.push(Process::start("masticreel-standin", &arguments, None)?);
-    }
-    Ok(servers)
-}
+/// Where links lead until their servers have started.
+const UNUSED_ADDRESS: &str = "127.0.0.1:9";
 
 fn words(text: &str) -> Vec<String> {
     text.split_whitespace().map(str::to_owned).collect()
