--- a/daemon/src/caller/connection.rs
+++ b/daemon/src/caller/connection.rs
@@ -197,7 +197,7 @@
             return Err(Failure::not_run(FailureKind::Unsupported, message));
         }
         let key = SessionKey { entry: context.incarnation, caller: self.number as u64 };
-        let session = Session::new(key, parameters);
+        let session = Session::new(key, parameters)?;
         let cancel_key = context.cancel_keys.issue(key, session.route.running_at.clone());
         self.session = Some(Box::new(session));
         self.cancel_key = Some(cancel_key);
--- a/daemon/src/caller/session.rs
+++ b/daemon/src/caller/session.rs
@@ -9,8 +9,9 @@
 use masticreel_postgres::request::{
     CallerRequest, PreparedStatements, RequestAssembler, RequestError, RequestPlan,
 };
-use masticreel_postgres::startup::{StartupParameters, put_ready};
+use masticreel_postgres::startup::{StartupParameters, put_parameter, put_ready};
 use masticreel_postgres::statement::StatementKind;
+use masticreel_session::token::TOKEN_PARAMETER;
 use masticreel_wire::message::{SessionKey, TransactionState, UpstreamAnswer};
 use pgwire::messages::data::NoData;
 use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
@@ -19,6 +20,7 @@
 };
 
 use crate::directory::OwnerDirectory;
+use crate::entry::identity::SessionIdentity;
 use crate::entry::router::{Router, SessionRoute};
 use crate::owner::guard::ServerGuard;
 
@@ -49,7 +51,11 @@
 
 impl Session {
     /// Opens a session.
-    pub(super) fn new(key: SessionKey, parameters: &StartupParameters) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller brings a malformed token.
+    pub(super) fn new(key: SessionKey, parameters: &StartupParameters) -> Result<Self, Failure> {
         let settings = parameters
             .settings
             .iter()
@@ -62,15 +68,16 @@
             database: parameters.database.as_str().into(),
             settings,
             pinned: None,
+            identity: SessionIdentity::from_startup(parameters)?,
             running_at: Arc::default(),
         };
-        Self {
+        Ok(Self {
             assembler: RequestAssembler::default(),
             route,
             prepared: PreparedStatements::default(),
             transaction: Transaction::None,
             uncommitted_settings: Vec::new(),
-        }
+        })
     }
 
     /// Returns whether the session is between transactions.
@@ -132,6 +139,9 @@
             Some(_) => self.prepared.forget(plan),
         }
         self.note_settings(plan, answer, was_open);
+        if let Some(token) = self.route.identity.take_changed_token() {
+            put_parameter(output, TOKEN_PARAMETER, &token);
+        }
         put_ready(output, self.status());
         if answer.sqlstate.is_some() { RequestOutcome::Failed } else { RequestOutcome::Answered }
     }
--- a/daemon/src/directory.rs
+++ b/daemon/src/directory.rs
@@ -18,8 +18,18 @@
     Remote(SocketAddr),
 }
 
+impl OwnerLocation {
+    /// Returns the address of an owner elsewhere.
+    pub fn peer(self) -> Option<SocketAddr> {
+        match self {
+            Self::Local => None,
+            Self::Remote(peer) => Some(peer),
+        }
+    }
+}
+
 /// Tells the owner of each server.
-pub trait OwnerDirectory: Send + Sync + 'static {
+pub trait OwnerDirectory: Clone + Send + Sync + 'static {
     /// Returns the owners of a server, the one to ask first in front.
     fn owners(&self, server: &ServerSpec) -> Vec<OwnerLocation>;
 }
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -3,4 +3,7 @@
 //! See `docs/design/05-read-your-writes.md` and `docs/design/06-verdicts.md`.
 
 pub mod dispatch;
+pub mod identity;
+mod reads;
 pub mod router;
+mod treatment;
--- a/daemon/src/entry/dispatch.rs
+++ b/daemon/src/entry/dispatch.rs
@@ -1,6 +1,5 @@
 //! Sending a request to the owner of its server, here or elsewhere.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -77,12 +76,4 @@
             OwnerLocation::Remote(peer) => self.links.release(peer, session),
         }
     }
-
-    /// Returns the address of a remote owner.
-    pub fn peer_of(owner: OwnerLocation) -> Option<SocketAddr> {
-        match owner {
-            OwnerLocation::Local => None,
-            OwnerLocation::Remote(peer) => Some(peer),
-        }
-    }
 }
--- /dev/null
+++ b/daemon/src/entry/reads.rs
@@ -0,0 +1,119 @@
+//! Choosing the server that answers a read.
+
+use std::time::{Duration, Instant};
+
+use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_base::ids::ServerId;
+use masticreel_base::position::TermPosition;
+use masticreel_document::groups::{GroupSpec, ServerSpec};
+use masticreel_session::floors::{Floor, Floors};
+use masticreel_session::routing::{Candidate, ReadNeeds, ReadRoute, ReadRouter};
+use masticreel_wire::message::{Target, WireClass};
+
+use crate::directory::OwnerDirectory;
+use crate::entry::router::{Attempts, Destination, Router, SessionRoute};
+use crate::owner::guard::ServerGuard;
+
+/// How long a read may wait for a replica before the primary serves it.
+const READ_PATIENCE: Duration = Duration::from_millis(100);
+
+impl<Guard, Directory> Router<Guard, Directory>
+where
+    Guard: ServerGuard,
+    Directory: OwnerDirectory,
+{
+    /// Returns the server that may answer a read, and what it must show.
+    pub(super) fn read_destination(
+        &self,
+        session: &mut SessionRoute,
+        group: &GroupSpec,
+        attempts: &Attempts<'_>,
+    ) -> Result<Destination, Failure> {
+        let needs = self.read_needs(session, group, attempts)?;
+        let view = self.views.view(&group.name);
+        let is_urgent = attempts.treatment.class() == WireClass::Urgent;
+        let router = ReadRouter {
+            failure_domain: self.failure_domain.clone(),
+            patience: if is_urgent { Duration::ZERO } else { READ_PATIENCE },
+        };
+        let mut candidates: Vec<Candidate> = group.servers.iter().map(candidate).collect();
+        if attempts.avoids_replicas {
+            candidates.clear();
+        }
+        let route = router.route(&view, &candidates, &needs, rand::random(), Instant::now());
+        let server = match route {
+            ReadRoute::Replica(server)
+            | ReadRoute::ReplicaSoon(server)
+            | ReadRoute::Primary(server) => server,
+            ReadRoute::Unknown => return Err(no_server(group)),
+        };
+        let server = spec_of(group, &server).ok_or_else(|| no_server(group))?;
+        let target = Target::Read {
+            floor: needs.floor,
+            max_staleness_ms: needs.max_staleness.map(milliseconds),
+        };
+        Ok(Destination { server, target })
+    }
+
+    fn read_needs(
+        &self,
+        session: &mut SessionRoute,
+        group: &GroupSpec,
+        attempts: &Attempts<'_>,
+    ) -> Result<ReadNeeds, Failure> {
+        let max_staleness = attempts.treatment.traits.max_staleness;
+        let is_named = session.identity.is_named() || attempts.treatment.tags.session.is_some();
+        let known = session.identity.floor(&group.name);
+        let floor = match known {
+            Some(floor) if !is_named => floor,
+            // A new session has written nothing that stale data could hide.
+            None if !is_named && !max_staleness.is_zero() => Floor::default(),
+            _ => {
+                let position = self.current_position(group, attempts)?;
+                if !is_named {
+                    session.identity.note_write(&group.name, position);
+                }
+                raised(group, known.unwrap_or_default(), position)
+            }
+        };
+        Ok(ReadNeeds::new(floor, max_staleness))
+    }
+
+    fn current_position(
+        &self,
+        group: &GroupSpec,
+        attempts: &Attempts<'_>,
+    ) -> Result<TermPosition, Failure> {
+        self.positions.current(&self.views, group, attempts.deadline).ok_or_else(|| {
+            let message = format!("no majority confirms the position of group {}", group.name);
+            Failure::not_run(FailureKind::Unavailable, message)
+        })
+    }
+}
+
+fn raised(group: &GroupSpec, floor: Floor, position: TermPosition) -> Floor {
+    let mut floors: Floors = std::iter::once((group.name.clone(), floor)).collect();
+    floors.note_write(&group.name, position);
+    floors.get(&group.name).unwrap_or_default()
+}
+
+fn candidate(server: &ServerSpec) -> Candidate {
+    Candidate {
+        server: server.name.clone(),
+        failure_domain: server.failure_domain.clone(),
+        leaving: server.leaving,
+    }
+}
+
+fn spec_of(group: &GroupSpec, server: &ServerId) -> Option<ServerSpec> {
+    group.servers.iter().find(|spec| spec.name == *server).cloned()
+}
+
+fn no_server(group: &GroupSpec) -> Failure {
+    let message = format!("no server of group {} shows what the session must see", group.name);
+    Failure::not_run(FailureKind::Unavailable, message)
+}
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/daemon/src/entry/router.rs
+++ b/daemon/src/entry/router.rs
@@ -1,13 +1,14 @@
 //! Choosing the server for a request and trying again where that is safe.
 
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use masticreel_base::failure::{Failure, FailureKind, Verdict};
-use masticreel_base::ids::RequestId;
+use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_base::ids::{FailureDomain, GroupId, RequestId};
 use masticreel_document::groups::{GroupSpec, ServerSpec};
 use masticreel_postgres::request::{NeededStatement, RequestPlan};
 use masticreel_postgres::statement::StatementKind;
+use masticreel_session::retry::{FailedAttempt, RetryDecision, decide};
 use masticreel_wire::message::{
     Pinning, PreparedStatement, SessionKey, Target, TransactionState, UpstreamAnswer,
     UpstreamRequest, WireClass,
@@ -15,15 +16,15 @@
 
 use crate::directory::{OwnerDirectory, OwnerLocation};
 use crate::entry::dispatch::Dispatcher;
+use crate::entry::identity::SessionIdentity;
+use crate::entry::treatment::Treatment;
 use crate::groups::Groups;
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::Outcome;
 use crate::settings::LimitSettings;
+use crate::views::Views;
+use crate::views::positions::Positions;
 
-/// Wait before the first repeated attempt.
-const FIRST_RETRY_DELAY: Duration = Duration::from_millis(5);
-/// Longest wait between two attempts.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// SQLSTATE of a write that a server refused because it is not the primary.
 const SQLSTATE_READ_ONLY: &str = "25006";
 
@@ -40,6 +41,8 @@
     pub settings: Vec<Arc<str>>,
     /// The owner and server that hold the session's open transaction.
     pub pinned: Option<PinnedServer>,
+    /// What the session must see.
+    pub identity: SessionIdentity,
     /// The owner that is running a request of the session, for cancel requests.
     pub running_at: RunningAt,
 }
@@ -62,9 +65,30 @@
 pub struct Router<Guard, Directory> {
     dispatcher: Dispatcher<Guard, Directory>,
     groups: Groups,
+    pub(super) views: Arc<Views<Directory>>,
+    pub(super) positions: Positions,
+    pub(super) failure_domain: FailureDomain,
     limits: LimitSettings,
 }
 
+/// A request under way, with what its failed attempts have taught.
+pub(super) struct Attempts<'request> {
+    plan: &'request RequestPlan,
+    pub(super) treatment: Treatment,
+    pub(super) deadline: Instant,
+    failed: u32,
+    /// A replica could not serve the request, so the primary must.
+    pub(super) avoids_replicas: bool,
+    /// A server said that the request writes.
+    is_write: bool,
+}
+
+/// Where an attempt goes.
+pub(super) struct Destination {
+    pub(super) server: ServerSpec,
+    pub(super) target: Target,
+}
+
 impl<Guard, Directory> Router<Guard, Directory>
 where
     Guard: ServerGuard,
@@ -74,9 +98,12 @@
     pub fn new(
         dispatcher: Dispatcher<Guard, Directory>,
         groups: Groups,
+        views: Arc<Views<Directory>>,
+        failure_domain: FailureDomain,
         limits: LimitSettings,
     ) -> Self {
-        Self { dispatcher, groups, limits }
+        let positions = Positions::default();
+        Self { dispatcher, groups, views, positions, failure_domain, limits }
     }
 
     /// Returns whether a database is in the document.
@@ -91,9 +118,27 @@
     /// Fails with a verdict that says whether the request may have run.
     pub fn run(&self, session: &mut SessionRoute, plan: &RequestPlan) -> Outcome {
         let deadline = Instant::now() + self.limits.request_timeout();
+        let treatment = Treatment::new(plan, self.groups.document().policy())?;
+        if let Some(token) = &treatment.tags.token {
+            session.identity.merge_token(token)?;
+        }
         match session.pinned.clone() {
-            Some(pinned) => self.run_pinned(session, plan, &pinned, deadline),
-            None => self.run_free(session, plan, deadline),
+            Some(_) if treatment.request_key.is_some() => {
+                let message = "a request key can't be used in an open transaction";
+                Err(Failure::not_run(FailureKind::Unsupported, message))
+            }
+            Some(pinned) => self.run_pinned(session, plan, &treatment, &pinned, deadline),
+            None => {
+                let attempts = Attempts {
+                    plan,
+                    is_write: !treatment.is_read || treatment.request_key.is_some(),
+                    treatment,
+                    deadline,
+                    failed: 0,
+                    avoids_replicas: false,
+                };
+                self.run_free(session, attempts)
+            }
         }
     }
 
@@ -113,57 +158,66 @@
         &self,
         session: &mut SessionRoute,
         plan: &RequestPlan,
+        treatment: &Treatment,
         pinned: &PinnedServer,
         deadline: Instant,
     ) -> Outcome {
-        let request =
-            self.request(session, plan, &pinned.group, &pinned.server, Pinning::Pinned, deadline);
+        let mut request = self.request(session, plan, &pinned.group, &pinned.server, deadline);
+        request.pinning = Pinning::Pinned;
+        request.class = treatment.class();
         let outcome = self.run_at(pinned.owner, session, request, deadline);
         if !matches!(&outcome, Ok(answer) if answer.state != TransactionState::Idle) {
             session.pinned = None;
         }
-        outcome
+        match outcome {
+            Ok(answer) => {
+                note_answer(&mut session.identity, &pinned.group.name, &answer, true);
+                Ok(answer)
+            }
+            Err(failure) => Err(transaction_failure(plan, failure)),
+        }
     }
 
-    fn run_free(
-        &self,
-        session: &mut SessionRoute,
-        plan: &RequestPlan,
-        deadline: Instant,
-    ) -> Outcome {
-        let mut delay = FIRST_RETRY_DELAY;
+    fn run_free(&self, session: &mut SessionRoute, mut attempts: Attempts<'_>) -> Outcome {
         loop {
-            let outcome = self.attempt(session, plan, deadline);
-            let outcome = refusal_as_failure(plan, outcome);
-            let Err(failure) = outcome else { return outcome };
-            let out_of_time = Instant::now() + delay >= deadline;
-            if out_of_time || !is_worth_retrying(&failure) {
-                return Err(failure);
+            let outcome = self.attempt(session, &attempts);
+            let failure = match refusal_as_failure(attempts.plan, outcome) {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+            let failed = FailedAttempt {
+                earlier_attempts: attempts.failed,
+                idempotent: attempts.treatment.is_idempotent(),
+                deadline: attempts.deadline,
+            };
+            match decide(&failed, &failure, rand::random(), Instant::now()) {
+                RetryDecision::GiveUp => return Err(failure),
+                RetryDecision::RetryAfter(delay) => std::thread::sleep(delay),
             }
-            std::thread::sleep(delay);
-            delay = MAX_RETRY_DELAY.min(delay * 2);
+            attempts.learn_from(&failure);
         }
     }
 
-    fn attempt(
-        &self,
-        session: &mut SessionRoute,
-        plan: &RequestPlan,
-        deadline: Instant,
-    ) -> Outcome {
+    fn attempt(&self, session: &mut SessionRoute, attempts: &Attempts<'_>) -> Outcome {
         let group = self.groups.by_database(&session.database).ok_or_else(|| {
             let message = format!("database \"{}\" does not exist", session.database);
             Failure::not_run(FailureKind::UnknownDatabase, message)
         })?;
-        let server = self
-            .groups
-            .primary(&group)
-            .ok_or_else(|| Failure::not_run(FailureKind::Unavailable, "the group has no server"))?;
+        let destination = if attempts.is_write {
+            self.primary(&group)?
+        } else {
+            self.read_destination(session, &group, attempts)?
+        };
+        let server = &destination.server;
         let owner = self.dispatcher.owners(server).first().copied().ok_or_else(|| {
             Failure::not_run(FailureKind::Unavailable, "no instance owns the server")
         })?;
-        let request = self.request(session, plan, &group, server, Pinning::Free, deadline);
-        let answer = self.run_at(owner, session, request, deadline)?;
+        let mut request = self.request(session, attempts.plan, &group, server, attempts.deadline);
+        request.target = destination.target;
+        request.class = attempts.treatment.class();
+        request.request_key = attempts.treatment.request_key.clone();
+        let answer = self.run_at(owner, session, request, attempts.deadline)?;
+        note_answer(&mut session.identity, &group.name, &answer, attempts.is_write);
         if answer.state != TransactionState::Idle {
             let pinned = PinnedServer { owner, server: server.clone(), group: group.clone() };
             session.pinned = Some(pinned);
@@ -171,6 +225,16 @@
         Ok(answer)
     }
 
+    pub(super) fn primary(&self, group: &GroupSpec) -> Result<Destination, Failure> {
+        let view = self.views.view(&group.name);
+        let is_primary = |server: &&ServerSpec| view.primary.as_ref() == Some(&server.name);
+        let server = group.servers.iter().find(is_primary).cloned().ok_or_else(|| {
+            let message = format!("group {} has no primary at the moment", group.name);
+            Failure::not_run(FailureKind::Unavailable, message)
+        })?;
+        Ok(Destination { server, target: Target::Primary })
+    }
+
     fn run_at(
         &self,
         owner: OwnerLocation,
@@ -193,7 +257,6 @@
         plan: &RequestPlan,
         group: &GroupSpec,
         server: &ServerSpec,
-        pinning: Pinning,
         deadline: Instant,
     ) -> UpstreamRequest {
         let remaining = deadline.saturating_duration_since(Instant::now());
@@ -203,7 +266,7 @@
             group: group.name.clone(),
             server: server.name.clone(),
             target: Target::Primary,
-            pinning,
+            pinning: Pinning::Free,
             class: WireClass::Normal,
             user: session.user.clone(),
             database: session.database.clone(),
@@ -214,10 +277,31 @@
             payload: plan.payload.clone(),
             prepared: plan.needed.iter().map(prepared_statement).collect(),
             prepares: plan.prepares.clone(),
+            request_key: None,
         }
     }
 }
 
+/// Says that a transaction is gone that was lost before it was to commit.
+///
+/// Its connection is closed, so nothing of it can last.
+fn transaction_failure(plan: &RequestPlan, failure: Failure) -> Failure {
+    let may_commit = plan.statements.iter().any(|statement| {
+        statement.kind == StatementKind::Commit || prepares_transaction(&statement.text)
+    });
+    if may_commit || failure.kind != FailureKind::Lost {
+        return failure;
+    }
+    let message = format!("the transaction was rolled back: {}", failure.message);
+    Failure::not_run(FailureKind::TransactionLost, message)
+}
+
+/// Returns whether a statement may be `PREPARE TRANSACTION`.
+fn prepares_transaction(text: &str) -> bool {
+    let text = text.to_ascii_lowercase();
+    text.contains("prepare") && text.contains("transaction")
+}
+
 /// Turns a server's refusal to write into a failure that can be retried.
 fn refusal_as_failure(plan: &RequestPlan, outcome: Outcome) -> Outcome {
     let answer = outcome?;
@@ -233,17 +317,32 @@
     answer.sqlstate.as_deref() == Some(SQLSTATE_READ_ONLY)
 }
 
-fn is_worth_retrying(failure: &Failure) -> bool {
-    if failure.verdict != Verdict::NotRun {
-        return false;
+impl Attempts<'_> {
+    fn learn_from(&mut self, failure: &Failure) {
+        self.failed += 1;
+        match failure.kind {
+            FailureKind::BehindFloor => self.avoids_replicas = true,
+            FailureKind::NotPrimary if !self.is_write => self.is_write = true,
+            _ => {}
+        }
+    }
+}
+
+/// Raises the session's floor to what it has now written or seen.
+fn note_answer(
+    identity: &mut SessionIdentity,
+    group: &GroupId,
+    answer: &UpstreamAnswer,
+    may_write: bool,
+) {
+    let Some(position) = answer.position else {
+        return;
+    };
+    if may_write && answer.state == TransactionState::Idle {
+        identity.note_write(group, position);
+    } else {
+        identity.note_read(group, position);
     }
-    matches!(
-        failure.kind,
-        FailureKind::Unavailable
-            | FailureKind::NotPrimary
-            | FailureKind::NotOwner
-            | FailureKind::BehindFloor
-    )
 }
 
 fn prepared_statement(needed: &NeededStatement) -> PreparedStatement {
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -3,12 +3,14 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, UNIX_EPOCH};
 
+use crossbeam_channel::{Receiver, unbounded};
 use displaydoc::Display;
 use masticreel_base::cancellation::CancellationToken;
 use masticreel_base::clock::{Clock, SystemClock};
-use masticreel_base::ids::Incarnation;
+use masticreel_base::ids::{Incarnation, ServerId};
 use masticreel_platform::etcd::EtcdStore;
 use masticreel_wire::frame::SharedKey;
 use masticreel_wire::message::Hello;
@@ -24,9 +26,12 @@
 use crate::link::server::LinkServer;
 use crate::metrics::Metrics;
 use crate::operator::OperatorServer;
-use crate::owner::guard::Unguarded;
+use crate::owner::guard::ServerGuard;
 use crate::owner::{Owner, OwnerContext};
 use crate::settings::{PeerSettings, Settings};
+use crate::views::Views;
+use crate::watch::guard::WatchGuard;
+use crate::watch::{ObserverIdentity, Watch};
 
 /// Why an instance can't start.
 #[derive(Debug, Display)]
@@ -52,7 +57,7 @@
 
 /// One running instance.
 pub struct Instance {
-    callers: Arc<CallerServer<Unguarded, StaticDirectory>>,
+    callers: Arc<CallerServer<WatchGuard<StaticDirectory>, StaticDirectory>>,
     caller_address: SocketAddr,
     shutdown_timeout: Duration,
     logger: Logger,
@@ -77,23 +82,53 @@
 
         let documents = start_documents(settings, &metrics, logger, &cancellation)?;
         let groups = Groups::new(documents.cell());
+        let directory = directory(settings);
+        let identity = ObserverIdentity {
+            instance: own.name.clone(),
+            failure_domain: own.failure_domain.clone(),
+            incarnation,
+        };
+        let (demoted, demotions) = unbounded();
+        let watch = Watch::start(
+            identity,
+            groups.clone(),
+            directory.clone(),
+            demoted,
+            logger.clone(),
+            cancellation.clone(),
+        )?;
         let context = OwnerContext {
-            guard: Unguarded,
+            guard: WatchGuard::new(watch.clone()),
             limits: settings.limits.clone(),
             metrics: metrics.clone(),
             logger: logger.clone(),
             cancellation: cancellation.clone(),
         };
         let owner = Arc::new(Owner::new(context, groups.clone()));
+        abandon_demoted(owner.clone(), demotions)?;
         let key = SharedKey::from_text(&own.shared_key);
-        LinkServer::new(owner.clone(), key.clone(), logger.clone(), cancellation.clone())
-            .start(peer_listener)?;
+        let link_server = LinkServer::new(
+            owner.clone(),
+            watch.clone(),
+            key.clone(),
+            logger.clone(),
+            cancellation.clone(),
+        );
+        link_server.start(peer_listener)?;
         OperatorServer::new(metrics.clone()).start(operator_listener, cancellation.clone())?;
 
         let hello = Hello { instance: own.name.clone(), incarnation };
         let links = LinkPool::new(hello, key);
-        let dispatcher = Dispatcher::new(owner, links, directory(settings));
-        let router = Router::new(dispatcher, groups, settings.limits.clone());
+        let views = Views::start(
+            watch,
+            directory.clone(),
+            groups.clone(),
+            links.clone(),
+            cancellation.clone(),
+        )?;
+        let dispatcher = Dispatcher::new(owner, links, directory);
+        let domain = own.failure_domain.clone();
+        let router = Router::new(dispatcher, groups, views, domain, settings.limits.clone());
         let parts = CallerServerParts {
             router,
             incarnation,
@@ -158,6 +193,19 @@
     Ok(documents)
 }
 
+/// Closes connections to replaced primaries, on a thread of its own.
+fn abandon_demoted<Guard>(owner: Arc<Owner<Guard>>, demotions: Receiver<ServerId>) -> io::Result<()>
+where
+    Guard: ServerGuard,
+{
+    thread::Builder::new().name("demotions".to_owned()).spawn(move || {
+        for server in demotions {
+            owner.abandon(&server);
+        }
+    })?;
+    Ok(())
+}
+
 fn directory(settings: &Settings) -> StaticDirectory {
     let own = &settings.instance;
     let mut candidates: Vec<Candidate> =
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -16,3 +16,5 @@
 pub mod operator;
 pub mod owner;
 pub mod settings;
+pub mod views;
+pub mod watch;
--- a/daemon/src/link/client.rs
+++ b/daemon/src/link/client.rs
@@ -8,10 +8,11 @@
 use std::thread;
 use std::time::Duration;
 
-use crossbeam_channel::Sender;
+use crossbeam_channel::{Sender, bounded};
 use masticreel_base::failure::{Failure, FailureKind};
 use masticreel_base::ids::RequestId;
 use masticreel_wire::frame::{FrameReader, SharedKey, Side, handshake};
+use masticreel_wire::group::{PositionRequest, PositionResponse, ViewRequest, ViewResponse};
 use masticreel_wire::message::{
     Hello, LinkMessage, SessionKey, UpstreamRequest, UpstreamResponse, WireClass,
 };
@@ -59,9 +60,16 @@
     next_request: AtomicU64,
 }
 
+/// An answer to a question about groups.
+enum ControlAnswer {
+    Views(ViewResponse),
+    Position(PositionResponse),
+}
+
 struct Link {
     sender: LinkSender,
     pending: Mutex<HashMap<RequestId, Sender<Outcome>>>,
+    questions: Mutex<HashMap<RequestId, Sender<ControlAnswer>>>,
     is_closed: AtomicBool,
 }
 
@@ -90,7 +98,7 @@
         outcome: Sender<Outcome>,
     ) -> Result<(), Failure> {
         let link = self.link(peer, request.class.into())?;
-        request.id = RequestId(self.inner.next_request.fetch_add(1, Ordering::Relaxed));
+        request.id = self.next_id();
         link.request(request, outcome)
     }
 
@@ -104,6 +112,60 @@
         self.notify(peer, &LinkMessage::Cancel(session));
     }
 
+    /// Asks an observer for its views of groups.
+    ///
+    /// Returns nothing if the peer does not answer in time.
+    pub fn ask_views(
+        &self,
+        peer: SocketAddr,
+        request: ViewRequest,
+        timeout: Duration,
+    ) -> Option<ViewResponse> {
+        let id = self.next_id();
+        let question = LinkMessage::ViewRequest(ViewRequest { id, ..request });
+        match self.ask(peer, id, &question, timeout)? {
+            ControlAnswer::Views(response) => Some(response),
+            ControlAnswer::Position(_) => None,
+        }
+    }
+
+    /// Asks an observer for a group's position.
+    ///
+    /// Returns nothing if the peer does not answer in time.
+    pub fn ask_position(
+        &self,
+        peer: SocketAddr,
+        request: PositionRequest,
+        timeout: Duration,
+    ) -> Option<PositionResponse> {
+        let id = self.next_id();
+        let question = LinkMessage::PositionRequest(PositionRequest { id, ..request });
+        match self.ask(peer, id, &question, timeout)? {
+            ControlAnswer::Position(response) => Some(response),
+            ControlAnswer::Views(_) => None,
+        }
+    }
+
+    fn ask(
+        &self,
+        peer: SocketAddr,
+        id: RequestId,
+        question: &LinkMessage,
+        timeout: Duration,
+    ) -> Option<ControlAnswer> {
+        let link = self.link(peer, Lane::Urgent).ok()?;
+        let (sender, receiver) = bounded(1);
+        link.lock_questions().insert(id, sender);
+        let sent = link.sender.send(question);
+        let answer = sent.ok().and_then(|()| receiver.recv_timeout(timeout).ok());
+        link.lock_questions().remove(&id);
+        answer
+    }
+
+    fn next_id(&self) -> RequestId {
+        RequestId(self.inner.next_request.fetch_add(1, Ordering::Relaxed))
+    }
+
     fn notify(&self, peer: SocketAddr, message: &LinkMessage) {
         if let Ok(link) = self.link(peer, Lane::Urgent) {
             // A peer that is gone has ended everything by itself.
@@ -147,6 +209,7 @@
         let link = Arc::new(Self {
             sender,
             pending: Mutex::new(HashMap::new()),
+            questions: Mutex::new(HashMap::new()),
             is_closed: AtomicBool::new(false),
         });
         let reader =
@@ -165,8 +228,15 @@
 
     fn read_responses(&self, mut reader: FrameReader<BufReader<TcpStream>>) {
         while let Ok(message) = reader.receive::<LinkMessage>() {
-            if let LinkMessage::Response(response) = message {
-                self.deliver(response);
+            match message {
+                LinkMessage::Response(response) => self.deliver(response),
+                LinkMessage::ViewResponse(response) => {
+                    self.answer(response.id, ControlAnswer::Views(response));
+                }
+                LinkMessage::PositionResponse(response) => {
+                    self.answer(response.id, ControlAnswer::Position(response));
+                }
+                _ => {}
             }
         }
         self.fail_pending();
@@ -180,6 +250,14 @@
         }
     }
 
+    fn answer(&self, id: RequestId, answer: ControlAnswer) {
+        let receiver = self.lock_questions().remove(&id);
+        if let Some(receiver) = receiver {
+            // Whoever asked may have given up.
+            let _ = receiver.send(answer);
+        }
+    }
+
     fn request(&self, request: UpstreamRequest, outcome: Sender<Outcome>) -> Result<(), Failure> {
         let id = request.id;
         self.lock_pending().insert(id, outcome);
@@ -198,6 +276,7 @@
     fn fail_pending(&self) {
         self.is_closed.store(true, Ordering::Release);
         self.sender.close();
+        self.lock_questions().clear();
         let pending = std::mem::take(&mut *self.lock_pending());
         for receiver in pending.into_values() {
             let message = "the link to the owner broke before the answer came";
@@ -205,6 +284,12 @@
         }
     }
 
+    fn lock_questions(
+        &self,
+    ) -> std::sync::MutexGuard<'_, HashMap<RequestId, Sender<ControlAnswer>>> {
+        self.questions.lock().expect("no holder of the questions panics")
+    }
+
     fn lock_pending(&self) -> std::sync::MutexGuard<'_, HashMap<RequestId, Sender<Outcome>>> {
         self.pending.lock().expect("no holder of the pending requests panics")
     }
--- a/daemon/src/link/server.rs
+++ b/daemon/src/link/server.rs
@@ -9,42 +9,52 @@
 use masticreel_base::cancellation::CancellationToken;
 use masticreel_base::ids::Incarnation;
 use masticreel_wire::frame::{FrameError, FrameReader, SharedKey, Side, handshake};
+use masticreel_wire::group::PositionRequest;
 use masticreel_wire::message::LinkMessage;
 use slog::{Logger, info, warn};
 
+use crate::directory::OwnerDirectory;
 use crate::link::configure;
 use crate::link::sender::LinkSender;
 use crate::owner::Owner;
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::Reply;
+use crate::views::answer_views;
+use crate::views::positions::answer_position;
+use crate::watch::Watch;
 
 /// Longest wait for a peer's part of the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Bytes read from a link at a time.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Stack of a thread that answers one question, in bytes.
+const POSITION_STACK_BYTES: usize = 64 * 1024;
 /// Stack of a link's thread, in bytes.
 const LINK_STACK_BYTES: usize = 256 * 1024;
 
 /// Accepts links and passes their requests to the owner.
-pub struct LinkServer<Guard> {
+pub struct LinkServer<Guard, Directory> {
     owner: Arc<Owner<Guard>>,
+    watch: Arc<Watch<Directory>>,
     key: SharedKey,
     logger: Logger,
     cancellation: CancellationToken,
 }
 
-impl<Guard> LinkServer<Guard>
+impl<Guard, Directory> LinkServer<Guard, Directory>
 where
     Guard: ServerGuard,
+    Directory: OwnerDirectory,
 {
     /// Creates a server of links.
     pub fn new(
         owner: Arc<Owner<Guard>>,
+        watch: Arc<Watch<Directory>>,
         key: SharedKey,
         logger: Logger,
         cancellation: CancellationToken,
     ) -> Self {
-        Self { owner, key, logger, cancellation }
+        Self { owner, watch, key, logger, cancellation }
     }
 
     /// Accepts links on a thread of its own.
@@ -93,6 +103,23 @@
         }
     }
 
+    /// Answers on a thread of its own, since the answer takes a round of polls.
+    fn answer_position(&self, request: PositionRequest, sender: &LinkSender) {
+        let watch = self.watch.clone();
+        let sender = sender.clone();
+        let result = thread::Builder::new()
+            .name("position".to_owned())
+            .stack_size(POSITION_STACK_BYTES)
+            .spawn(move || {
+                let response = answer_position(&watch, &request);
+                // Whoever asked may be gone.
+                let _ = sender.send(&LinkMessage::PositionResponse(response));
+            });
+        if let Err(error) = result {
+            warn!(self.logger, "position not answered"; "error" => %error);
+        }
+    }
+
     fn read_link(
         &self,
         mut stream: TcpStream,
@@ -117,7 +144,14 @@
                 }
                 LinkMessage::Cancel(session) => self.owner.cancel(session),
                 LinkMessage::Release(session) => self.owner.release(session),
-                LinkMessage::Response(_) => {}
+                LinkMessage::ViewRequest(request) => {
+                    let response = answer_views(&self.watch, request);
+                    sender.send(&LinkMessage::ViewResponse(response))?;
+                }
+                LinkMessage::PositionRequest(request) => self.answer_position(request, &sender),
+                LinkMessage::Response(_)
+                | LinkMessage::ViewResponse(_)
+                | LinkMessage::PositionResponse(_) => {}
             }
         }
     }
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -4,6 +4,8 @@
 
 pub mod guard;
 pub mod job;
+mod keyed;
+mod pending;
 pub mod queue;
 mod server;
 mod worker;
@@ -87,6 +89,14 @@
         }
     }
 
+    /// Closes the connections to a server that is not the primary any more.
+    pub fn abandon(&self, server: &ServerId) {
+        let servers = self.all_servers();
+        servers.iter().filter(|known| known.spec().name == *server).for_each(|known| {
+            known.abandon();
+        });
+    }
+
     fn server_spec(&self, request: &UpstreamRequest) -> Option<ServerSpec> {
         let group = self.groups.by_name(&request.group)?;
         group.servers.into_iter().find(|server| server.name == request.server)
--- a/daemon/src/owner/guard.rs
+++ b/daemon/src/owner/guard.rs
@@ -1,31 +1,68 @@
 //! The decisions that surround a request at its server.
 
-use std::time::Instant;
+use std::time::Duration;
 
-use masticreel_base::failure::Failure;
+use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_base::ids::Term;
 use masticreel_base::position::TermPosition;
-use masticreel_wire::message::UpstreamRequest;
+use masticreel_wire::message::{Target, UpstreamRequest};
+
+/// Under what condition a request was let through to its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Admission {
+    /// The term in which the server met the request's demands.
+    pub term: Term,
+}
+
+impl Admission {
+    /// Checks after a read that the server still met its demands.
+    ///
+    /// A server that has changed to another term may have discarded entries.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the answer may lack what the session must see. A read has no
+    /// effect, so it counts as not run.
+    pub fn verify(
+        &self,
+        request: &UpstreamRequest,
+        position: Option<TermPosition>,
+    ) -> Result<(), Failure> {
+        let Target::Read { .. } = request.target else {
+            return Ok(());
+        };
+        if position.is_none_or(|position| position.term <= self.term) {
+            return Ok(());
+        }
+        let message = format!("server {} changed its primary during the read", request.server);
+        Err(Failure::not_run(FailureKind::BehindFloor, message))
+    }
+}
 
 /// Decides whether a server may serve a request, and when a commit is safe.
+///
+/// The checks don't wait: they return nothing while the answer is not known.
 pub trait ServerGuard: Clone + Send + Sync + 'static {
-    /// Checks the server's role and position right before the request runs.
+    /// Checks whether the server meets a request's demands.
     ///
     /// # Errors
     ///
     /// Fails when the server can't serve the request; the request has not run.
-    fn admit(&self, request: &UpstreamRequest, deadline: Instant) -> Result<(), Failure>;
+    fn check_request(&self, request: &UpstreamRequest) -> Option<Result<Admission, Failure>>;
 
-    /// Waits until a commit can't be lost by a promotion.
+    /// Checks whether a commit can't be lost by a promotion.
     ///
     /// # Errors
     ///
-    /// Fails when that is not known in time; the request may have run.
-    fn confirm(
+    /// Fails when that can't be known any more; the request may have run.
+    fn check_commit(
         &self,
         request: &UpstreamRequest,
         position: TermPosition,
-        deadline: Instant,
-    ) -> Result<(), Failure>;
+    ) -> Option<Result<(), Failure>>;
+
+    /// Waits until a check may have another answer, or until the time is over.
+    fn wait_for_change(&self, request: &UpstreamRequest, timeout: Duration);
 }
 
 /// Trusts the server, for a single instance without failover.
@@ -33,16 +70,17 @@
 pub struct Unguarded;
 
 impl ServerGuard for Unguarded {
-    fn admit(&self, _request: &UpstreamRequest, _deadline: Instant) -> Result<(), Failure> {
-        Ok(())
+    fn check_request(&self, _request: &UpstreamRequest) -> Option<Result<Admission, Failure>> {
+        Some(Ok(Admission { term: Term(u64::MAX) }))
     }
 
-    fn confirm(
+    fn check_commit(
         &self,
         _request: &UpstreamRequest,
         _position: TermPosition,
-        _deadline: Instant,
-    ) -> Result<(), Failure> {
-        Ok(())
+    ) -> Option<Result<(), Failure>> {
+        Some(Ok(()))
     }
+
+    fn wait_for_change(&self, _request: &UpstreamRequest, _timeout: Duration) {}
 }
--- a/daemon/src/owner/server.rs
+++ b/daemon/src/owner/server.rs
@@ -3,18 +3,20 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
+use std::time::Instant;
 
 use crossbeam_channel::{Receiver, Sender, unbounded};
 use masticreel_base::failure::{Failure, FailureKind};
 use masticreel_document::groups::ServerSpec;
 use masticreel_postgres::startup::CancelKey;
-use masticreel_postgres::upstream::send_cancel;
+use masticreel_postgres::upstream::{UpstreamCloser, send_cancel};
 use masticreel_wire::message::{Pinning, SessionKey};
 use slog::info;
 
 use crate::owner::OwnerContext;
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::Job;
+use crate::owner::pending::{ADMISSION_PATIENCE, Pending, settle_all};
 use crate::owner::queue::{QueuedRequest, ServerQueue, Ticket};
 use crate::owner::worker::Worker;
 
@@ -39,6 +41,9 @@
     context: OwnerContext<Guard>,
     state: Mutex<State>,
     free_jobs: Sender<Job>,
+    pending: Sender<Pending>,
+    /// The open connections, by the number of their worker.
+    closers: Mutex<HashMap<u32, UpstreamCloser>>,
 }
 
 struct State {
@@ -66,7 +71,10 @@
             holders: HashMap::new(),
             running: HashMap::new(),
         });
-        let server = Arc::new(Self { spec, context, state, free_jobs });
+        let (pending, pending_receiver) = unbounded();
+        let server =
+            Arc::new(Self { spec, context, state, free_jobs, pending, closers: Mutex::default() });
+        server.clone().spawn_settler(pending_receiver);
         for number in 0..connections {
             server.clone().spawn_worker(number, receiver.clone());
         }
@@ -78,7 +86,20 @@
         thread::Builder::new()
             .name(name)
             .stack_size(WORKER_STACK_BYTES)
-            .spawn(move || Worker::new(self, receiver).run())
+            .spawn(move || Worker::new(self, number, receiver).run())
+            .expect("the system has room for the worker threads");
+    }
+
+    fn spawn_settler(self: Arc<Self>, receiver: Receiver<Pending>) {
+        thread::Builder::new()
+            .name(format!("{}-pending", self.spec.name))
+            .stack_size(WORKER_STACK_BYTES)
+            .spawn(move || {
+                let context = &self.context;
+                settle_all(&context.guard, &receiver, &context.cancellation, |job| {
+                    self.enqueue(job);
+                });
+            })
             .expect("the system has room for the worker threads");
     }
 
@@ -90,8 +111,29 @@
         &self.context
     }
 
-    /// Queues a job, or refuses it.
+    /// Queues a job once the server meets its demands, or refuses it.
     pub(super) fn submit(&self, job: Job) {
+        if job.request.pinning == Pinning::Pinned {
+            self.enqueue(job);
+            return;
+        }
+        match self.context.guard.check_request(&job.request) {
+            Some(Ok(_)) => self.enqueue(job),
+            Some(Err(failure)) => job.reply.send(Err(failure)),
+            None => {
+                let give_up_at = job.deadline.min(Instant::now() + ADMISSION_PATIENCE);
+                self.settle_later(Pending::Admission { job, give_up_at });
+            }
+        }
+    }
+
+    /// Passes a request on to wait for something other than a slot.
+    pub(super) fn settle_later(&self, pending: Pending) {
+        // The receiver ends only with the whole instance.
+        let _ = self.pending.send(pending);
+    }
+
+    fn enqueue(&self, job: Job) {
         let mut state = self.lock();
         let session = job.request.session;
         let pinning = job.request.pinning;
@@ -145,6 +187,23 @@
         }
     }
 
+    /// Notes a worker's open connection, or that it has none.
+    pub(super) fn note_connection(&self, worker: u32, closer: Option<UpstreamCloser>) {
+        let mut closers = self.closers.lock().expect("no holder of the closers panics");
+        match closer {
+            Some(closer) => closers.insert(worker, closer),
+            None => closers.remove(&worker),
+        };
+    }
+
+    /// Closes all connections, so that nobody waits for a server that lost its role.
+    pub(super) fn abandon(&self) {
+        let closers = self.closers.lock().expect("no holder of the closers panics");
+        info!(self.context.logger, "server abandoned";
+            "server" => %self.spec.name, "connections" => closers.len());
+        closers.values().for_each(UpstreamCloser::close);
+    }
+
     /// Notes what a worker is about to run, so that it can be cancelled.
     pub(super) fn request_started(&self, session: SessionKey, key: Option<CancelKey>) {
         if let Some(key) = key {
--- a/daemon/src/owner/worker.rs
+++ b/daemon/src/owner/worker.rs
@@ -5,17 +5,21 @@
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_base::position::TermPosition;
 use masticreel_postgres::upstream::{
     Answer, Needed, Preparation, TransactionState, UpstreamAddress, UpstreamConnection,
     UpstreamError,
 };
+use masticreel_session::request_key::KeyedRequest;
 use masticreel_wire::message::{
-    Pinning, Target, TransactionState as WireState, UpstreamAnswer, UpstreamRequest,
+    Pinning, RequestKey, Target, TransactionState as WireState, UpstreamAnswer, UpstreamRequest,
 };
 use slog::warn;
 
-use crate::owner::guard::ServerGuard;
+use crate::owner::guard::{Admission, ServerGuard};
 use crate::owner::job::{Job, Outcome};
+use crate::owner::keyed::KeyedRun;
+use crate::owner::pending::{Pending, not_ready};
 use crate::owner::server::{Command, OwnedServer};
 
 /// Time between two looks at the cancellation token of an idle worker.
@@ -28,6 +32,7 @@
 /// Runs one request after the other.
 pub(super) struct Worker<Guard> {
     server: Arc<OwnedServer<Guard>>,
+    number: u32,
     free_jobs: Receiver<Job>,
     commands: Receiver<Command>,
     holder: Sender<Command>,
@@ -43,9 +48,13 @@
 where
     Guard: ServerGuard,
 {
-    pub(super) fn new(server: Arc<OwnedServer<Guard>>, free_jobs: Receiver<Job>) -> Self {
+    pub(super) fn new(
+        server: Arc<OwnedServer<Guard>>,
+        number: u32,
+        free_jobs: Receiver<Job>,
+    ) -> Self {
         let (holder, commands) = unbounded();
-        Self { server, free_jobs, commands, holder, connection: None }
+        Self { server, number, free_jobs, commands, holder, connection: None }
     }
 
     /// Runs requests until the owner is cancelled.
@@ -82,11 +91,11 @@
     /// Runs one request; returns whether its transaction is still open.
     fn serve(&mut self, job: Job) -> bool {
         let session = job.request.session;
+        let position_before = self.position();
         let outcome = self.execute(&job);
         let is_open = matches!(&outcome, Ok(answer) if answer.state != WireState::Idle);
         self.server.request_finished(session, is_open.then(|| self.holder.clone()));
-        let outcome = self.confirm(&job, outcome);
-        job.reply.send(outcome);
+        self.reply(job, outcome, position_before);
         is_open
     }
 
@@ -98,13 +107,20 @@
                 "the deadline passed in the queue",
             ));
         }
-        if request.pinning == Pinning::Free {
-            self.server.context().guard.admit(request, job.deadline)?;
-            self.connect(request)?;
-        }
+        let admission = match request.pinning {
+            Pinning::Free => {
+                let admission = self.admit(request)?;
+                self.connect(request)?;
+                Some(admission)
+            }
+            Pinning::Pinned => None,
+        };
         let result = self.run_on_connection(request, job.deadline);
         match result {
-            Ok(outcome) => Ok(outcome),
+            Ok(answer) => match admission {
+                Some(admission) => admission.verify(request, answer.position).map(|()| answer),
+                None => Ok(answer),
+            },
             Err(failure) => {
                 self.drop_connection();
                 Err(failure)
@@ -112,6 +128,12 @@
         }
     }
 
+    /// Checks again, since the request may have been queued for long.
+    fn admit(&self, request: &UpstreamRequest) -> Result<Admission, Failure> {
+        let guard = &self.server.context().guard;
+        guard.check_request(request).unwrap_or_else(|| Err(not_ready(request)))
+    }
+
     fn run_on_connection(&mut self, request: &UpstreamRequest, deadline: Instant) -> Outcome {
         let Some(connection) = &mut self.connection else {
             let message = "the transaction was rolled back";
@@ -123,7 +145,7 @@
             .set_timeout(remaining.max(MIN_ANSWER_TIMEOUT))
             .map_err(|error| Failure::not_run(FailureKind::Unavailable, error.to_string()))?;
         self.server.request_started(request.session, upstream.cancel_key());
-        let answer = run_request(upstream, request).map_err(|error| run_failure(&error))?;
+        let answer = run_request(upstream, request)?;
         if request.leaves_state {
             upstream.mark_leaves_state();
         }
@@ -148,6 +170,7 @@
         let timeout = self.server.context().limits.connect_timeout();
         let upstream = UpstreamConnection::connect(&address, timeout)
             .map_err(|error| self.connect_failure(&error))?;
+        self.server.note_connection(self.number, upstream.closer().ok());
         self.connection = Some(OpenConnection { address, upstream });
         self.count_connections(1);
         Ok(())
@@ -159,13 +182,25 @@
         Failure::not_run(FailureKind::Unavailable, format!("server {server}: {error}"))
     }
 
-    fn confirm(&self, job: &Job, outcome: Outcome) -> Outcome {
-        let answer = outcome?;
-        let wrote = job.request.target == Target::Primary && answer.state == WireState::Idle;
-        if let Some(position) = answer.position.filter(|_| wrote) {
-            self.server.context().guard.confirm(&job.request, position, job.deadline)?;
+    /// Replies at once, or once the majority holds what the request committed.
+    fn reply(&self, job: Job, outcome: Outcome, position_before: Option<TermPosition>) {
+        let committed = outcome.as_ref().ok().and_then(|answer| {
+            let has_ended = answer.state == WireState::Idle;
+            let may_write = job.request.target == Target::Primary;
+            answer
+                .position
+                .filter(|position| may_write && has_ended && Some(*position) != position_before)
+        });
+        match (outcome, committed) {
+            (Ok(answer), Some(position)) => {
+                self.server.settle_later(Pending::Commit { job, answer, position });
+            }
+            (outcome, _) => job.reply.send(outcome),
         }
-        Ok(answer)
+    }
+
+    fn position(&self) -> Option<TermPosition> {
+        self.connection.as_ref().and_then(|open| open.upstream.position())
     }
 
     fn roll_back(&mut self) {
@@ -181,6 +216,7 @@
 
     fn drop_connection(&mut self) {
         if self.connection.take().is_some() {
+            self.server.note_connection(self.number, None);
             self.count_connections(-1);
         }
     }
@@ -195,15 +231,19 @@
 fn run_request(
     upstream: &mut UpstreamConnection,
     request: &UpstreamRequest,
-) -> Result<Answer, UpstreamError> {
+) -> Result<Answer, Failure> {
     let needed: Vec<_> = request
         .prepared
         .iter()
         .map(|statement| Needed { name: &statement.name, message: &statement.message })
         .collect();
+    if let Some(RequestKey { key, fingerprint }) = &request.request_key {
+        let key = KeyedRequest { key: key.clone(), fingerprint: *fingerprint };
+        return KeyedRun { upstream, request, key, needed: &needed }.run();
+    }
     let settings = (request.pinning == Pinning::Free).then_some(request.settings.as_slice());
     let preparation = Preparation { settings, needed: &needed, prepares: &request.prepares };
-    upstream.run(preparation, &request.payload)
+    upstream.run(preparation, &request.payload).map_err(|error| run_failure(&error))
 }
 
 fn run_failure(error: &UpstreamError) -> Failure {
--- /dev/null
+++ b/daemon/src/watch/guard.rs
@@ -0,0 +1,123 @@
+//! Lets requests through to servers according to what the watch knows.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_base::ids::ServerId;
+use masticreel_base::position::TermPosition;
+use masticreel_group::observer::GroupObserver;
+use masticreel_group::view::GroupView;
+use masticreel_session::routing::ReadNeeds;
+use masticreel_wire::message::{Target, UpstreamRequest};
+
+use crate::directory::OwnerDirectory;
+use crate::owner::guard::{Admission, ServerGuard};
+use crate::watch::Watch;
+use crate::watch::group::{Interest, WatchedGroup};
+
+/// A primary gets new work only if a majority confirmed it this recently.
+const PRIMARY_PROOF_AGE: Duration = Duration::from_millis(500);
+
+/// Admits requests and confirms commits by what the observers saw.
+pub struct WatchGuard<Directory> {
+    watch: Arc<Watch<Directory>>,
+}
+
+impl<Directory> Clone for WatchGuard<Directory> {
+    fn clone(&self) -> Self {
+        Self { watch: self.watch.clone() }
+    }
+}
+
+impl<Directory> WatchGuard<Directory>
+where
+    Directory: OwnerDirectory,
+{
+    /// Creates a guard that relies on a watch.
+    pub fn new(watch: Arc<Watch<Directory>>) -> Self {
+        Self { watch }
+    }
+
+    fn group(&self, request: &UpstreamRequest) -> Option<Arc<WatchedGroup>> {
+        self.watch.group(&request.group)
+    }
+}
+
+impl<Directory> ServerGuard for WatchGuard<Directory>
+where
+    Directory: OwnerDirectory,
+{
+    fn check_request(&self, request: &UpstreamRequest) -> Option<Result<Admission, Failure>> {
+        let Some(group) = self.group(request) else {
+            let message = format!("this instance does not watch group {}", request.group);
+            return Some(Err(Failure::not_run(FailureKind::NotOwner, message)));
+        };
+        let view = group.view();
+        let now = Instant::now();
+        match &request.target {
+            Target::Primary => check_primary(&view, &request.server, now),
+            Target::Read { floor, max_staleness_ms } => {
+                let max_staleness = max_staleness_ms.map(Duration::from_millis);
+                let needs = ReadNeeds { floor: *floor, max_staleness };
+                let is_met = needs.are_met_in(&view, &request.server, now);
+                is_met.then_some(Ok(Admission { term: view.term }))
+            }
+        }
+    }
+
+    fn check_commit(
+        &self,
+        request: &UpstreamRequest,
+        position: TermPosition,
+    ) -> Option<Result<(), Failure>> {
+        match self.group(request) {
+            Some(group) => group.with_observer(|observer| check_commit(observer, position)),
+            None => Some(Err(unconfirmed("the group is not watched here any more"))),
+        }
+    }
+
+    fn wait_for_change(&self, request: &UpstreamRequest, timeout: Duration) {
+        let interest = match &request.target {
+            Target::Primary => Interest::AllServers,
+            Target::Read { .. } => Interest::Server(request.server.clone()),
+        };
+        match self.group(request) {
+            Some(group) => group.wait_for_report(&interest, timeout),
+            None => std::thread::sleep(timeout),
+        }
+    }
+}
+
+fn check_commit(observer: &GroupObserver, position: TermPosition) -> Option<Result<(), Failure>> {
+    if observer.is_durable(position) || observer.is_inherited(position) {
+        return Some(Ok(()));
+    }
+    let is_superseded = observer.term() > position.term;
+    is_superseded
+        .then(|| Err(unconfirmed("the primary was replaced before a majority held the commit")))
+}
+
+fn check_primary(
+    view: &GroupView,
+    server: &ServerId,
+    now: Instant,
+) -> Option<Result<Admission, Failure>> {
+    let primary = view.primary.as_ref()?;
+    if primary != server {
+        let message = format!("server {server} is not the primary");
+        return Some(Err(Failure::not_run(FailureKind::NotPrimary, message)));
+    }
+    is_proven(view, now).then_some(Ok(Admission { term: view.term }))
+}
+
+fn is_proven(view: &GroupView, now: Instant) -> bool {
+    view.confirmed.is_some_and(|confirmed| {
+        let age = now.saturating_duration_since(confirmed.as_of);
+        confirmed.position.term == view.term && age <= PRIMARY_PROOF_AGE
+    })
+}
+
+fn unconfirmed(message: &str) -> Failure {
+    Failure::may_have_run(FailureKind::Unconfirmed, message)
+}
--- /dev/null
+++ b/daemon/src/watch/poller.rs
@@ -0,0 +1,96 @@
+//! The thread that talks to one server on one control connection.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_group::observer::PollReport;
+use masticreel_group::promotion::{Order, OrderKind, OrderOutcome};
+use masticreel_group::server::{ServerControl, ServerStatus};
+use masticreel_postgres::control::PostgresControl;
+use slog::debug;
+
+use crate::watch::group::{Duty, WatchedGroup};
+
+/// Longest wait for a server's answer on a control connection.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(250);
+/// Stack of a poller thread, in bytes.
+const POLLER_STACK_BYTES: usize = 256 * 1024;
+
+/// Starts the thread for one server of a group.
+pub(super) fn spawn(group: Arc<WatchedGroup>, index: usize) {
+    let server = group.server(index);
+    let database = group.spec().database.clone();
+    let control = PostgresControl::new(server.address, &database, CONTROL_TIMEOUT);
+    thread::Builder::new()
+        .name(format!("poll-{}", server.name))
+        .stack_size(POLLER_STACK_BYTES)
+        .spawn(move || run(&group, index, control))
+        .expect("the system has room for the poller threads");
+}
+
+fn run<Control>(group: &WatchedGroup, index: usize, mut control: Control)
+where
+    Control: ServerControl,
+{
+    let mut last_started_at = None;
+    loop {
+        match group.next_duty(index, last_started_at) {
+            Duty::Stop => return,
+            Duty::Poll => {
+                let started_at = Instant::now();
+                last_started_at = Some(started_at);
+                let status = poll(group, index, &mut control);
+                let server = group.server(index).name.clone();
+                group.on_report(PollReport { server, started_at, status });
+            }
+            Duty::Obey(order) => {
+                let outcome = obey(group, &order, &mut control);
+                group.on_outcome(&order, outcome);
+                last_started_at = None;
+            }
+        }
+    }
+}
+
+fn poll<Control>(group: &WatchedGroup, index: usize, control: &mut Control) -> Option<ServerStatus>
+where
+    Control: ServerControl,
+{
+    match control.status() {
+        Ok(status) => Some(status),
+        Err(failure) => {
+            debug!(group.logger(), "server not polled";
+                "server" => %group.server(index).name, "error" => %failure);
+            None
+        }
+    }
+}
+
+fn obey<Control>(group: &WatchedGroup, order: &Order, control: &mut Control) -> OrderOutcome
+where
+    Control: ServerControl,
+{
+    let result = match &order.kind {
+        OrderKind::Fence { term, claim } => control.fence(*term, claim),
+        OrderKind::Promote { term, claim } => control.promote(*term, claim),
+        OrderKind::Follow { term, primary } => {
+            let primary = group.spec().servers.iter().find(|server| server.name == *primary);
+            match primary {
+                Some(primary) => control.follow(*term, primary.address),
+                None => return OrderOutcome::Refused,
+            }
+        }
+    };
+    match result {
+        Ok(status) => OrderOutcome::Done(status),
+        Err(failure) if is_refusal(&failure) => OrderOutcome::Refused,
+        Err(_) => OrderOutcome::Lost,
+    }
+}
+
+/// The server itself said that it does not obey.
+fn is_refusal(failure: &Failure) -> bool {
+    failure.kind == FailureKind::NotPrimary
+}
--- /dev/null
+++ b/daemon/tests/test_failover.rs
@@ -0,0 +1,96 @@
+//! Failover and read-your-writes against separate processes.
+
+use std::time::{Duration, Instant};
+
+use masticreel_testutils::pg_client::PgClient;
+use masticreel_testutils::processes::Signal;
+use masticreel_testutils::processes::deployment::{Deployment, DeploymentSettings};
+
+const FAILOVER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Starts three servers behind links, and three instances.
+fn start(name: &str, server_arguments: &[&str]) -> Deployment {
+    let settings = DeploymentSettings {
+        instances: 3,
+        server_arguments: server_arguments.iter().map(|word| word.to_string()).collect(),
+        has_links: true,
+        ..DeploymentSettings::default()
+    };
+    let deployment = Deployment::start(name, settings).expect("the deployment starts");
+    deployment.wait_until_ready().expect("writes are acknowledged");
+    deployment
+}
+
+fn insert(client: &mut PgClient, id: &str) {
+    let sql = format!("INSERT INTO notes VALUES ('{id}', 1)");
+    let answer = client.query(&sql).expect("the instance answers");
+    assert_eq!(answer.error, None, "the write of {id} failed");
+}
+
+fn count(client: &mut PgClient, id: &str) -> String {
+    let sql = format!("SELECT count(*) FROM notes WHERE id = '{id}'");
+    let answer = client.query(&sql).expect("the instance answers");
+    assert_eq!(answer.error, None, "the read of {id} failed");
+    answer.value().unwrap_or_default().to_owned()
+}
+
+/// Writes until a write is acknowledged and returns its name.
+fn insert_eventually(client: &mut PgClient, prefix: &str) -> String {
+    let deadline = Instant::now() + FAILOVER_TIMEOUT;
+    for attempt in 0.. {
+        let id = format!("{prefix}-{attempt}");
+        let sql = format!("INSERT INTO notes VALUES ('{id}', 1)");
+        let answer = client.query(&sql).expect("the instance answers");
+        if answer.error.is_none() {
+            return id;
+        }
+        assert!(Instant::now() < deadline, "no write was acknowledged: {:?}", answer.error);
+    }
+    unreachable!("the loop ends by the deadline")
+}
+
+#[test]
+fn test_acknowledged_writes_survive_a_killed_primary() {
+    let mut deployment = start("kill", &["--receive-lag-ms", "20"]);
+    let mut client = deployment.client(1, &[]).expect("the instance accepts");
+    for number in 0..20 {
+        insert(&mut client, &format!("before-{number}"));
+    }
+    deployment.kill_server(0).expect("the server runs");
+    let after = insert_eventually(&mut client, "after");
+    for number in 0..20 {
+        assert_eq!(count(&mut client, &format!("before-{number}")), "1");
+    }
+    assert_eq!(count(&mut client, &after), "1");
+    deployment.restart_server(0).expect("the server starts");
+    deployment.wait_for_role(0, "replica", FAILOVER_TIMEOUT).expect("the old primary follows");
+}
+
+#[test]
+fn test_thawed_primary_acknowledges_nothing() {
+    let mut deployment = start("freeze", &[]);
+    let mut client = deployment.client(0, &[]).expect("the instance accepts");
+    insert(&mut client, "before");
+    deployment.servers[0].signal(Signal::Stop).expect("the signal is sent");
+    let mut other = deployment.client(1, &[]).expect("the instance accepts");
+    let after = insert_eventually(&mut other, "after");
+    deployment.servers[0].signal(Signal::Continue).expect("the signal is sent");
+    deployment.wait_for_role(0, "replica", FAILOVER_TIMEOUT).expect("the old primary follows");
+    insert(&mut client, "later");
+    for id in ["before", &after, "later"] {
+        assert_eq!(count(&mut other, id), "1");
+    }
+}
+
+#[test]
+fn test_cut_off_primary_is_replaced_and_follows_when_healed() {
+    let deployment = start("cut", &[]);
+    let mut client = deployment.client(2, &[]).expect("the instance accepts");
+    insert(&mut client, "before");
+    deployment.order_link(0, "cut").expect("the link obeys");
+    let after = insert_eventually(&mut client, "after");
+    deployment.order_link(0, "heal").expect("the link obeys");
+    deployment.wait_for_role(0, "replica", FAILOVER_TIMEOUT).expect("the old primary follows");
+    assert_eq!(count(&mut client, "before"), "1");
+    assert_eq!(count(&mut client, &after), "1");
+}
