owner: reset a connection before another session gets it

The reset was sent ahead of the next request in the same write, so its failure could not stop that request; and the stand-in's DISCARD ALL left temporary tables alone and shipped them to replicas. Change: the worker resets after a session and closes the connection if that fails; settings are set and checked before a request is sent; the stand-in forgets temporary objects. A request handed over while its transaction ends is refused at once instead of waiting for its deadline. Ruled out: named statements (the test of strangers' statements was green). Left: cancel requests reach only the instance that issued the key.

--- a/daemon/src/owner/server.rs
+++ b/daemon/src/owner/server.rs
@@ -97,8 +97,7 @@
         let pinning = job.request.pinning;
         if pinning == Pinning::Pinned && !state.holders.contains_key(&session) {
             drop(state);
-            let message = "the transaction was rolled back";
-            job.reply.send(Err(Failure::not_run(FailureKind::TransactionLost, message)));
+            refuse_lost(job);
             return;
         }
         let ticket = Ticket(state.next_ticket);
@@ -179,11 +178,18 @@
             orphans.iter().filter_map(|ticket| state.jobs.remove(ticket)).collect();
         self.dispatch(state);
         for job in jobs {
-            let message = "the transaction was rolled back";
-            job.reply.send(Err(Failure::not_run(FailureKind::TransactionLost, message)));
+            refuse_lost(job);
         }
     }
 
+    /// Refuses a request that was started for a transaction that has ended.
+    pub(super) fn refuse_started(&self, job: Job) {
+        let mut state = self.lock();
+        state.queue.slot_freed();
+        self.dispatch(state);
+        refuse_lost(job);
+    }
+
     /// Hands the requests that can start to workers.
     fn dispatch(&self, mut state: MutexGuard<'_, State>) {
         for request in state.queue.startable() {
@@ -210,3 +216,8 @@
         self.state.lock().expect("no holder of the server's state panics")
     }
 }
+
+fn refuse_lost(job: Job) {
+    let message = "the transaction was rolled back";
+    job.reply.send(Err(Failure::not_run(FailureKind::TransactionLost, message)));
+}
--- a/daemon/src/owner/worker.rs
+++ b/daemon/src/owner/worker.rs
@@ -22,8 +22,8 @@
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Shortest wait for an answer; a zero wait would mean none at all.
 const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(1);
-/// Longest wait for a rollback after which the connection is closed.
-const ROLLBACK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for a rollback or reset, after which the connection is closed.
+const RESET_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Runs one request after the other.
 pub(super) struct Worker<Guard> {
@@ -62,9 +62,22 @@
 
     /// Runs a request and whatever follows in its transaction.
     fn serve_session(&mut self, job: Job) {
+        self.serve_transaction(job);
+        self.reset();
+    }
+
+    /// Makes the connection fit for another session.
+    fn reset(&mut self) {
+        let Some(open) = &mut self.connection else { return };
+        let is_reset =
+            open.upstream.set_timeout(RESET_TIMEOUT).is_ok() && open.upstream.reset().is_ok();
+        if !is_reset {
+            self.drop_connection();
+        }
+    }
+
+    fn serve_transaction(&mut self, job: Job) {
         let session = job.request.session;
-        // Commands of an earlier session that came too late mean nothing now.
-        while self.commands.try_recv().is_ok() {}
         let mut is_open = self.serve(job);
         while is_open {
             let timeout = self.server.context().limits.transaction_idle_timeout();
@@ -73,12 +86,24 @@
                 Ok(Command::Release) | Err(_) => {
                     self.roll_back();
                     self.server.holder_gone(session);
+                    self.refuse_late_requests();
                     return;
                 }
             }
         }
     }
 
+    /// Answers requests that were handed over while the transaction ended.
+    ///
+    /// No more can come, since the session holds this worker no longer.
+    fn refuse_late_requests(&self) {
+        for command in self.commands.try_iter() {
+            if let Command::Run(job) = command {
+                self.server.refuse_started(job);
+            }
+        }
+    }
+
     /// Runs one request; returns whether its transaction is still open.
     fn serve(&mut self, job: Job) -> bool {
         let session = job.request.session;
@@ -122,6 +147,10 @@
         upstream
             .set_timeout(remaining.max(MIN_ANSWER_TIMEOUT))
             .map_err(|error| Failure::not_run(FailureKind::Unavailable, error.to_string()))?;
+        if request.pinning == Pinning::Free {
+            let settings = &request.settings;
+            upstream.adopt_settings(settings).map_err(|error| settings_failure(&error))?;
+        }
         self.server.request_started(request.session, upstream.cancel_key());
         let answer = run_request(upstream, request).map_err(|error| run_failure(&error))?;
         if request.leaves_state {
@@ -170,7 +199,7 @@
 
     fn roll_back(&mut self) {
         let Some(open) = &mut self.connection else { return };
-        let rolled_back = open.upstream.set_timeout(ROLLBACK_TIMEOUT).is_ok()
+        let rolled_back = open.upstream.set_timeout(RESET_TIMEOUT).is_ok()
             && open.upstream.query("ROLLBACK").is_ok_and(|answer| answer.sqlstate.is_none());
         if !rolled_back {
             self.drop_connection();
@@ -201,11 +230,14 @@
         .iter()
         .map(|statement| Needed { name: &statement.name, message: &statement.message })
         .collect();
-    let settings = (request.pinning == Pinning::Free).then_some(request.settings.as_slice());
-    let preparation = Preparation { settings, needed: &needed, prepares: &request.prepares };
+    let preparation = Preparation { needed: &needed, prepares: &request.prepares };
     upstream.run(preparation, &request.payload)
 }
 
+fn settings_failure(error: &UpstreamError) -> Failure {
+    Failure::not_run(FailureKind::Unsupported, format!("the session's settings: {error}"))
+}
+
 fn run_failure(error: &UpstreamError) -> Failure {
     Failure::may_have_run(FailureKind::Lost, error.to_string())
 }
--- a/lib/postgres/src/upstream.rs
+++ b/lib/postgres/src/upstream.rs
@@ -88,8 +88,6 @@
 /// What a connection must look like before a request runs.
 #[derive(Debug, Clone, Copy)]
 pub struct Preparation<'a> {
-    /// Statements that set the session's parameters; nothing in a transaction.
-    pub settings: Option<&'a [Arc<str>]>,
     /// Statements that the request uses.
     pub needed: &'a [Needed<'a>],
     /// Names that the request prepares itself.
@@ -186,6 +184,7 @@
     /// Notes that the last request left more behind than prepared statements.
     pub fn mark_leaves_state(&mut self) {
         self.leaves_state = true;
+        self.settings = None;
     }
 
     /// Returns whether the idle connection is still open and silent.
@@ -216,22 +215,18 @@
         for _ in 0..skipped_answers {
             let skipped = self.read_answer()?;
             if skipped.sqlstate.is_some() {
-                self.forget_preparation();
+                self.prepared.clear();
             }
         }
         let answer = self.read_answer()?;
         for name in preparation.prepares {
             self.prepared.remove(name);
         }
+        // The server keeps the statements until they are replaced or discarded.
+        self.leaves_state |= self.prepared.len() > MAX_PREPARED;
         Ok(answer)
     }
 
-    /// Notes that it isn't known which preparations took effect.
-    fn forget_preparation(&mut self) {
-        self.settings = None;
-        self.prepared.clear();
-    }
-
     /// Runs a simple query that needs no preparation.
     ///
     /// # Errors
@@ -240,42 +235,60 @@
     pub fn query(&mut self, sql: &str) -> Result<Answer, UpstreamError> {
         let mut packet = BytesMut::new();
         put_message(&mut packet, &Query::new(sql.to_owned()));
-        let preparation = Preparation { settings: None, needed: &[], prepares: &[] };
+        let preparation = Preparation { needed: &[], prepares: &[] };
         self.run(preparation, &packet)
     }
 
-    /// Appends what the request needs first; returns how many answers that yields.
-    fn put_preparation(&mut self, packet: &mut BytesMut, preparation: Preparation<'_>) -> usize {
-        let mut answers = 0;
-        if let Some(settings) = preparation.settings {
-            answers += self.put_settings(packet, settings);
+    /// Ends what the last requests left behind besides prepared statements.
+    ///
+    /// # Errors
+    ///
+    /// As [`UpstreamConnection::run`], also when the server refuses.
+    pub fn reset(&mut self) -> Result<(), UpstreamError> {
+        if !self.leaves_state {
+            return Ok(());
         }
-        answers + self.put_statements(packet, preparation)
+        self.query_checked("DISCARD ALL")?;
+        self.leaves_state = false;
+        self.prepared.clear();
+        self.settings = Some(Vec::new());
+        Ok(())
     }
 
-    fn put_settings(&mut self, packet: &mut BytesMut, settings: &[Arc<str>]) -> usize {
-        let mut answers = 0;
-        if self.leaves_state || self.prepared.len() > MAX_PREPARED {
-            put_message(packet, &Query::new("DISCARD ALL".to_owned()));
-            self.leaves_state = false;
-            self.prepared.clear();
-            self.settings = Some(Vec::new());
-            answers += 1;
+    /// Gives the connection a session's settings before any of its requests.
+    ///
+    /// # Errors
+    ///
+    /// As [`UpstreamConnection::run`], also when the server refuses a setting;
+    /// no request has been sent then.
+    pub fn adopt_settings(&mut self, settings: &[Arc<str>]) -> Result<(), UpstreamError> {
+        if self.settings.as_deref() == Some(settings) {
+            return Ok(());
         }
-        if self.settings.as_deref() != Some(settings) {
-            let mut sql = "RESET ALL".to_owned();
-            for setting in settings {
-                sql.push_str("; ");
-                sql.push_str(setting);
+        let mut sql = "RESET ALL".to_owned();
+        for setting in settings {
+            sql.push_str("; ");
+            sql.push_str(setting);
+        }
+        self.settings = None;
+        self.query_checked(&sql)?;
+        self.settings = Some(settings.to_vec());
+        Ok(())
+    }
+
+    fn query_checked(&mut self, sql: &str) -> Result<(), UpstreamError> {
+        let answer = self.query(sql)?;
+        match answer.sqlstate {
+            None => Ok(()),
+            Some(code) => {
+                let message = error_field(&answer.payload, b'M').unwrap_or_default();
+                Err(UpstreamError::Refused { code: code.to_string(), message })
             }
-            put_message(packet, &Query::new(sql));
-            self.settings = Some(settings.to_vec());
-            answers += 1;
         }
-        answers
     }
 
-    fn put_statements(&mut self, packet: &mut BytesMut, preparation: Preparation<'_>) -> usize {
+    /// Appends what the request needs first; returns how many answers that yields.
+    fn put_preparation(&mut self, packet: &mut BytesMut, preparation: Preparation<'_>) -> usize {
         let before = packet.len();
         for needed in preparation.needed {
             if self.prepared.get(needed.name).is_some_and(|known| known == needed.message) {
--- a/standins/src/upstream/executor.rs
+++ b/standins/src/upstream/executor.rs
@@ -142,6 +142,13 @@
         }
     }
 
+    /// Forgets temporary objects, which end with the SQLite connection.
+    pub fn discard_temporary(&mut self) {
+        self.roll_back();
+        *self.connection.lock().expect("no holder of the connection panics") = None;
+        self.generation = None;
+    }
+
     /// Forgets the transaction, as at the end of the connection.
     pub fn close(&mut self) {
         self.roll_back();
@@ -305,7 +312,11 @@
         Ok(result)
     }
 
+    /// Logs a statement for the replicas, unless it concerns this connection only.
     fn log(&mut self, statement: &Statement, values: &[Value]) {
+        if statement.creates_temporary() {
+            return;
+        }
         let parameters = values.iter().cloned().map(LoggedValue::from).collect();
         let logged = LoggedStatement { sql: statement.sql.as_str().into(), parameters };
         if let Some(writing) = &mut self.writing {
--- a/standins/src/upstream/session.rs
+++ b/standins/src/upstream/session.rs
@@ -265,6 +265,7 @@
                 self.interrupt.reset(None, &self.defaults);
                 self.statements.clear();
                 self.portals.clear();
+                self.executor.discard_temporary();
                 Ok(ResultSet::tag_only("DISCARD ALL"))
             }
             Command::Deallocate(None) => {
--- a/standins/src/upstream/sql.rs
+++ b/standins/src/upstream/sql.rs
@@ -15,6 +15,15 @@
     pub parameter_casts: Vec<(usize, ColumnType)>,
 }
 
+impl Statement {
+    /// Returns whether the statement makes an object of one connection only.
+    pub fn creates_temporary(&self) -> bool {
+        let mut words = self.sql.split_whitespace().map(str::to_ascii_lowercase);
+        words.next().as_deref() == Some("create")
+            && matches!(words.next().as_deref(), Some("temp" | "temporary"))
+    }
+}
+
 /// A statement's kind, with its arguments if the stand-in carries it out itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Command {
--- a/standins/tests/test_upstream.rs
+++ b/standins/tests/test_upstream.rs
@@ -99,6 +99,16 @@
     assert_eq!(run(&mut reader, "SELECT count(*) FROM t"), "1");
 }
 
+#[test]
+fn test_discard_ends_temporary_tables() {
+    let server = start(|_| {});
+    let mut client = connect(server.address());
+    run(&mut client, "BEGIN; CREATE TEMP TABLE scratch (id INT); COMMIT");
+    assert_eq!(client.query("SELECT * FROM scratch").unwrap().error_code(), None);
+    run(&mut client, "DISCARD ALL");
+    assert_eq!(client.query("SELECT * FROM scratch").unwrap().error_code(), Some("42P01"));
+}
+
 #[test]
 fn test_extended_queries_pipelines_and_large_rows() {
     let server = start(|_| {});
--- a/testutils/src/processes.rs
+++ b/testutils/src/processes.rs
@@ -6,9 +6,10 @@
 mod document;
 
 use std::io::{self, BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 
 /// Signals that a test sends to a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -139,11 +140,13 @@
         .ok_or_else(|| io::Error::other(format!("{program} is not built beside {running:?}")))
 }
 
-/// Returns an address that nothing listens at now.
+/// Returns a loopback address that no other test uses.
 ///
-/// # Errors
-///
-/// Fails when the system has no free port.
-pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+/// All of 127.0.0.0/8 is this machine, and connections start at 127.0.0.1, so a
+/// fixed port of such an address is always free.
+pub fn own_address() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, high.max(1), low, number)
 }
--- a/testutils/src/processes/deployment.rs
+++ b/testutils/src/processes/deployment.rs
@@ -3,14 +3,25 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
-use crate::processes::{Process, free_address};
+use crate::pg_client::{ClientError, PgClient};
+use crate::processes::{Process, own_address};
 
 /// The database that callers connect to.
 pub const DATABASE: &str = "app";
 /// The failure domains that servers and instances are spread over.
 pub const FAILURE_DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
 
+/// Where callers connect to an instance.
+const CALLER_PORT: u16 = 6432;
+/// Where other instances connect to an instance.
+const PEER_PORT: u16 = 6433;
+/// Where operators connect to an instance.
+const OPERATOR_PORT: u16 = 6434;
+/// Longest wait of a test's caller for bytes.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// What a deployment is made of.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DeploymentSettings {
@@ -74,9 +85,7 @@
         std::fs::create_dir_all(&folder)?;
         let store = Process::start("masticreel-standin", &words("store"), None)?;
         let servers = start_servers(&settings)?;
-        let addresses = (0..settings.instances)
-            .map(|_| InstanceAddresses::free())
-            .collect::<io::Result<Vec<_>>>()?;
+        let addresses = (0..settings.instances).map(|_| InstanceAddresses::new()).collect();
         let mut deployment =
             Self { store, servers, instances: Vec::new(), addresses, settings, folder };
         deployment.write_document()?;
@@ -99,6 +108,16 @@
         Process::start("masticreeld", &arguments, Some(&self.log_path(number)))
     }
 
+    /// Opens a caller's session at an instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance does not accept the session.
+    pub fn connect(&self, instance: usize) -> Result<PgClient, ClientError> {
+        let parameters = [("user", "ana"), ("database", DATABASE)];
+        PgClient::connect(self.addresses[instance].callers, &parameters, CLIENT_TIMEOUT)
+    }
+
     /// Returns where an instance logs its events.
     pub fn log_path(&self, number: usize) -> PathBuf {
         self.folder.join(format!("instance-{number}.log"))
@@ -171,8 +190,14 @@
 }
 
 impl InstanceAddresses {
-    fn free() -> io::Result<Self> {
-        Ok(Self { callers: free_address()?, peers: free_address()?, operators: free_address()? })
+    fn new() -> Self {
+        let address = own_address();
+        let with_port = |port| SocketAddr::from((address, port));
+        Self {
+            callers: with_port(CALLER_PORT),
+            peers: with_port(PEER_PORT),
+            operators: with_port(OPERATOR_PORT),
+        }
     }
 }
 
