admission: identify entries by their incarnation

Cause: links know the life of the sender, not its name, and the name cost an allocation for each request.

--- a/lib/admission/src/class_queue.rs
+++ b/lib/admission/src/class_queue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use masticreel_base::ids::{InstanceId, RequestId};
+use masticreel_base::ids::{Incarnation, RequestId};
 
 use crate::fair_shares::FairShares;
 use crate::order::QueueOrder;
@@ -22,7 +22,7 @@
     /// Among the statements of transactions that hold a connection.
     Held(Arrival),
     /// In the flow of its caller base and entry.
-    Flow(CallerBase, InstanceId, Arrival),
+    Flow(CallerBase, Incarnation, Arrival),
 }
 
 /// Numbers the requests of a class in the order of their arrival.
@@ -64,8 +64,8 @@
 where
     Order: QueueOrder,
 {
-    flows: BTreeMap<InstanceId, FlowQueue<Order>>,
-    entry_shares: FairShares<InstanceId>,
+    flows: BTreeMap<Incarnation, FlowQueue<Order>>,
+    entry_shares: FairShares<Incarnation>,
     work: Duration,
 }
 
@@ -113,12 +113,12 @@
 
     fn push_flow(&mut self, waiting: Waiting, arrival: Arrival) -> Place {
         let caller_base = waiting.request.caller_base.clone();
-        let entry = waiting.request.entry.clone();
+        let entry = waiting.request.entry;
         self.base_shares.enqueued(&caller_base);
         let base = self.bases.entry(caller_base.clone()).or_insert_with(BaseQueue::new);
         base.work += waiting.request.expected;
         base.entry_shares.enqueued(&entry);
-        let flow = base.flows.entry(entry.clone()).or_insert_with(FlowQueue::new);
+        let flow = base.flows.entry(entry).or_insert_with(FlowQueue::new);
         flow.by_rank.insert((self.order.rank(waiting.request.expected), arrival));
         flow.by_arrival.insert(arrival, waiting);
         Place::Flow(caller_base, entry, arrival)
@@ -149,7 +149,7 @@
     where
         Admissible: Fn(&AdmissionRequest) -> bool,
     {
-        let mut best: Option<(Precedence<Order::Rank>, &CallerBase, &InstanceId)> = None;
+        let mut best: Option<(Precedence<Order::Rank>, &CallerBase, &Incarnation)> = None;
         for (caller_base, base) in &self.bases {
             if fair && !self.base_shares.is_within_share(caller_base) {
                 continue;
@@ -168,7 +168,7 @@
             }
         }
         let (precedence, caller_base, entry) = best?;
-        Some(Place::Flow(caller_base.clone(), entry.clone(), precedence.arrival()))
+        Some(Place::Flow(caller_base.clone(), *entry, precedence.arrival()))
     }
 
     /// Returns how long the request at a place is expected to execute.
@@ -207,7 +207,7 @@
     fn remove_from_flow(
         &mut self,
         caller_base: &CallerBase,
-        entry: &InstanceId,
+        entry: &Incarnation,
         arrival: Arrival,
         charged: bool,
     ) -> Option<Waiting> {
--- a/lib/admission/src/request.rs
+++ b/lib/admission/src/request.rs
@@ -5,7 +5,7 @@
 
 use derive_more::{Display, From};
 use masticreel_base::failure::Failure;
-use masticreel_base::ids::{InstanceId, RequestId};
+use masticreel_base::ids::{Incarnation, RequestId};
 use masticreel_document::class::Class;
 
 /// Names the callers that share one fair share of a server.
@@ -51,8 +51,8 @@
     pub deadline: Instant,
     /// Whose share of the server the request uses.
     pub caller_base: CallerBase,
-    /// The entry instance that sent the request.
-    pub entry: InstanceId,
+    /// The life of the entry instance that sent the request.
+    pub entry: Incarnation,
     /// How the request relates to the server's connections.
     pub need: ConnectionNeed,
 }
--- a/lib/admission/src/server_admission.rs
+++ b/lib/admission/src/server_admission.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use masticreel_base::failure::{Failure, FailureKind};
-use masticreel_base::ids::{InstanceId, RequestId};
+use masticreel_base::ids::{Incarnation, RequestId};
 use masticreel_document::class::Class;
 
 use crate::connection_pool::{
@@ -33,8 +33,8 @@
     pub deadline: Instant,
     /// Whose share of the server the request uses.
     pub caller_base: CallerBase,
-    /// The entry instance that sent the request.
-    pub entry: InstanceId,
+    /// The life of the entry instance that sent the request.
+    pub entry: Incarnation,
     /// How the request relates to the session's connection.
     pub need: ConnectionNeed,
 }
@@ -125,7 +125,7 @@
             expected: self.expected_times.expected(submission.fingerprint),
             deadline: submission.deadline,
             caller_base: submission.caller_base.clone(),
-            entry: submission.entry.clone(),
+            entry: submission.entry,
             need: submission.need,
         };
         self.last_identity = Some(submission.identity.clone());
--- a/lib/admission/tests/test_server_admission.rs
+++ b/lib/admission/tests/test_server_admission.rs
@@ -8,7 +8,7 @@
 use masticreel_admission::request::{ConnectionAfter, ConnectionNeed};
 use masticreel_admission::server_admission::{ServerAction, ServerAdmission, Submission};
 use masticreel_base::failure::{FailureKind, Verdict};
-use masticreel_base::ids::{InstanceId, RequestId};
+use masticreel_base::ids::{Incarnation, RequestId};
 use masticreel_document::class::Class;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -28,7 +28,7 @@
         fingerprint: Fingerprint::of("select 1"),
         deadline,
         caller_base: format!("base-{}", session % 3).into(),
-        entry: InstanceId::from("entry-1"),
+        entry: Incarnation(1),
         need,
     }
 }
--- a/lib/admission/tests/test_server_queue.rs
+++ b/lib/admission/tests/test_server_queue.rs
@@ -9,7 +9,7 @@
 use masticreel_admission::server_queue::settings::QueueSettings;
 use masticreel_admission::server_queue::slots::Reservation;
 use masticreel_base::failure::{FailureKind, Verdict};
-use masticreel_base::ids::{InstanceId, RequestId};
+use masticreel_base::ids::{Incarnation, RequestId};
 use masticreel_document::class::Class;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -23,7 +23,7 @@
         expected: Duration::from_millis(expected_ms),
         deadline: start() + Duration::from_secs(3600),
         caller_base: "technicians".into(),
-        entry: InstanceId::from("entry-1"),
+        entry: Incarnation(1),
         need: ConnectionNeed::Statement,
     }
 }
@@ -213,7 +213,7 @@
         queue.submit(request(id, Class::Normal, 5), start());
     }
     let mut other = request(1000, Class::Normal, 19);
-    other.entry = InstanceId::from("entry-2");
+    other.entry = Incarnation(2);
     queue.submit(other, start());
     let mut order = Vec::new();
     let mut running = 0;
@@ -344,7 +344,7 @@
                 let mut request = request(self.next_id(), class, expected_ms);
                 request.deadline = self.now + Duration::from_millis(patience_ms);
                 request.caller_base = format!("base-{base}").into();
-                request.entry = InstanceId::from(format!("entry-{entry}"));
+                request.entry = Incarnation(u64::from(entry));
                 if begins {
                     request.need = ConnectionNeed::Transaction;
                 }
--- a/testutils/src/bin/masticreel-queue-slope.rs
+++ b/testutils/src/bin/masticreel-queue-slope.rs
@@ -10,7 +10,7 @@
 use masticreel_admission::expected_times::Fingerprint;
 use masticreel_admission::request::{ConnectionAfter, ConnectionNeed};
 use masticreel_admission::server_admission::{ServerAction, ServerAdmission, Submission};
-use masticreel_base::ids::{InstanceId, RequestId};
+use masticreel_base::ids::{Incarnation, RequestId};
 use masticreel_document::class::Class;
 
 type Admission = ServerAdmission<u64, u64>;
@@ -97,7 +97,7 @@
         fingerprint: Fingerprint::from(session % 50),
         deadline: now + PATIENCE,
         caller_base: format!("base-{caller_base}").into(),
-        entry: InstanceId::from(format!("entry-{}", session % 6)),
+        entry: Incarnation(session % 6),
         need: ConnectionNeed::Statement,
     }
 }
--- a/testutils/src/experiment/direct.rs
+++ b/testutils/src/experiment/direct.rs
@@ -5,7 +5,7 @@
 
 use masticreel_admission::request::Action;
 use masticreel_base::failure::{Failure, FailureKind};
-use masticreel_base::ids::{InstanceId, RequestId};
+use masticreel_base::ids::{Incarnation, RequestId};
 
 use crate::experiment::run::ServerPolicy;
 use crate::experiment::settings::ExperimentSettings;
@@ -17,7 +17,7 @@
     connections_per_entry: usize,
     queue_length: usize,
     slots: usize,
-    entries: BTreeMap<InstanceId, Entry>,
+    entries: BTreeMap<Incarnation, Entry>,
     /// Statements that were sent and wait for a slot.
     sent: VecDeque<RequestId>,
     executing: usize,
@@ -46,9 +46,9 @@
         }
     }
 
-    fn send(&mut self, entry: &InstanceId) {
+    fn send(&mut self, entry: &Incarnation) {
         let limit = self.connections_per_entry;
-        let entry = self.entries.entry(entry.clone()).or_default();
+        let entry = self.entries.entry(*entry).or_default();
         while entry.connections_in_use < limit {
             let Some((id, _)) = entry.waiting.pop_front() else {
                 return;
@@ -72,7 +72,7 @@
 impl ServerPolicy for Direct {
     fn arrive(&mut self, id: RequestId, arrival: &Arrival, now: Instant) -> Vec<Action> {
         let mut actions = self.expire(now);
-        let entry = self.entries.entry(arrival.entry.clone()).or_default();
+        let entry = self.entries.entry(arrival.entry).or_default();
         if entry.waiting.len() >= self.queue_length {
             actions.push(refuse(id));
             return actions;
--- a/testutils/src/experiment/owner.rs
+++ b/testutils/src/experiment/owner.rs
@@ -73,7 +73,7 @@
             expected: self.expected_times.expected(arrival.fingerprint),
             deadline: now + arrival.patience,
             caller_base: arrival.caller_base.clone(),
-            entry: arrival.entry.clone(),
+            entry: arrival.entry,
             need: ConnectionNeed::Statement,
         };
         self.queue.submit(request, now)
--- a/testutils/src/experiment/trace.rs
+++ b/testutils/src/experiment/trace.rs
@@ -5,7 +5,7 @@
 
 use masticreel_admission::expected_times::Fingerprint;
 use masticreel_admission::request::CallerBase;
-use masticreel_base::ids::InstanceId;
+use masticreel_base::ids::Incarnation;
 use masticreel_document::class::Class;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -26,7 +26,7 @@
     /// Whose share it uses.
     pub caller_base: CallerBase,
     /// The entry through which it comes.
-    pub entry: InstanceId,
+    pub entry: Incarnation,
     /// How long the server will take.
     pub execution: Duration,
     /// How long the caller waits for the answer.
@@ -90,7 +90,7 @@
         class: kind.class,
         fingerprint: Fingerprint::of(&kind.name),
         caller_base: caller_base.clone().into(),
-        entry: InstanceId::from(format!("entry-{entry}")),
+        entry: Incarnation(u64::from(entry)),
         execution: Duration::from_secs_f64(execution_ms / 1000.0),
         patience: Duration::from_millis(kind.deadline_ms),
         is_measured,
