admission: refuse what waits for a server that accepts no connection

Cause: with the connections opened by the pool, requests for a dead server would wait for their deadline instead of going to another server. Change: when the last attempt to open has failed and nothing is open, waiting requests are refused as unavailable, not run; attempts go on every 100 ms.

--- a/lib/admission/src/request.rs
+++ b/lib/admission/src/request.rs
@@ -57,6 +57,18 @@
     pub need: ConnectionNeed,
 }
 
+impl AdmissionRequest {
+    /// Returns when the request must start to be finished by its deadline.
+    ///
+    /// The expected time counts for half of the patience at most: otherwise a
+    /// statement that once took long would be refused for ever, because only an
+    /// execution can correct what was learned.
+    pub(crate) fn latest_start(&self, now: Instant) -> Instant {
+        let patience = self.deadline.saturating_duration_since(now);
+        self.deadline - self.expected.min(patience / 2)
+    }
+}
+
 /// What the owner has to do about a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
--- a/lib/admission/src/server_admission.rs
+++ b/lib/admission/src/server_admission.rs
@@ -198,13 +198,19 @@
     }
 
     /// Notes that a connection could not be opened.
+    ///
+    /// If no other is open or opening, what waits is refused, so that the entries can ask
+    /// another server.
     pub fn connection_failed(
         &mut self,
         connection: ConnectionId,
         now: Instant,
     ) -> Vec<ServerAction<Identity>> {
         self.pool.open_failed(connection, now);
-        let actions = self.queue.expire(now);
+        let mut actions = self.queue.expire(now);
+        if self.pool.is_empty() {
+            actions.extend(self.queue.refuse_new_work(&unreachable()));
+        }
         self.carry_out(actions, now)
     }
 
@@ -249,6 +255,11 @@
         self.queue.close_at(moment);
     }
 
+    /// Takes new work again.
+    pub fn reopen(&mut self) {
+        self.queue.reopen();
+    }
+
     /// Returns when [`Self::tick`] has something to do at the latest.
     pub fn next_deadline(&self) -> Option<Instant> {
         self.queue.next_deadline()
@@ -354,6 +365,10 @@
     }
 }
 
+fn unreachable() -> Failure {
+    Failure::not_run(FailureKind::Unavailable, "the server accepts no connection")
+}
+
 fn transaction_lost() -> Failure {
     Failure::not_run(FailureKind::TransactionLost, "the transaction was rolled back")
 }
--- a/lib/admission/src/server_queue.rs
+++ b/lib/admission/src/server_queue.rs
@@ -83,7 +83,7 @@
             return actions;
         }
         let (id, class) = (request.id, request.class);
-        let latest_start = latest_start(&request, now);
+        let latest_start = request.latest_start(now);
         let place = self.class_mut(class).push(request, now);
         self.places.insert(id, Queued { class, place, latest_start });
         self.latest_starts.insert((latest_start, id));
@@ -148,7 +148,19 @@
             self.refuse_waiting(id, failure, &mut actions);
         }
         if self.is_closed(now) {
-            self.refuse_new_work(&mut actions);
+            actions.extend(self.refuse_new_work(&closed_failure()));
+        }
+        actions
+    }
+
+    /// Refuses all that waits, but for statements of open transactions.
+    pub fn refuse_new_work(&mut self, failure: &Failure) -> Vec<Action> {
+        let new_work =
+            self.places.iter().filter(|(_, queued)| !matches!(queued.place, Place::Held(_)));
+        let ids: Vec<RequestId> = new_work.map(|(id, _)| *id).collect();
+        let mut actions = Vec::new();
+        for id in ids {
+            self.refuse_waiting(id, failure.clone(), &mut actions);
         }
         actions
     }
@@ -226,7 +238,7 @@
         if request.need != ConnectionNeed::Held && self.is_closed(now) {
             return Err(closed_failure());
         }
-        if now + self.estimated_wait(request) >= latest_start(request, now) {
+        if now + self.estimated_wait(request) >= request.latest_start(now) {
             return Err(Failure::not_run(
                 FailureKind::Overloaded,
                 "the server can't finish the request by its deadline",
@@ -343,15 +355,6 @@
         actions.push(Action::Refuse(id, failure));
     }
 
-    fn refuse_new_work(&mut self, actions: &mut Vec<Action>) {
-        let new_work =
-            self.places.iter().filter(|(_, queued)| !matches!(queued.place, Place::Held(_)));
-        let ids: Vec<RequestId> = new_work.map(|(id, _)| *id).collect();
-        for id in ids {
-            self.refuse_waiting(id, closed_failure(), actions);
-        }
-    }
-
     fn forget(&mut self, id: RequestId) -> Option<Queued> {
         let queued = self.places.remove(&id)?;
         self.latest_starts.remove(&(queued.latest_start, id));
@@ -382,16 +385,6 @@
 /// Connections that are kept open beyond those in use.
 const SPARE_CONNECTIONS: u32 = 1;
 
-/// Returns when a request must start to be finished by its deadline.
-///
-/// The expected time counts for half of the patience at most: otherwise a
-/// statement that once took long would be refused for ever, because only an
-/// execution can correct what was learned.
-fn latest_start(request: &AdmissionRequest, now: Instant) -> Instant {
-    let patience = request.deadline.saturating_duration_since(now);
-    request.deadline - request.expected.min(patience / 2)
-}
-
 fn closed_failure() -> Failure {
     Failure::not_run(FailureKind::Unavailable, "the server is leaving and takes no new work")
 }
--- a/lib/admission/tests/test_server_admission.rs
+++ b/lib/admission/tests/test_server_admission.rs
@@ -87,6 +87,25 @@
     assert_eq!((failure.kind, failure.verdict), (FailureKind::TransactionLost, Verdict::NotRun));
 }
 
+#[test]
+fn test_request_for_a_server_that_accepts_no_connection_is_refused() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(5);
+    let mut admission = Admission::new(MAX_CONNECTIONS, 2, Ownership::Sole);
+    let (_, actions) = admission.submit(submission(1, ConnectionNeed::Statement, deadline), now);
+    let mut refusals = Vec::new();
+    for action in actions {
+        let ServerAction::Open(connection, _) = action else { panic!("{action:?}") };
+        refusals.extend(admission.connection_failed(connection, now));
+    }
+    let [ServerAction::Refuse(_, failure)] = &refusals[..] else {
+        panic!("{refusals:?}");
+    };
+    assert_eq!((failure.kind, failure.verdict), (FailureKind::Unavailable, Verdict::NotRun));
+    let later = now + Duration::from_millis(100);
+    assert!(matches!(admission.tick(later)[..], [ServerAction::Open(..), ..]));
+}
+
 #[test]
 fn test_learned_time_keeps_slow_statements_out_of_the_reserved_slot() {
     let now = Instant::now();
