--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -3,3 +3,4 @@
 
 pub mod experiment;
 pub mod pg_client;
+pub mod processes;
