daemon: let the admission decide what runs on an owned server

Cause: the owner served requests first come, opened connections when a request already held a slot, and kept a thread for each connection a server could have. Change: OwnedServer carries out ServerAdmission's actions; a thread belongs to an open connection and ends with it; connections are opened ahead of demand. A ticker tells servers the time, whether they are leaving (no new work 1 s after the document says so) and whether this instance is their sole owner. A shutdown drains callers, then the owner's requests, then tells entries for 500 ms that it is not the owner. Metrics: queued and waits by class, running, refused by kind. Ruled out: draining the owner first, since the instance's own callers need it. Left: classes, door limit, budgets and the next owner at the entry.

--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use displaydoc::Display;
 use masticreel_base::cancellation::CancellationToken;
@@ -50,9 +50,13 @@
     }
 }
 
+/// How long entries that did not hear of a shutdown are still told of it.
+const HANDOVER_NOTICE: Duration = Duration::from_millis(500);
+
 /// One running instance.
 pub struct Instance {
     callers: Arc<CallerServer<Unguarded, StaticDirectory>>,
+    owner: Arc<Owner<Unguarded>>,
     caller_address: SocketAddr,
     shutdown_timeout: Duration,
     logger: Logger,
@@ -85,6 +89,8 @@
             cancellation: cancellation.clone(),
         };
         let owner = Arc::new(Owner::new(context, groups.clone()));
+        let directory = directory(settings);
+        owner.start_ticker(directory.clone())?;
         let key = SharedKey::from_text(&own.shared_key);
         LinkServer::new(owner.clone(), key.clone(), logger.clone(), cancellation.clone())
             .start(peer_listener)?;
@@ -92,7 +98,7 @@
 
         let hello = Hello { instance: own.name.clone(), incarnation };
         let links = LinkPool::new(hello, key);
-        let dispatcher = Dispatcher::new(owner, links, directory(settings));
+        let dispatcher = Dispatcher::new(owner.clone(), links, directory);
         let router = Router::new(dispatcher, groups, settings.limits.clone());
         let parts = CallerServerParts {
             router,
@@ -106,6 +112,7 @@
         info!(logger, "instance started"; "callers" => %caller_address, "incarnation" => %incarnation);
         Ok(Self {
             callers,
+            owner,
             caller_address,
             shutdown_timeout: settings.limits.shutdown_timeout(),
             logger: logger.clone(),
@@ -119,11 +126,21 @@
     }
 
     /// Finishes what is in flight, then ends all threads.
+    ///
+    /// The instance's own callers go first. Then its servers are handed over:
+    /// for a while longer it tells entries that still ask that it is not the
+    /// owner, so that no request is under way when the links close.
     pub fn stop(self) {
         info!(self.logger, "instance stopping");
+        let deadline = Instant::now() + self.shutdown_timeout;
         if !self.callers.drain(self.shutdown_timeout) {
             warn!(self.logger, "instance stopped with callers left"; "reason" => "timeout");
         }
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        if !self.owner.drain(remaining) {
+            warn!(self.logger, "instance stopped with requests left"; "reason" => "timeout");
+        }
+        self.cancellation.wait_timeout(HANDOVER_NOTICE);
         self.cancellation.cancel();
         info!(self.logger, "instance stopped");
     }
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -18,8 +18,14 @@
     pub requests: IntCounterVec,
     /// Time from a caller's request to its answer, by class.
     pub request_seconds: HistogramVec,
-    /// Requests queued for a server.
+    /// Requests queued for a server, by class.
     pub queued: IntGaugeVec,
+    /// Time from a request's arrival at its owner to its start, by class.
+    pub queue_wait_seconds: HistogramVec,
+    /// Requests that owners refused, by server and kind of failure.
+    pub refused: IntCounterVec,
+    /// Requests that execute on a server.
+    pub running: IntGaugeVec,
     /// Connections open to a server.
     pub upstream_connections: IntGaugeVec,
     /// The revision of the document in force.
@@ -29,17 +35,27 @@
 impl Metrics {
     /// Creates and registers the metrics.
     pub fn new() -> Self {
-        let latency = HistogramOpts::new(
-            "masticreel_request_seconds",
-            "Time from a caller's request to its answer.",
-        )
-        .buckets(LATENCY_BUCKETS_SECONDS.to_vec());
         let metrics = Self {
             registry: Registry::new(),
             callers: gauge("masticreel_callers", "Connections of callers."),
             requests: counters("masticreel_requests_total", "Requests by outcome.", &["outcome"]),
-            request_seconds: HistogramVec::new(latency, &["class"]).expect("the options are valid"),
-            queued: gauges("masticreel_queued_requests", "Requests queued.", &["server"]),
+            request_seconds: histograms(
+                "masticreel_request_seconds",
+                "Time from a caller's request to its answer.",
+                &["class"],
+            ),
+            queued: gauges("masticreel_queued_requests", "Requests queued.", &["server", "class"]),
+            queue_wait_seconds: histograms(
+                "masticreel_queue_wait_seconds",
+                "Time that requests waited for a server.",
+                &["server", "class"],
+            ),
+            refused: counters(
+                "masticreel_refused_requests_total",
+                "Requests refused by the owner of a server.",
+                &["server", "kind"],
+            ),
+            running: gauges("masticreel_running_requests", "Requests executing.", &["server"]),
             upstream_connections: gauges(
                 "masticreel_upstream_connections",
                 "Connections open to a server.",
@@ -61,6 +77,9 @@
             registry.register(Box::new(self.requests.clone())),
             registry.register(Box::new(self.request_seconds.clone())),
             registry.register(Box::new(self.queued.clone())),
+            registry.register(Box::new(self.queue_wait_seconds.clone())),
+            registry.register(Box::new(self.refused.clone())),
+            registry.register(Box::new(self.running.clone())),
             registry.register(Box::new(self.upstream_connections.clone())),
             registry.register(Box::new(self.document_revision.clone())),
         ];
@@ -94,6 +113,11 @@
     IntGaugeVec::new(Opts::new(name, help), labels).expect("the name is valid")
 }
 
+fn histograms(name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_SECONDS.to_vec());
+    HistogramVec::new(options, labels).expect("the options are valid")
+}
+
 fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     IntCounterVec::new(Opts::new(name, help), labels).expect("the name is valid")
 }
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -4,12 +4,16 @@
 
 pub mod guard;
 pub mod job;
-pub mod queue;
 mod server;
+mod ticker;
 mod worker;
 
 use std::collections::HashMap;
+use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use masticreel_base::cancellation::CancellationToken;
 use masticreel_base::failure::{Failure, FailureKind};
@@ -18,13 +22,18 @@
 use masticreel_wire::message::{SessionKey, UpstreamRequest};
 use slog::Logger;
 
+use crate::directory::OwnerDirectory;
 use crate::groups::Groups;
 use crate::metrics::Metrics;
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::{Job, Reply};
 use crate::owner::server::OwnedServer;
+use crate::owner::ticker::Ticker;
 use crate::settings::LimitSettings;
 
+/// Time between two looks at what is under way in a shutdown.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
+
 /// What the parts of the owner share.
 #[derive(Debug, Clone)]
 pub struct OwnerContext<Guard> {
@@ -45,6 +54,7 @@
     context: OwnerContext<Guard>,
     groups: Groups,
     servers: Mutex<HashMap<ServerId, Arc<OwnedServer<Guard>>>>,
+    is_draining: AtomicBool,
 }
 
 impl<Guard> Owner<Guard>
@@ -53,7 +63,12 @@
 {
     /// Creates an owner that takes servers up when they are first asked for.
     pub fn new(context: OwnerContext<Guard>, groups: Groups) -> Self {
-        Self { context, groups, servers: Mutex::new(HashMap::new()) }
+        Self {
+            context,
+            groups,
+            servers: Mutex::new(HashMap::new()),
+            is_draining: AtomicBool::new(false),
+        }
     }
 
     /// Queues a request; the reply is sent exactly once.
@@ -97,13 +112,48 @@
         servers.values().cloned().collect()
     }
 
+    /// Starts the thread that tells servers of the time, the document and
+    /// ownership.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system has no room for the thread.
+    pub fn start_ticker<Directory>(self: &Arc<Self>, directory: Directory) -> io::Result<()>
+    where
+        Directory: OwnerDirectory,
+    {
+        Ticker::new(Arc::clone(self), directory).start()
+    }
+
+    /// Hands all servers over and waits until nothing is under way.
+    ///
+    /// New work is refused as that of another instance; open transactions go
+    /// on. Returns whether all ended before the time was over.
+    pub fn drain(&self, timeout: Duration) -> bool {
+        let deadline = Instant::now() + timeout;
+        self.is_draining.store(true, Ordering::Release);
+        for server in self.all_servers() {
+            server.start_draining();
+        }
+        while !self.all_servers().iter().all(|server| server.is_quiet()) {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            thread::sleep(DRAIN_INTERVAL);
+        }
+        true
+    }
+
     fn server(&self, spec: &ServerSpec) -> Arc<OwnedServer<Guard>> {
         let mut servers = self.servers.lock().expect("no holder of the servers panics");
-        let known = servers.get(&spec.name).filter(|server| server.spec() == spec);
+        let known = servers.get(&spec.name).filter(|server| server.serves(spec));
         if let Some(server) = known {
             return server.clone();
         }
-        let server = OwnedServer::start(spec.clone(), self.context.clone());
+        let server = OwnedServer::new(spec.clone(), self.context.clone());
+        if self.is_draining.load(Ordering::Acquire) {
+            server.start_draining();
+        }
         servers.insert(spec.name.clone(), server.clone());
         server
     }
--- a/daemon/src/owner/job.rs
+++ b/daemon/src/owner/job.rs
@@ -45,6 +45,8 @@
     pub request: UpstreamRequest,
     /// The way its answer goes back.
     pub reply: Reply,
+    /// When the request arrived at this instance.
+    pub arrived_at: Instant,
     /// When the caller gives up.
     pub deadline: Instant,
 }
@@ -52,7 +54,8 @@
 impl Job {
     /// Starts the request's deadline at this instance.
     pub fn new(request: UpstreamRequest, reply: Reply) -> Self {
-        let deadline = Instant::now() + Duration::from_millis(request.deadline_ms);
-        Self { request, reply, deadline }
+        let arrived_at = Instant::now();
+        let deadline = arrived_at + Duration::from_millis(request.deadline_ms);
+        Self { request, reply, arrived_at, deadline }
     }
 }
--- a/daemon/src/owner/server.rs
+++ b/daemon/src/owner/server.rs
@@ -1,36 +1,47 @@
-//! One owned server: its queue, its workers and the sessions that hold a connection.
+//! One owned server: what waits for it, its connections and their threads.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
+use std::time::{Duration, Instant};
 
-use crossbeam_channel::{Receiver, Sender, unbounded};
+use crossbeam_channel::{Sender, unbounded};
+use masticreel_admission::connection_pool::{ConnectionId, Ownership};
+use masticreel_admission::expected_times::Fingerprint;
+use masticreel_admission::request::{CallerBase, ConnectionAfter, ConnectionNeed};
+use masticreel_admission::server_admission::{ServerAction, ServerAdmission, Submission};
 use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_base::ids::RequestId;
+use masticreel_document::class::Class;
 use masticreel_document::groups::ServerSpec;
 use masticreel_postgres::startup::CancelKey;
-use masticreel_postgres::upstream::send_cancel;
-use masticreel_wire::message::{Pinning, SessionKey};
-use slog::info;
+use masticreel_postgres::upstream::{UpstreamAddress, send_cancel};
+use masticreel_wire::message::{Pinning, SessionKey, UpstreamRequest, WireClass};
+use slog::{info, warn};
 
 use crate::owner::OwnerContext;
 use crate::owner::guard::ServerGuard;
-use crate::owner::job::Job;
-use crate::owner::queue::{QueuedRequest, ServerQueue, Ticket};
+use crate::owner::job::{Job, Outcome, Reply};
 use crate::owner::worker::Worker;
 
-/// Connections that servers reserve for control.
-const CONTROL_CONNECTIONS: u32 = 3;
-/// Requests that may wait for one server.
-const MAX_WAITING: usize = 1024;
-/// Stack of a worker thread, in bytes.
+/// Stack of a connection's thread, in bytes.
 const WORKER_STACK_BYTES: usize = 256 * 1024;
+/// How long a leaving server still takes new work, so that entries that have
+/// not heard of it yet are not refused.
+const LEAVING_GRACE: Duration = Duration::from_secs(1);
 
-/// What a worker is told to do.
+type Admission = ServerAdmission<SessionKey, UpstreamAddress>;
+type Actions = Vec<ServerAction<UpstreamAddress>>;
+
+/// What the thread of a connection is told to do.
 pub(super) enum Command {
     /// Run a request.
-    Run(Job),
-    /// End the open transaction.
-    Release,
+    Run(RequestId, Job),
+    /// End the transaction of a session, if it is still open.
+    Release(SessionKey),
+    /// Close the connection.
+    Close,
 }
 
 /// A server that this instance owns.
@@ -38,94 +49,77 @@
     spec: ServerSpec,
     context: OwnerContext<Guard>,
     state: Mutex<State>,
-    free_jobs: Sender<Job>,
+    /// Requests that were taken in and not answered yet.
+    unanswered: AtomicUsize,
 }
 
 struct State {
-    queue: ServerQueue,
-    next_ticket: u64,
-    jobs: HashMap<Ticket, Job>,
-    holders: HashMap<SessionKey, Sender<Command>>,
-    running: HashMap<SessionKey, CancelKey>,
+    admission: Admission,
+    jobs: HashMap<RequestId, Job>,
+    workers: HashMap<ConnectionId, Sender<Command>>,
+    cancel_keys: HashMap<ConnectionId, CancelKey>,
+    is_leaving: bool,
+    is_draining: bool,
 }
 
 impl<Guard> OwnedServer<Guard>
 where
     Guard: ServerGuard,
 {
-    /// Starts the workers of a server.
-    pub(super) fn start(spec: ServerSpec, context: OwnerContext<Guard>) -> Arc<Self> {
-        let connections = spec.max_connections.saturating_sub(CONTROL_CONNECTIONS).max(1);
-        let (free_jobs, receiver) = unbounded();
-        let queue = ServerQueue::new(spec.slots, connections, MAX_WAITING);
-        info!(context.logger, "server taken up"; "server" => %spec.name, "connections" => connections);
+    /// Takes a server up; connections are opened when the first request comes.
+    ///
+    /// Until the ticker says otherwise an earlier owner may still be there.
+    pub(super) fn new(spec: ServerSpec, context: OwnerContext<Guard>) -> Arc<Self> {
+        info!(context.logger, "server taken up"; "server" => %spec.name);
+        let admission = ServerAdmission::new(spec.max_connections, spec.slots, Ownership::Disputed);
         let state = Mutex::new(State {
-            queue,
-            next_ticket: 0,
+            admission,
             jobs: HashMap::new(),
-            holders: HashMap::new(),
-            running: HashMap::new(),
+            workers: HashMap::new(),
+            cancel_keys: HashMap::new(),
+            is_leaving: false,
+            is_draining: false,
         });
-        let server = Arc::new(Self { spec, context, state, free_jobs });
-        for number in 0..connections {
-            server.clone().spawn_worker(number, receiver.clone());
-        }
-        server
-    }
-
-    fn spawn_worker(self: Arc<Self>, number: u32, receiver: Receiver<Job>) {
-        let name = format!("{}-{number}", self.spec.name);
-        thread::Builder::new()
-            .name(name)
-            .stack_size(WORKER_STACK_BYTES)
-            .spawn(move || Worker::new(self, receiver).run())
-            .expect("the system has room for the worker threads");
+        Arc::new(Self { spec, context, state, unanswered: AtomicUsize::new(0) })
     }
 
     pub(super) fn spec(&self) -> &ServerSpec {
         &self.spec
     }
 
+    /// Returns whether a specification means this server, leaving or not.
+    pub(super) fn serves(&self, spec: &ServerSpec) -> bool {
+        ServerSpec { leaving: self.spec.leaving, ..spec.clone() } == self.spec
+    }
+
     pub(super) fn context(&self) -> &OwnerContext<Guard> {
         &self.context
     }
 
     /// Queues a job, or refuses it.
-    pub(super) fn submit(&self, job: Job) {
+    pub(super) fn submit(self: &Arc<Self>, job: Job) {
+        let now = Instant::now();
         let mut state = self.lock();
-        let session = job.request.session;
-        let pinning = job.request.pinning;
-        if pinning == Pinning::Pinned && !state.holders.contains_key(&session) {
+        if state.is_draining && job.request.pinning != Pinning::Pinned {
             drop(state);
-            let message = "the transaction was rolled back";
-            job.reply.send(Err(Failure::not_run(FailureKind::TransactionLost, message)));
+            let message = "the instance hands its servers over";
+            job.reply.send(Err(Failure::not_run(FailureKind::NotOwner, message)));
             return;
         }
-        let ticket = Ticket(state.next_ticket);
-        state.next_ticket += 1;
-        if !state.queue.submit(QueuedRequest { ticket, session, pinning }) {
-            drop(state);
-            let message = format!("the queue of server {} is full", self.spec.name);
-            job.reply.send(Err(Failure::not_run(FailureKind::Overloaded, message)));
-            return;
-        }
-        state.jobs.insert(ticket, job);
-        self.dispatch(state);
+        self.unanswered.fetch_add(1, Ordering::AcqRel);
+        let submission = self.submission(&job);
+        let (id, actions) = state.admission.submit(submission, now);
+        state.jobs.insert(id, job);
+        self.carry_out(state, actions);
     }
 
     /// Cancels what a session is running or has queued.
-    pub(super) fn cancel(&self, session: SessionKey) {
+    pub(super) fn cancel(self: &Arc<Self>, session: SessionKey) {
         let mut state = self.lock();
-        let tickets = state.queue.remove(session);
-        let jobs: Vec<Job> =
-            tickets.iter().filter_map(|ticket| state.jobs.remove(ticket)).collect();
-        let running = state.running.get(&session).copied();
-        drop(state);
-        for job in jobs {
-            let message = "cancelled before it ran";
-            job.reply.send(Err(Failure::not_run(FailureKind::Cancelled, message)));
-        }
-        if let Some(key) = running {
+        let (actions, running) = state.admission.cancel(&session);
+        let key = running.and_then(|connection| state.cancel_keys.get(&connection).copied());
+        self.carry_out(state, actions);
+        if let Some(key) = key {
             let timeout = self.context.limits.connect_timeout();
             // The request runs on if the server can't be reached.
             let _ = send_cancel(self.spec.address, key, timeout);
@@ -138,71 +132,196 @@
         Condition: Fn(SessionKey) -> bool,
     {
         let state = self.lock();
-        let holders = state.holders.iter().filter(|(session, _)| condition(**session));
-        for (_, holder) in holders {
-            // A worker that is gone has ended its transaction.
-            let _ = holder.send(Command::Release);
+        for session in state.admission.sessions().copied().filter(|session| condition(*session)) {
+            let worker = state
+                .admission
+                .holder(&session)
+                .and_then(|connection| state.workers.get(&connection));
+            if let Some(worker) = worker {
+                // A worker that is gone has ended its transaction.
+                let _ = worker.send(Command::Release(session));
+            }
+        }
+    }
+
+    /// Does what the passing of time, the document and ownership demand.
+    pub(super) fn tick(self: &Arc<Self>, is_leaving: bool, ownership: Ownership) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if is_leaving != state.is_leaving {
+            state.is_leaving = is_leaving;
+            info!(self.context.logger, "server leaving"; "server" => %self.spec.name, "leaving" => is_leaving);
+            if is_leaving {
+                state.admission.close_at(now + LEAVING_GRACE);
+            } else {
+                state.admission.reopen();
+            }
         }
+        state.admission.set_ownership(ownership);
+        let actions = state.admission.tick(now);
+        self.carry_out(state, actions);
     }
 
-    /// Notes what a worker is about to run, so that it can be cancelled.
-    pub(super) fn request_started(&self, session: SessionKey, key: Option<CancelKey>) {
+    /// Refuses new work from now on, as that of another instance.
+    pub(super) fn start_draining(self: &Arc<Self>) {
+        self.lock().is_draining = true;
+    }
+
+    /// Returns whether all requests are answered and no transaction is open.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.unanswered.load(Ordering::Acquire) == 0 && self.lock().admission.is_quiet()
+    }
+
+    /// Sends the answer to a request.
+    pub(super) fn answer(&self, reply: Reply, outcome: Outcome) {
+        reply.send(outcome);
+        self.unanswered.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    /// Notes that a connection was opened by its thread.
+    pub(super) fn connection_opened(self: &Arc<Self>, id: ConnectionId, address: UpstreamAddress) {
+        let mut state = self.lock();
+        let actions = state.admission.connection_opened(id, address, Instant::now());
+        self.carry_out(state, actions);
+    }
+
+    /// Notes that a thread could not open its connection.
+    pub(super) fn connection_failed(self: &Arc<Self>, id: ConnectionId) {
+        let mut state = self.lock();
+        state.workers.remove(&id);
+        let actions = state.admission.connection_failed(id, Instant::now());
+        self.carry_out(state, actions);
+    }
+
+    /// Notes that a thread opened its connection anew for somebody else.
+    pub(super) fn connection_reopened(&self, id: ConnectionId, address: UpstreamAddress) {
+        self.lock().admission.connection_reopened(id, address);
+    }
+
+    /// Notes what a thread is about to run, so that it can be cancelled.
+    pub(super) fn request_started(&self, id: ConnectionId, key: Option<CancelKey>) {
         if let Some(key) = key {
-            self.lock().running.insert(session, key);
+            self.lock().cancel_keys.insert(id, key);
         }
     }
 
     /// Returns a request's slot, and its connection unless the session holds it.
-    pub(super) fn request_finished(&self, session: SessionKey, holder: Option<Sender<Command>>) {
+    pub(super) fn request_finished(
+        self: &Arc<Self>,
+        request: RequestId,
+        connection: ConnectionId,
+        after: ConnectionAfter,
+        took: Option<Duration>,
+    ) {
         let mut state = self.lock();
-        state.running.remove(&session);
-        state.queue.slot_freed();
-        match holder {
-            Some(holder) => {
-                state.holders.insert(session, holder);
-            }
-            None => {
-                state.holders.remove(&session);
-                state.queue.connection_freed();
-            }
+        state.cancel_keys.remove(&connection);
+        if after == ConnectionAfter::Closed {
+            state.workers.remove(&connection);
         }
-        self.dispatch(state);
+        let actions = state.admission.finished(request, after, took, Instant::now());
+        self.carry_out(state, actions);
     }
 
     /// Returns the connection of a transaction that ended without a request.
-    pub(super) fn holder_gone(&self, session: SessionKey) {
+    pub(super) fn transaction_ended(
+        self: &Arc<Self>,
+        session: SessionKey,
+        connection: ConnectionId,
+        after: ConnectionAfter,
+    ) {
         let mut state = self.lock();
-        state.holders.remove(&session);
-        state.queue.connection_freed();
-        let orphans = state.queue.remove(session);
-        let jobs: Vec<Job> =
-            orphans.iter().filter_map(|ticket| state.jobs.remove(ticket)).collect();
-        self.dispatch(state);
-        for job in jobs {
-            let message = "the transaction was rolled back";
-            job.reply.send(Err(Failure::not_run(FailureKind::TransactionLost, message)));
+        if after == ConnectionAfter::Closed {
+            state.workers.remove(&connection);
         }
+        let actions = state.admission.transaction_ended(&session, after, Instant::now());
+        self.carry_out(state, actions);
     }
 
-    /// Hands the requests that can start to workers.
-    fn dispatch(&self, mut state: MutexGuard<'_, State>) {
-        for request in state.queue.startable() {
-            let Some(job) = state.jobs.remove(&request.ticket) else { continue };
-            self.hand_over(&state, job);
+    /// Carries actions out and sends refusals once the state is unlocked.
+    fn carry_out(self: &Arc<Self>, mut state: MutexGuard<'_, State>, actions: Actions) {
+        let mut refused = Vec::new();
+        for action in actions {
+            match action {
+                ServerAction::Open(id, address) => self.spawn_worker(&mut state, id, address),
+                ServerAction::Close(id) => {
+                    if let Some(worker) = state.workers.remove(&id) {
+                        let _ = worker.send(Command::Close);
+                    }
+                }
+                ServerAction::Start(id, connection) => {
+                    self.count_wait(state.jobs.get(&id));
+                    state.start(id, connection);
+                }
+                ServerAction::Refuse(id, failure) => {
+                    refused.extend(state.jobs.remove(&id).map(|job| (job, failure)));
+                }
+            }
         }
-        let waiting = i64::try_from(state.queue.waiting()).unwrap_or(i64::MAX);
+        self.count(&state);
         drop(state);
-        self.context.metrics.queued.with_label_values(&[self.spec.name.as_str()]).set(waiting);
+        for (job, failure) in refused {
+            self.count_refusal(&failure);
+            self.answer(job.reply, Err(failure));
+        }
     }
 
-    fn hand_over(&self, state: &State, job: Job) {
-        match state.holders.get(&job.request.session) {
-            Some(holder) if job.request.pinning == Pinning::Pinned => {
-                let _ = holder.send(Command::Run(job));
-            }
-            _ => {
-                let _ = self.free_jobs.send(job);
-            }
+    fn spawn_worker(
+        self: &Arc<Self>,
+        state: &mut State,
+        id: ConnectionId,
+        address: UpstreamAddress,
+    ) {
+        let (sender, commands) = unbounded();
+        state.workers.insert(id, sender);
+        let server = Arc::clone(self);
+        let spawned = thread::Builder::new()
+            .name(format!("{}-{id}", self.spec.name))
+            .stack_size(WORKER_STACK_BYTES)
+            .spawn(move || Worker::new(server, id, commands).run(address));
+        if let Err(error) = spawned {
+            warn!(self.context.logger, "connection not opened"; "server" => %self.spec.name, "error" => %error);
+            state.workers.remove(&id);
+            // The next tick plans it again.
+            let _ = state.admission.connection_failed(id, Instant::now());
+        }
+    }
+
+    fn count(&self, state: &State) {
+        let server = self.spec.name.as_str();
+        let metrics = &self.context.metrics;
+        let queue = state.admission.queue();
+        for class in [Class::Urgent, Class::Normal, Class::Long] {
+            let labels = [server, class_label(class)];
+            metrics.queued.with_label_values(&labels).set(gauge(queue.waiting(class)));
+        }
+        metrics.running.with_label_values(&[server]).set(gauge(queue.running()));
+        let connections = i64::from(state.admission.pool().len());
+        metrics.upstream_connections.with_label_values(&[server]).set(connections);
+    }
+
+    fn count_wait(&self, job: Option<&Job>) {
+        let Some(job) = job else { return };
+        let labels = [self.spec.name.as_str(), class_label(class(job.request.class))];
+        let waits = self.context.metrics.queue_wait_seconds.with_label_values(&labels);
+        waits.observe(job.arrived_at.elapsed().as_secs_f64());
+    }
+
+    fn count_refusal(&self, failure: &Failure) {
+        let labels = [self.spec.name.as_str(), &failure.kind.to_string()];
+        self.context.metrics.refused.with_label_values(&labels).inc();
+    }
+
+    fn submission(&self, job: &Job) -> Submission<SessionKey, UpstreamAddress> {
+        let request = &job.request;
+        Submission {
+            session: request.session,
+            identity: address(&self.spec, request),
+            class: class(request.class),
+            fingerprint: Fingerprint::from(request.fingerprint),
+            deadline: job.deadline,
+            caller_base: CallerBase::from(format!("{}@{}", request.user, request.database)),
+            entry: request.session.entry,
+            need: connection_need(request),
         }
     }
 
@@ -210,3 +329,51 @@
         self.state.lock().expect("no holder of the server's state panics")
     }
 }
+
+impl State {
+    /// Hands a request to the thread of its connection.
+    fn start(&mut self, id: RequestId, connection: ConnectionId) {
+        let (Some(job), Some(worker)) = (self.jobs.remove(&id), self.workers.get(&connection))
+        else {
+            return;
+        };
+        let _ = worker.send(Command::Run(id, job));
+    }
+}
+
+/// Returns where a request's connection has to lead and for whom.
+pub(super) fn address(spec: &ServerSpec, request: &UpstreamRequest) -> UpstreamAddress {
+    UpstreamAddress {
+        address: spec.address,
+        user: request.user.clone(),
+        database: request.database.clone(),
+    }
+}
+
+fn class_label(class: Class) -> &'static str {
+    match class {
+        Class::Urgent => "urgent",
+        Class::Normal => "normal",
+        Class::Long => "long",
+    }
+}
+
+fn gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+fn class(class: WireClass) -> Class {
+    match class {
+        WireClass::Urgent => Class::Urgent,
+        WireClass::Normal => Class::Normal,
+        WireClass::Long => Class::Long,
+    }
+}
+
+fn connection_need(request: &UpstreamRequest) -> ConnectionNeed {
+    match request.pinning {
+        Pinning::Pinned => ConnectionNeed::Held,
+        Pinning::Begins => ConnectionNeed::Transaction,
+        Pinning::Free => ConnectionNeed::Statement,
+    }
+}
--- /dev/null
+++ b/daemon/src/owner/ticker.rs
@@ -0,0 +1,77 @@
+//! The thread that tells owned servers what changes without a request.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use masticreel_admission::connection_pool::Ownership;
+use masticreel_base::ids::ServerId;
+use masticreel_document::groups::ServerSpec;
+
+use crate::directory::{OwnerDirectory, OwnerLocation};
+use crate::owner::Owner;
+use crate::owner::guard::ServerGuard;
+
+/// Time between two looks at the servers.
+const TICK_INTERVAL: Duration = Duration::from_millis(25);
+/// How long an instance must be a server's first owner before it counts on the
+/// earlier one to be gone.
+const HANDOVER_TIME: Duration = Duration::from_secs(5);
+
+/// Tells each owned server the time, whether it is leaving and who owns it.
+pub(super) struct Ticker<Guard, Directory> {
+    owner: Arc<Owner<Guard>>,
+    directory: Directory,
+    first_since: HashMap<ServerId, Instant>,
+}
+
+impl<Guard, Directory> Ticker<Guard, Directory>
+where
+    Guard: ServerGuard,
+    Directory: OwnerDirectory,
+{
+    pub(super) fn new(owner: Arc<Owner<Guard>>, directory: Directory) -> Self {
+        Self { owner, directory, first_since: HashMap::new() }
+    }
+
+    pub(super) fn start(mut self) -> io::Result<()> {
+        let cancellation = self.owner.context.cancellation.clone();
+        thread::Builder::new().name("owner-tick".to_owned()).spawn(move || {
+            while !cancellation.wait_timeout(TICK_INTERVAL) {
+                self.tick();
+            }
+        })?;
+        Ok(())
+    }
+
+    fn tick(&mut self) {
+        let document = self.owner.groups.document();
+        let specs = document.groups().iter().flat_map(|group| &group.servers);
+        let specs: HashMap<&ServerId, &ServerSpec> = specs.map(|spec| (&spec.name, spec)).collect();
+        for server in self.owner.all_servers() {
+            let current = specs.get(&server.spec().name);
+            // A server that is in the document no more is left for good.
+            let is_leaving = current.is_none_or(|spec| spec.leaving);
+            let ownership = self.ownership(server.spec());
+            server.tick(is_leaving, ownership);
+        }
+    }
+
+    fn ownership(&mut self, spec: &ServerSpec) -> Ownership {
+        let owners = self.directory.owners(spec);
+        if owners.first() != Some(&OwnerLocation::Local) {
+            self.first_since.remove(&spec.name);
+            return Ownership::Disputed;
+        }
+        let now = Instant::now();
+        let since = *self.first_since.entry(spec.name.clone()).or_insert(now);
+        let is_alone = owners.len() == 1;
+        if is_alone || now.duration_since(since) >= HANDOVER_TIME {
+            Ownership::Sole
+        } else {
+            Ownership::Disputed
+        }
+    }
+}
--- a/daemon/src/owner/worker.rs
+++ b/daemon/src/owner/worker.rs
@@ -1,22 +1,25 @@
-//! A thread that runs requests on one connection to a server.
+//! The thread of one connection to a server.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+use masticreel_admission::connection_pool::ConnectionId;
+use masticreel_admission::request::ConnectionAfter;
 use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_base::ids::RequestId;
 use masticreel_postgres::upstream::{
     Answer, Needed, Preparation, TransactionState, UpstreamAddress, UpstreamConnection,
     UpstreamError,
 };
 use masticreel_wire::message::{
-    Pinning, Target, TransactionState as WireState, UpstreamAnswer, UpstreamRequest,
+    Pinning, SessionKey, Target, TransactionState as WireState, UpstreamAnswer, UpstreamRequest,
 };
 use slog::warn;
 
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::{Job, Outcome};
-use crate::owner::server::{Command, OwnedServer};
+use crate::owner::server::{Command, OwnedServer, address};
 
 /// Time between two looks at the cancellation token of an idle worker.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -25,13 +28,13 @@
 /// Longest wait for a rollback after which the connection is closed.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Runs one request after the other.
+/// Runs one request after the other on one connection.
 pub(super) struct Worker<Guard> {
     server: Arc<OwnedServer<Guard>>,
-    free_jobs: Receiver<Job>,
+    id: ConnectionId,
     commands: Receiver<Command>,
-    holder: Sender<Command>,
     connection: Option<OpenConnection>,
+    holder: Option<Holder>,
 }
 
 struct OpenConnection {
@@ -39,58 +42,85 @@
     upstream: UpstreamConnection,
 }
 
+/// The session whose open transaction holds the connection.
+struct Holder {
+    session: SessionKey,
+    idle_since: Instant,
+}
+
 impl<Guard> Worker<Guard>
 where
     Guard: ServerGuard,
 {
-    pub(super) fn new(server: Arc<OwnedServer<Guard>>, free_jobs: Receiver<Job>) -> Self {
-        let (holder, commands) = unbounded();
-        Self { server, free_jobs, commands, holder, connection: None }
+    pub(super) fn new(
+        server: Arc<OwnedServer<Guard>>,
+        id: ConnectionId,
+        commands: Receiver<Command>,
+    ) -> Self {
+        Self { server, id, commands, connection: None, holder: None }
     }
 
-    /// Runs requests until the owner is cancelled.
-    pub(super) fn run(mut self) {
+    /// Opens the connection and runs requests until it is closed.
+    pub(super) fn run(mut self, address: UpstreamAddress) {
+        if self.open(&address).is_err() {
+            self.server.connection_failed(self.id);
+            return;
+        }
+        self.server.connection_opened(self.id, address);
         let cancellation = self.server.context().cancellation.clone();
-        while !cancellation.is_cancelled() {
-            match self.free_jobs.recv_timeout(IDLE_CHECK_INTERVAL) {
-                Ok(job) => self.serve_session(job),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+        while self.connection.is_some() && !cancellation.is_cancelled() {
+            match self.commands.recv_timeout(IDLE_CHECK_INTERVAL) {
+                Ok(Command::Run(request, job)) => self.serve(request, job),
+                Ok(Command::Release(session)) => self.release(session),
+                Err(RecvTimeoutError::Timeout) => self.end_idle_transaction(),
+                Ok(Command::Close) | Err(RecvTimeoutError::Disconnected) => break,
             }
         }
+        self.drop_connection();
     }
 
-    /// Runs a request and whatever follows in its transaction.
-    fn serve_session(&mut self, job: Job) {
+    /// Runs one request and reports the outcome.
+    fn serve(&mut self, request: RequestId, job: Job) {
         let session = job.request.session;
-        // Commands of an earlier session that came too late mean nothing now.
-        while self.commands.try_recv().is_ok() {}
-        let mut is_open = self.serve(job);
-        while is_open {
-            let timeout = self.server.context().limits.transaction_idle_timeout();
-            match self.commands.recv_timeout(timeout) {
-                Ok(Command::Run(job)) => is_open = self.serve(job),
-                Ok(Command::Release) | Err(_) => {
-                    self.roll_back();
-                    self.server.holder_gone(session);
-                    return;
-                }
-            }
+        let (outcome, took) = match self.prepare(&job) {
+            Ok(()) => self.execute(&job),
+            Err(failure) => (Err(failure), None),
+        };
+        let is_open = matches!(&outcome, Ok(answer) if answer.state != WireState::Idle);
+        self.holder = is_open.then(|| Holder { session, idle_since: Instant::now() });
+        self.server.request_finished(request, self.id, self.connection_after(), took);
+        let outcome = self.confirm(&job, outcome);
+        self.server.answer(job.reply, outcome);
+    }
+
+    fn connection_after(&self) -> ConnectionAfter {
+        match (&self.connection, &self.holder) {
+            (None, _) => ConnectionAfter::Closed,
+            (Some(_), Some(_)) => ConnectionAfter::Pinned,
+            (Some(_), None) => ConnectionAfter::Idle,
         }
     }
 
-    /// Runs one request; returns whether its transaction is still open.
-    fn serve(&mut self, job: Job) -> bool {
-        let session = job.request.session;
-        let outcome = self.execute(&job);
-        let is_open = matches!(&outcome, Ok(answer) if answer.state != WireState::Idle);
-        self.server.request_finished(session, is_open.then(|| self.holder.clone()));
-        let outcome = self.confirm(&job, outcome);
-        job.reply.send(outcome);
-        is_open
+    /// Ends the transaction of a session that is gone.
+    fn release(&mut self, session: SessionKey) {
+        // A request of the session may have ended the transaction meanwhile.
+        if self.holder.take_if(|holder| holder.session == session).is_none() {
+            return;
+        }
+        self.roll_back();
+        self.server.transaction_ended(session, self.id, self.connection_after());
     }
 
-    fn execute(&mut self, job: &Job) -> Outcome {
+    fn end_idle_transaction(&mut self) {
+        let timeout = self.server.context().limits.transaction_idle_timeout();
+        let expired = self.holder.as_ref().filter(|holder| holder.idle_since.elapsed() >= timeout);
+        if let Some(session) = expired.map(|holder| holder.session) {
+            self.release(session);
+        }
+    }
+
+    /// Makes sure that the request may run on the connection.
+    fn prepare(&mut self, job: &Job) -> Result<(), Failure> {
         let request = &job.request;
         if job.deadline <= Instant::now() {
             return Err(Failure::not_run(
@@ -98,18 +128,21 @@
                 "the deadline passed in the queue",
             ));
         }
-        if request.pinning == Pinning::Free {
+        if request.pinning != Pinning::Pinned {
             self.server.context().guard.admit(request, job.deadline)?;
             self.connect(request)?;
         }
-        let result = self.run_on_connection(request, job.deadline);
-        match result {
-            Ok(outcome) => Ok(outcome),
-            Err(failure) => {
-                self.drop_connection();
-                Err(failure)
-            }
+        Ok(())
+    }
+
+    /// Runs the request and measures how long it took.
+    fn execute(&mut self, job: &Job) -> (Outcome, Option<Duration>) {
+        let begin = Instant::now();
+        let outcome = self.run_on_connection(&job.request, job.deadline);
+        if outcome.is_err() {
+            self.drop_connection();
         }
+        (outcome, Some(begin.elapsed()))
     }
 
     fn run_on_connection(&mut self, request: &UpstreamRequest, deadline: Instant) -> Outcome {
@@ -122,7 +155,7 @@
         upstream
             .set_timeout(remaining.max(MIN_ANSWER_TIMEOUT))
             .map_err(|error| Failure::not_run(FailureKind::Unavailable, error.to_string()))?;
-        self.server.request_started(request.session, upstream.cancel_key());
+        self.server.request_started(self.id, upstream.cancel_key());
         let answer = run_request(upstream, request).map_err(|error| run_failure(&error))?;
         if request.leaves_state {
             upstream.mark_leaves_state();
@@ -132,11 +165,7 @@
 
     /// Makes sure that the connection fits the request.
     fn connect(&mut self, request: &UpstreamRequest) -> Result<(), Failure> {
-        let address = UpstreamAddress {
-            address: self.server.spec().address,
-            user: request.user.clone(),
-            database: request.database.clone(),
-        };
+        let address = address(self.server.spec(), request);
         let fits = self
             .connection
             .as_ref()
@@ -145,11 +174,16 @@
             return Ok(());
         }
         self.drop_connection();
+        self.open(&address)?;
+        self.server.connection_reopened(self.id, address);
+        Ok(())
+    }
+
+    fn open(&mut self, address: &UpstreamAddress) -> Result<(), Failure> {
         let timeout = self.server.context().limits.connect_timeout();
-        let upstream = UpstreamConnection::connect(&address, timeout)
+        let upstream = UpstreamConnection::connect(address, timeout)
             .map_err(|error| self.connect_failure(&error))?;
-        self.connection = Some(OpenConnection { address, upstream });
-        self.count_connections(1);
+        self.connection = Some(OpenConnection { address: address.clone(), upstream });
         Ok(())
     }
 
@@ -180,15 +214,7 @@
     }
 
     fn drop_connection(&mut self) {
-        if self.connection.take().is_some() {
-            self.count_connections(-1);
-        }
-    }
-
-    fn count_connections(&self, change: i64) {
-        let server = self.server.spec().name.as_str();
-        let metrics = &self.server.context().metrics;
-        metrics.upstream_connections.with_label_values(&[server]).add(change);
+        self.connection = None;
     }
 }
 
@@ -201,7 +227,7 @@
         .iter()
         .map(|statement| Needed { name: &statement.name, message: &statement.message })
         .collect();
-    let settings = (request.pinning == Pinning::Free).then_some(request.settings.as_slice());
+    let settings = (request.pinning != Pinning::Pinned).then_some(request.settings.as_slice());
     let preparation = Preparation { settings, needed: &needed, prepares: &request.prepares };
     upstream.run(preparation, &request.payload)
 }
--- a/lib/wire/src/message.rs
+++ b/lib/wire/src/message.rs
@@ -45,8 +45,10 @@
 /// How a request relates to a transaction that holds a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Pinning {
-    /// The request stands alone or begins a transaction.
+    /// The request stands alone.
     Free,
+    /// The request begins a transaction, which will hold a connection.
+    Begins,
     /// The request belongs to the session's open transaction.
     Pinned,
 }
