testutils: choose ports that the system does not hand out

Processes of tests failed to start now and then ('masticreeld ended at once', one in nine parallel starts in a run of cli's test_processes): a port that had been chosen was taken by an outgoing connection before the process listened. Ports are now chosen below the system's own range, each once in a process.

--- a/testutils/src/processes.rs
+++ b/testutils/src/processes.rs
@@ -9,6 +9,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 /// Signals that a test sends to a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -139,11 +140,32 @@
         .ok_or_else(|| io::Error::other(format!("{program} is not built beside {running:?}")))
 }
 
+/// First port that tests listen at. The system hands ports from 32768 to
+/// outgoing connections, which must not take a port between its choice here and
+/// the start of the process that listens there.
+const FIRST_PORT: u32 = 10_000;
+/// How many ports tests choose from.
+const PORTS: u32 = 20_000;
+/// How far the first choices of two processes with adjoining numbers are apart.
+const PORTS_PER_PROCESS: u32 = 131;
+
+/// How many ports this process has tried.
+static TRIED_PORTS: AtomicU32 = AtomicU32::new(0);
+
 /// Returns an address that nothing listens at now.
 ///
 /// # Errors
 ///
 /// Fails when the system has no free port.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    for _ in 0..PORTS {
+        let tried = TRIED_PORTS.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + first.wrapping_add(tried) % PORTS;
+        let port = u16::try_from(port).map_err(io::Error::other)?;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr();
+        }
+    }
+    Err(io::Error::other("no free port"))
 }
