daemon: report to operators and judge service levels

The client had nobody to ask. The operators' port now answers status, instances, groups, service levels and the document in force as JSON, and takes a document that is signed with the fleet's key. Requests are recorded by class against the document's service levels; burn rates are a metric, a change of state is a log line. One instance writes the report into the store every five seconds, under a key of its rank, so that keys don't grow with the fleet.

The document is read only when the head tells of a newer revision, a faulty revision is refused once and shown in status, and a store outage is logged when it begins and when it ends instead of at each read.

Tests with separate processes: racing edits, lost answer, a late write and its verdict, store down, faulty document, hand-over, reports.

Left: members and group views come from the settings until the fleet's membership and the group views are wired in.

--- /dev/null
+++ b/cli/tests/test_processes.rs
@@ -0,0 +1,318 @@
+//! Tests of the client against a store and instances in processes of their own.
+
+use std::io;
+use std::path::PathBuf;
+use std::process::{Command, Output, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use masticreel_base::ids::Revision;
+use masticreel_cli::operators::Operators;
+use masticreel_document::document::Document;
+use masticreel_document::records::StoredDocument;
+use masticreel_document::wire::WireDocument;
+use masticreel_platform::document_store::read_document;
+use masticreel_platform::etcd::EtcdStore;
+use masticreel_report::instances::{InstanceReport, StoreState};
+use masticreel_report::operators::{DOCUMENT_PATH, STATUS_PATH};
+use masticreel_testutils::pg_client::PgClient;
+use masticreel_testutils::processes::deployment::{DATABASE, Deployment, DeploymentSettings};
+use masticreel_wire::frame::SharedKey;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A deployment and the settings of a client.
+struct Bench {
+    deployment: Deployment,
+    folder: PathBuf,
+}
+
+impl Bench {
+    fn start(name: &str) -> Self {
+        let deployment = Deployment::start(name, DeploymentSettings::default()).unwrap();
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&folder).unwrap();
+        let operators: Vec<String> = deployment
+            .addresses
+            .iter()
+            .map(|addresses| format!("\"{}\"", addresses.operators))
+            .collect();
+        let settings = format!(
+            "platform = \"{}\"\ninstances = [{}]\nshared_key = \"test key\"\nauthor = \"tester\"\n\
+             call_timeout_ms = 1000\nedit_timeout_ms = 3000\n",
+            deployment.store_endpoint().unwrap(),
+            operators.join(", ")
+        );
+        std::fs::write(folder.join("masticreel.toml"), settings).unwrap();
+        Self { deployment, folder }
+    }
+
+    fn command(&self, arguments: &[&str]) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_masticreel"));
+        command.args(arguments).current_dir(&self.folder).stdin(Stdio::null());
+        command.stdout(Stdio::piped()).stderr(Stdio::piped());
+        command
+    }
+
+    fn run(&self, arguments: &[&str]) -> Ended {
+        Ended::from(self.command(arguments).output())
+    }
+
+    /// Writes a section's file as if it had been copied at a revision.
+    fn write(&self, file: &str, section: &str, base: u64, pattern: &str) {
+        let text = format!(
+            "# masticreel section {section} from revision {base}\n\
+             [[rules]]\npattern = \"{pattern}\"\nclass = \"urgent\"\n"
+        );
+        std::fs::write(self.folder.join(file), text).unwrap();
+    }
+
+    /// Tells the store how to fail.
+    fn order_store(&self, order: &str) {
+        let control = self.deployment.store.address("control").unwrap();
+        ureq::get(format!("http://{control}/{order}")).call().unwrap();
+    }
+
+    fn stored(&self) -> StoredDocument {
+        let store = EtcdStore::new(&self.deployment.store_endpoint().unwrap(), TIMEOUT);
+        read_document(&store).unwrap()
+    }
+
+    fn revision(&self) -> Revision {
+        self.stored().head.record.revision
+    }
+
+    fn operators(&self) -> Operators {
+        Operators::new(&[self.deployment.addresses[0].operators], TIMEOUT)
+    }
+
+    fn wait_for_status<Check>(&self, check: Check) -> InstanceReport
+    where
+        Check: Fn(&InstanceReport) -> bool,
+    {
+        let deadline = Instant::now() + TIMEOUT;
+        loop {
+            let report: InstanceReport = self.operators().get(STATUS_PATH).unwrap();
+            if check(&report) {
+                return report;
+            }
+            assert!(Instant::now() < deadline, "{report:?}");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+struct Ended {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+impl From<io::Result<Output>> for Ended {
+    fn from(output: io::Result<Output>) -> Self {
+        let output = output.unwrap();
+        Self {
+            code: output.status.code().unwrap(),
+            out: String::from_utf8(output.stdout).unwrap(),
+            err: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+}
+
+#[test]
+fn test_an_edit_goes_from_file_to_force_and_into_the_history() {
+    let bench = Bench::start("edit");
+    let ended = bench.run(&["document", "edit", "lab"]);
+    assert_eq!(ended.code, 0, "{}", ended.err);
+    let file = bench.folder.join("lab.toml");
+    let copy = std::fs::read_to_string(&file).unwrap();
+    assert_eq!(copy, "# masticreel section lab from revision 0\n");
+    std::fs::write(&file, format!("{copy}owner = \"the lab\"\n")).unwrap();
+
+    let ended = bench.run(&["document", "diff", "lab.toml"]);
+    assert!(ended.out.contains("+owner = \"the lab\""), "{}", ended.out);
+    let ended = bench.run(&["document", "apply", "lab.toml", "--wait"]);
+    assert_eq!(ended.code, 0, "{}{}", ended.out, ended.err);
+    assert!(ended.out.starts_with("Landed as revision 2.\nIn force on "), "{}", ended.out);
+    bench.wait_for_status(|report| report.revision == Revision(2));
+
+    let ended = bench.run(&["document", "show", "lab"]);
+    assert!(ended.out.contains("section lab, revision 2, by tester"), "{}", ended.out);
+    let ended = bench.run(&["document", "history"]);
+    assert!(ended.out.contains("lab"), "{}", ended.out);
+    let ended = bench.run(&["document", "history", "--revision", "2"]);
+    assert!(ended.out.contains("+owner = \"the lab\""), "{}", ended.out);
+    assert_eq!(bench.run(&["document", "history", "--revision", "9"]).code, 1);
+}
+
+#[test]
+fn test_racing_edits_of_different_sections_all_land() {
+    let bench = Bench::start("race-different");
+    let sections = ["a", "b", "c", "d", "e", "f"];
+    let mut clients = Vec::new();
+    for section in sections {
+        let file = format!("{section}.toml");
+        bench.write(&file, section, 0, &format!("pattern-{section}"));
+        clients.push(bench.command(&["document", "apply", &file]).spawn().unwrap());
+    }
+    for client in clients {
+        let ended = Ended::from(client.wait_with_output());
+        assert_eq!(ended.code, 0, "{}{}", ended.out, ended.err);
+    }
+    let stored = bench.stored();
+    assert_eq!(stored.head.record.revision, Revision(1 + sections.len() as u64));
+    assert_eq!(stored.to_document().unwrap().rules().len(), sections.len());
+}
+
+#[test]
+fn test_of_racing_edits_of_one_section_one_lands_and_the_others_see_a_diff() {
+    let bench = Bench::start("race-same");
+    let mut clients = Vec::new();
+    for number in 0..6 {
+        let file = format!("{number}.toml");
+        bench.write(&file, "lab", 0, &format!("pattern-{number}"));
+        clients.push(bench.command(&["document", "apply", &file]).spawn().unwrap());
+    }
+    let ended: Vec<Ended> =
+        clients.into_iter().map(|client| Ended::from(client.wait_with_output())).collect();
+    let landed = ended.iter().filter(|ended| ended.code == 0).count();
+    let conflicts: Vec<&Ended> = ended.iter().filter(|ended| ended.code == 3).collect();
+    assert_eq!((landed, conflicts.len()), (1, 5));
+    for conflict in conflicts {
+        assert!(conflict.out.contains("-pattern = \"pattern-"), "{}", conflict.out);
+    }
+    assert_eq!(bench.revision(), Revision(2));
+}
+
+#[test]
+fn test_a_lost_answer_ends_as_landed() {
+    let bench = Bench::start("lost-answer");
+    bench.write("lab.toml", "lab", 0, "a");
+    bench.order_store("lose_next/1");
+    let ended = bench.run(&["document", "apply", "lab.toml"]);
+    assert_eq!(ended.code, 0, "{}{}", ended.out, ended.err);
+    assert_eq!(bench.revision(), Revision(2), "the edit landed once");
+}
+
+#[test]
+fn test_the_verdict_on_a_late_write_is_true() {
+    let bench = Bench::start("late-write");
+    bench.write("lab.toml", "lab", 0, "a");
+    // The write is under way when the store falls silent, and arrives later.
+    bench.order_store("slow_ms/400");
+    let client = bench.command(&["document", "apply", "lab.toml"]).spawn().unwrap();
+    thread::sleep(Duration::from_millis(600));
+    bench.order_store("silent");
+    let ended = Ended::from(client.wait_with_output());
+    assert_eq!(ended.code, 5, "{}{}", ended.out, ended.err);
+    let edit = ended.out.split_whitespace().last().unwrap().to_owned();
+    bench.order_store("up");
+    let ended = bench.run(&["document", "settle", &edit]);
+    let landed = bench.stored().sections.contains_key(&"lab".into());
+    assert_eq!(ended.code, if landed { 0 } else { 6 }, "{}", ended.out);
+    thread::sleep(Duration::from_secs(1));
+    let landed_later = bench.stored().sections.contains_key(&"lab".into());
+    assert_eq!(landed, landed_later, "the verdict is final");
+}
+
+#[test]
+fn test_with_the_store_down_nothing_is_lost_and_the_document_is_shown() {
+    let bench = Bench::start("store-down");
+    bench.write("lab.toml", "lab", 0, "a");
+    bench.order_store("down");
+    let ended = bench.run(&["document", "apply", "lab.toml"]);
+    assert_eq!(ended.code, 6, "{}{}", ended.out, ended.err);
+    let ended = bench.run(&["document", "show"]);
+    assert_eq!(ended.code, 0, "{}", ended.err);
+    assert!(ended.out.contains("the store does not answer"), "{}", ended.out);
+    assert!(ended.out.contains(&format!("database = \"{DATABASE}\"")), "{}", ended.out);
+    bench.wait_for_status(|report| report.store == StoreState::Unreachable);
+
+    bench.order_store("up");
+    let ended = bench.run(&["document", "apply", "lab.toml"]);
+    assert_eq!(ended.code, 0, "{}{}", ended.out, ended.err);
+    bench.wait_for_status(|report| report.revision == Revision(2));
+}
+
+#[test]
+fn test_a_faulty_document_in_the_store_stays_out_of_force() {
+    use masticreel_platform::store::{PlatformStore as _, Put};
+
+    let bench = Bench::start("faulty");
+    let mut stored = bench.stored();
+    let section = stored.sections.values_mut().next().unwrap();
+    section.record.text = "[[rules]]\nclas = 1\n".into();
+    stored.head.record.revision = Revision(2);
+    let name = stored.sections.keys().next().unwrap().clone();
+    let puts = [
+        Put {
+            key: masticreel_document::layout::section_key(&name),
+            value: masticreel_document::records::encode(&stored.sections[&name].record),
+        },
+        Put {
+            key: masticreel_document::layout::HEAD_KEY.to_owned(),
+            value: masticreel_document::records::encode(&stored.head.record),
+        },
+    ];
+    let store = EtcdStore::new(&bench.deployment.store_endpoint().unwrap(), TIMEOUT);
+    store.commit(&[], &puts).unwrap();
+    let report = bench.wait_for_status(|report| report.refused.is_some());
+    assert_eq!(report.revision, Revision(1));
+    assert!(report.refused.unwrap().contains("key \"rules[0].clas\""));
+}
+
+#[test]
+fn test_a_document_handed_over_is_in_force_while_the_store_is_down() {
+    let bench = Bench::start("hand-over");
+    bench.order_store("down");
+    let operators = bench.operators();
+    let mut wire: WireDocument = operators.get(DOCUMENT_PATH).unwrap();
+    wire.revision = Revision(7);
+    let document = Document::try_from(wire).unwrap();
+    let wrong = SharedKey::from_text("another key");
+    assert!(operators.hand_over(&document, &wrong).is_err());
+    let key = SharedKey::from_text("test key");
+    operators.hand_over(&document, &key).unwrap();
+    let report: InstanceReport = operators.get(STATUS_PATH).unwrap();
+    assert_eq!(report.revision, Revision(7));
+
+    // A lower revision is taken without a complaint and changes nothing.
+    let mut lower = WireDocument::from(&document);
+    lower.revision = Revision(6);
+    operators.hand_over(&Document::try_from(lower).unwrap(), &key).unwrap();
+    let report: InstanceReport = operators.get(STATUS_PATH).unwrap();
+    assert_eq!(report.revision, Revision(7));
+}
+
+#[test]
+fn test_reports_tell_levels_instances_and_groups() {
+    let bench = Bench::start("reports");
+    let text = "# masticreel section levels from revision 0\n\
+                [[levels]]\nname = \"reads\"\nclass = \"normal\"\nlatency_ms = 5000\n\
+                objective_percent = 99.0\n";
+    std::fs::write(bench.folder.join("levels.toml"), text).unwrap();
+    assert_eq!(bench.run(&["document", "apply", "levels.toml", "--wait"]).code, 0);
+    let callers = bench.deployment.addresses[0].callers;
+    let parameters = [("user", "ana"), ("database", DATABASE)];
+    let mut client = PgClient::connect(callers, &parameters, TIMEOUT).unwrap();
+    for _ in 0..7 {
+        assert_eq!(client.query("select 1").unwrap().error_code(), None);
+    }
+    let ended = bench.run(&["--json", "report", "--html", "report.html"]);
+    assert_eq!(ended.code, 0, "{}", ended.err);
+    let levels: serde_json::Value = serde_json::from_str(&ended.out).unwrap();
+    assert_eq!(levels[0]["name"], "reads");
+    assert_eq!(levels[0]["long"]["total"], 7);
+    let page = std::fs::read_to_string(bench.folder.join("report.html")).unwrap();
+    assert!(page.contains("<svg"), "{page}");
+
+    assert!(bench.run(&["instances"]).out.contains("instance-0"));
+    assert!(bench.run(&["groups"]).out.contains(&format!("database {DATABASE}")));
+    assert!(bench.run(&["status"]).out.contains("state     serving"));
+    // The first instance reports into the document every five seconds.
+    let deadline = Instant::now() + 2 * TIMEOUT;
+    while !bench.run(&["document", "show"]).out.contains("reported by instance-0") {
+        assert!(Instant::now() < deadline);
+        thread::sleep(Duration::from_millis(200));
+    }
+}
--- /dev/null
+++ b/daemon/src/burn.rs
@@ -0,0 +1,128 @@
+//! Service levels of this instance: what is recorded, and when one burns.
+//!
+//! See `docs/operating.md` for what to do about an alert.
+
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use masticreel_base::cancellation::CancellationToken;
+use masticreel_base::clock::Clock;
+use masticreel_burn::alert::{AlertChange, AlertState, Alerts};
+use masticreel_burn::recorder::{Answer, BurnRecorder};
+use masticreel_burn::report::LevelReport;
+use masticreel_document::class::Class;
+use masticreel_document::levels::ServiceLevel;
+use prometheus::GaugeVec;
+use slog::{Logger, info, warn};
+
+use crate::documents::DocumentCell;
+use crate::metrics::Metrics;
+
+/// Time between two looks at the burn rates.
+const WATCH_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Records requests and reports them against the document's service levels.
+#[derive(Debug, Clone)]
+pub struct BurnAccount<Time> {
+    recorder: Arc<Mutex<BurnRecorder>>,
+    clock: Time,
+}
+
+impl<Time> BurnAccount<Time>
+where
+    Time: Clock,
+{
+    /// Starts without any request.
+    pub fn new(clock: Time) -> Self {
+        let recorder = BurnRecorder::new(clock.now());
+        Self { recorder: Arc::new(Mutex::new(recorder)), clock }
+    }
+
+    /// Records one request.
+    pub fn record(&self, class: Class, latency: Duration, answer: Answer) {
+        let now = self.clock.now();
+        let mut recorder = self.recorder.lock().expect("no holder of the recorder panics");
+        recorder.record(class, latency, answer, now);
+    }
+
+    /// Compares the last hour with service levels.
+    pub fn reports(&self, levels: &[ServiceLevel]) -> Vec<LevelReport> {
+        // Requests go on while the report is made from the copy.
+        let recorder = self.recorder.lock().expect("no holder of the recorder panics").clone();
+        let now = self.clock.now();
+        levels.iter().map(|level| recorder.report(level, now)).collect()
+    }
+}
+
+/// Watches burn rates, for the metrics and the log.
+pub struct BurnWatch<Time> {
+    account: BurnAccount<Time>,
+    document: DocumentCell,
+    rates: GaugeVec,
+    logger: Logger,
+    alerts: Alerts,
+}
+
+impl<Time> BurnWatch<Time>
+where
+    Time: Clock,
+{
+    /// Creates a watch of the levels of the document in force.
+    pub fn new(
+        account: BurnAccount<Time>,
+        document: DocumentCell,
+        metrics: &Metrics,
+        logger: Logger,
+    ) -> Self {
+        let rates = metrics.level_burn_rate.clone();
+        Self { account, document, rates, logger, alerts: Alerts::default() }
+    }
+
+    /// Watches on a thread of its own until cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system has no room for the thread.
+    pub fn start(mut self, cancellation: CancellationToken) -> io::Result<()> {
+        thread::Builder::new().name("burn".to_owned()).spawn(move || {
+            while !cancellation.wait_timeout(WATCH_INTERVAL) {
+                self.look();
+            }
+        })?;
+        Ok(())
+    }
+
+    /// Takes in the present burn rates.
+    pub fn look(&mut self) {
+        let reports = self.account.reports(self.document.load().levels());
+        // Levels that the document no longer has must leave the metrics.
+        self.rates.reset();
+        for report in &reports {
+            self.rates.with_label_values(&[&report.name, "5m"]).set(report.short_burn());
+            self.rates.with_label_values(&[&report.name, "1h"]).set(report.long_burn());
+        }
+        let (alerts, changes) = std::mem::take(&mut self.alerts).update(&reports);
+        self.alerts = alerts;
+        for change in changes {
+            self.log(&change, &reports);
+        }
+    }
+
+    fn log(&self, change: &AlertChange, reports: &[LevelReport]) {
+        let report = reports.iter().find(|report| report.name == change.level);
+        let short_burn = report.map_or(0.0, LevelReport::short_burn);
+        let long_burn = report.map_or(0.0, LevelReport::long_burn);
+        match change.state {
+            AlertState::Burning => warn!(
+                self.logger, "service level burns too fast";
+                "level" => %change.level, "burn_5m" => short_burn, "burn_1h" => long_burn
+            ),
+            AlertState::Quiet => info!(
+                self.logger, "service level no longer burns too fast";
+                "level" => %change.level, "burn_5m" => short_burn, "burn_1h" => long_burn
+            ),
+        }
+    }
+}
--- a/daemon/src/caller/server.rs
+++ b/daemon/src/caller/server.rs
@@ -10,13 +10,17 @@
 
 use crossbeam_channel::{Receiver, unbounded};
 use masticreel_base::cancellation::CancellationToken;
+use masticreel_base::clock::SystemClock;
 use masticreel_base::ids::Incarnation;
+use masticreel_document::class::Class;
 use masticreel_postgres::startup::CancelKey;
 use masticreel_wire::message::SessionKey;
 use slog::{Logger, error, warn};
 
+use crate::burn::BurnAccount;
 use crate::caller::connection::{Connection, Next, READ_BYTES};
 use crate::caller::parking::Parking;
+use crate::caller::session::RequestOutcome;
 use crate::directory::OwnerDirectory;
 use crate::entry::router::{Router, RunningAt};
 use crate::metrics::Metrics;
@@ -37,6 +41,7 @@
     pub(super) cancel_keys: CancelKeys,
     pub(super) is_draining: AtomicBool,
     metrics: Metrics,
+    burn: BurnAccount<SystemClock>,
     connections: AtomicUsize,
 }
 
@@ -55,9 +60,12 @@
     }
 
     /// Counts a request that was answered.
-    pub(super) fn count_request(&self, outcome: &str, elapsed: Duration) {
-        self.metrics.requests.with_label_values(&[outcome]).inc();
-        self.metrics.request_seconds.with_label_values(&["normal"]).observe(elapsed.as_secs_f64());
+    pub(super) fn count_request(&self, outcome: RequestOutcome, class: Class, elapsed: Duration) {
+        let class_name = class.to_string();
+        let seconds = self.metrics.request_seconds.with_label_values(&[&class_name]);
+        self.metrics.requests.with_label_values(&[outcome.label()]).inc();
+        seconds.observe(elapsed.as_secs_f64());
+        self.burn.record(class, elapsed, outcome.answer());
     }
 }
 
@@ -101,6 +109,8 @@
     pub limits: LimitSettings,
     /// What is counted.
     pub metrics: Metrics,
+    /// Where requests are recorded for the service levels.
+    pub burn: BurnAccount<SystemClock>,
     /// Where events are logged.
     pub logger: Logger,
     /// Ends the server's threads.
@@ -137,6 +147,7 @@
             cancel_keys: CancelKeys::default(),
             is_draining: AtomicBool::new(false),
             metrics: parts.metrics,
+            burn: parts.burn,
             connections: AtomicUsize::new(0),
         };
         let server = Arc::new(Self {
--- a/daemon/src/caller/session.rs
+++ b/daemon/src/caller/session.rs
@@ -4,6 +4,8 @@
 
 use bytes::BytesMut;
 use masticreel_base::failure::{Failure, FailureKind, Verdict};
+use masticreel_burn::recorder::Answer;
+use masticreel_document::class::Class;
 use masticreel_postgres::failure::{Severity, put_failure};
 use masticreel_postgres::message::{RawMessage, put_message, tag};
 use masticreel_postgres::request::{
@@ -63,6 +65,7 @@
             settings,
             pinned: None,
             running_at: Arc::default(),
+            class: Class::default(),
         };
         Self {
             assembler: RequestAssembler::default(),
@@ -78,6 +81,11 @@
         self.transaction == Transaction::None && !self.assembler.is_partial()
     }
 
+    /// Returns the class of the last request that was routed.
+    pub(super) fn class(&self) -> Class {
+        self.route.class
+    }
+
     /// Runs a request and appends its answer for the caller.
     ///
     /// Returns what the request came to, for the metrics.
@@ -256,6 +264,14 @@
 }
 
 impl RequestOutcome {
+    /// Returns what the outcome means for service levels.
+    pub(super) fn answer(self) -> Answer {
+        match self {
+            Self::Answered | Self::Failed => Answer::Served,
+            Self::Refused | Self::InDoubt => Answer::Failed,
+        }
+    }
+
     /// Returns the outcome's name in metrics.
     pub(super) fn label(self) -> &'static str {
         match self {
--- a/daemon/src/documents.rs
+++ b/daemon/src/documents.rs
@@ -2,15 +2,17 @@
 
 use std::fmt::Display;
 use std::io;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use masticreel_base::cancellation::CancellationToken;
+use masticreel_base::ids::Revision;
 use masticreel_document::document::Document;
-use masticreel_platform::document_store::read_document;
+use masticreel_platform::document_store::{ReadError, read_document, read_head};
 use masticreel_platform::store::PlatformStore;
+use masticreel_report::instances::StoreState;
 use slog::{Logger, info, warn};
 
 use crate::metrics::Metrics;
@@ -22,14 +24,46 @@
 #[derive(Clone)]
 pub struct Documents {
     cell: DocumentCell,
+    health: Arc<Mutex<Health>>,
     metrics: Metrics,
     logger: Logger,
 }
 
+/// What keeps the instance from following the document.
+#[derive(Debug)]
+struct Health {
+    store: StoreState,
+    refused: Option<Refused>,
+}
+
+/// A newer revision that is not in force, since it is faulty.
+#[derive(Debug)]
+struct Refused {
+    revision: Revision,
+    reason: Arc<str>,
+}
+
 impl Documents {
     /// Starts with an empty document.
     pub fn new(metrics: Metrics, logger: Logger) -> Self {
-        Self { cell: DocumentCell::default(), metrics, logger }
+        let health = Health { store: StoreState::Unused, refused: None };
+        let health = Arc::new(Mutex::new(health));
+        Self { cell: DocumentCell::default(), health, metrics, logger }
+    }
+
+    /// Returns the document in force.
+    pub fn current(&self) -> Arc<Document> {
+        self.cell.load_full()
+    }
+
+    /// Returns why a newer revision is not in force, if there is one.
+    pub fn refused(&self) -> Option<Arc<str>> {
+        self.health().refused.as_ref().map(|refused| refused.reason.clone())
+    }
+
+    /// Returns whether the store answered the last call.
+    pub fn store_state(&self) -> StoreState {
+        self.health().store
     }
 
     /// Returns the cell that always holds the document in force.
@@ -50,36 +84,84 @@
         if is_newer {
             self.metrics.document_revision.set(i64::try_from(revision.0).unwrap_or(i64::MAX));
             info!(self.logger, "document in force"; "revision" => %revision);
+            self.forget_refusal_before(revision);
         }
         is_newer
     }
 
-    /// Reads the document from the store and puts it in force.
+    /// Reads the document from the store if it holds a newer one, and puts it
+    /// in force.
     ///
     /// Returns whether the store answered with a valid document.
     pub fn refresh<Store>(&self, store: &Store) -> bool
     where
         Store: PlatformStore,
     {
-        let stored = match read_document(store) {
-            Ok(stored) => stored,
+        match self.read_newer(store) {
+            Ok(()) => {
+                self.note_store(StoreState::Reachable, "");
+                self.health().refused.is_none()
+            }
             Err(error) => {
-                warn!(self.logger, "document not read"; "error" => %error);
-                return false;
+                self.note_store(StoreState::Unreachable, &error.to_string());
+                false
             }
-        };
+        }
+    }
+
+    fn read_newer<Store>(&self, store: &Store) -> Result<(), ReadError>
+    where
+        Store: PlatformStore,
+    {
+        let newest = read_head(store)?.record.revision;
+        let is_refused = self.health().refused.as_ref().is_some_and(|it| it.revision == newest);
+        if newest <= self.current().revision() || is_refused {
+            return Ok(());
+        }
+        let stored = read_document(store)?;
         match stored.to_document() {
             Ok(document) => {
                 self.apply(document);
-                true
             }
-            Err(errors) => {
-                warn!(self.logger, "document refused"; "error" => join_lines(&errors));
-                false
+            Err(errors) => self.refuse(stored.head.record.revision, &join_lines(&errors)),
+        }
+        Ok(())
+    }
+
+    /// Notes that a revision is faulty, so that operators learn of it.
+    pub fn refuse(&self, revision: Revision, reason: &str) {
+        warn!(self.logger, "document refused"; "revision" => %revision, "error" => reason);
+        self.metrics.document_refused.set(1);
+        self.health().refused = Some(Refused { revision, reason: reason.into() });
+    }
+
+    fn forget_refusal_before(&self, revision: Revision) {
+        let mut health = self.health();
+        if health.refused.as_ref().is_some_and(|refused| refused.revision <= revision) {
+            health.refused = None;
+            self.metrics.document_refused.set(0);
+        }
+    }
+
+    /// Logs only changes, since an outage may be long.
+    fn note_store(&self, state: StoreState, error: &str) {
+        let before = std::mem::replace(&mut self.health().store, state);
+        self.metrics.store_reachable.set(i64::from(state == StoreState::Reachable));
+        match (before, state) {
+            (StoreState::Unreachable, StoreState::Reachable) => {
+                info!(self.logger, "store reachable again");
+            }
+            (StoreState::Unused | StoreState::Reachable, StoreState::Unreachable) => {
+                warn!(self.logger, "store unreachable"; "error" => error);
             }
+            _ => {}
         }
     }
 
+    fn health(&self) -> MutexGuard<'_, Health> {
+        self.health.lock().expect("no holder of the document's health panics")
+    }
+
     /// Reads the document again and again on a thread of its own.
     ///
     /// # Errors
--- a/daemon/src/entry/router.rs
+++ b/daemon/src/entry/router.rs
@@ -5,9 +5,11 @@
 
 use masticreel_base::failure::{Failure, FailureKind, Verdict};
 use masticreel_base::ids::RequestId;
+use masticreel_document::class::Class;
 use masticreel_document::groups::{GroupSpec, ServerSpec};
 use masticreel_postgres::request::{NeededStatement, RequestPlan};
 use masticreel_postgres::statement::StatementKind;
+use masticreel_session::tags::parse_tags;
 use masticreel_wire::message::{
     Pinning, PreparedStatement, SessionKey, Target, TransactionState, UpstreamAnswer,
     UpstreamRequest, WireClass,
@@ -42,6 +44,8 @@
     pub pinned: Option<PinnedServer>,
     /// The owner that is running a request of the session, for cancel requests.
     pub running_at: RunningAt,
+    /// The class of the last request, for metrics and service levels.
+    pub class: Class,
 }
 
 /// The owner that is running a session's request, if any.
@@ -91,6 +95,7 @@
     /// Fails with a verdict that says whether the request may have run.
     pub fn run(&self, session: &mut SessionRoute, plan: &RequestPlan) -> Outcome {
         let deadline = Instant::now() + self.limits.request_timeout();
+        session.class = self.class_of(plan);
         match session.pinned.clone() {
             Some(pinned) => self.run_pinned(session, plan, &pinned, deadline),
             None => self.run_free(session, plan, deadline),
@@ -109,6 +114,16 @@
         }
     }
 
+    /// Returns the most lasting class among a request's statements.
+    fn class_of(&self, plan: &RequestPlan) -> Class {
+        let document = self.groups.document();
+        let class = |text: &str| {
+            let tags = parse_tags(text).unwrap_or_default();
+            document.policy().classify(text, &tags.statement).class
+        };
+        plan.statements.iter().map(|statement| class(&statement.text)).max().unwrap_or_default()
+    }
+
     fn run_pinned(
         &self,
         session: &mut SessionRoute,
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -14,6 +14,7 @@
 use masticreel_wire::message::Hello;
 use slog::{Logger, info, warn};
 
+use crate::burn::{BurnAccount, BurnWatch};
 use crate::caller::server::{CallerServer, CallerServerParts};
 use crate::directory::{Candidate, OwnerLocation, StaticDirectory};
 use crate::documents::Documents;
@@ -24,8 +25,11 @@
 use crate::link::server::LinkServer;
 use crate::metrics::Metrics;
 use crate::operator::OperatorServer;
+use crate::operator::pages::Pages;
+use crate::operator::view::SettingsView;
 use crate::owner::guard::Unguarded;
 use crate::owner::{Owner, OwnerContext};
+use crate::reporter::Reporter;
 use crate::settings::{PeerSettings, Settings};
 
 /// Why an instance can't start.
@@ -56,6 +60,7 @@
     caller_address: SocketAddr,
     shutdown_timeout: Duration,
     logger: Logger,
+    stopping: CancellationToken,
     cancellation: CancellationToken,
 }
 
@@ -67,6 +72,7 @@
     /// Fails when an address is taken or the system has no room.
     pub fn start(settings: &Settings, logger: &Logger) -> Result<Self, StartError> {
         let cancellation = CancellationToken::new();
+        let stopping = cancellation.child();
         let metrics = Metrics::new();
         let incarnation = incarnation(&SystemClock);
         let own = &settings.instance;
@@ -88,7 +94,17 @@
         let key = SharedKey::from_text(&own.shared_key);
         LinkServer::new(owner.clone(), key.clone(), logger.clone(), cancellation.clone())
             .start(peer_listener)?;
-        OperatorServer::new(metrics.clone()).start(operator_listener, cancellation.clone())?;
+        let burn = BurnAccount::new(SystemClock);
+        let pages = Pages {
+            name: own.name.clone(),
+            failure_domain: own.failure_domain.clone(),
+            documents: documents.clone(),
+            view: SettingsView::new(settings, documents.clone(), groups.clone()),
+            burn: burn.clone(),
+            key: key.clone(),
+            stopping: stopping.clone(),
+        };
+        start_reports(settings, pages, operator_listener, &metrics, logger, &cancellation)?;
 
         let hello = Hello { instance: own.name.clone(), incarnation };
         let links = LinkPool::new(hello, key);
@@ -99,6 +115,7 @@
             incarnation,
             limits: settings.limits.clone(),
             metrics,
+            burn,
             logger: logger.clone(),
             cancellation: cancellation.clone(),
         };
@@ -109,6 +126,7 @@
             caller_address,
             shutdown_timeout: settings.limits.shutdown_timeout(),
             logger: logger.clone(),
+            stopping,
             cancellation,
         })
     }
@@ -121,6 +139,7 @@
     /// Finishes what is in flight, then ends all threads.
     pub fn stop(self) {
         info!(self.logger, "instance stopping");
+        self.stopping.cancel();
         if !self.callers.drain(self.shutdown_timeout) {
             warn!(self.logger, "instance stopped with callers left"; "reason" => "timeout");
         }
@@ -142,18 +161,38 @@
     Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
 }
 
+fn store(settings: &Settings) -> EtcdStore {
+    let timeout = Duration::from_millis(settings.platform.store_timeout_ms);
+    EtcdStore::new(&settings.platform.store_endpoint, timeout)
+}
+
+/// Starts all that tells operators how the instance is.
+fn start_reports(
+    settings: &Settings,
+    pages: Pages<SettingsView, SystemClock>,
+    listener: TcpListener,
+    metrics: &Metrics,
+    logger: &Logger,
+    cancellation: &CancellationToken,
+) -> io::Result<()> {
+    let document = pages.documents.cell();
+    BurnWatch::new(pages.burn.clone(), document, metrics, logger.clone())
+        .start(cancellation.clone())?;
+    Reporter::new(pages.clone(), SystemClock, store(settings), logger.clone())
+        .start(cancellation.clone())?;
+    OperatorServer::new(metrics.clone(), pages).start(listener, cancellation.clone())
+}
+
 fn start_documents(
     settings: &Settings,
     metrics: &Metrics,
     logger: &Logger,
     cancellation: &CancellationToken,
 ) -> io::Result<Documents> {
-    let platform = &settings.platform;
-    let timeout = Duration::from_millis(platform.store_timeout_ms);
-    let store = EtcdStore::new(&platform.store_endpoint, timeout);
+    let store = store(settings);
     let documents = Documents::new(metrics.clone(), logger.clone());
     documents.refresh(&store);
-    let interval = Duration::from_millis(platform.document_poll_ms);
+    let interval = Duration::from_millis(settings.platform.document_poll_ms);
     documents.clone().follow(store, interval, cancellation.clone())?;
     Ok(documents)
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 //! `docs/design/01-threads-and-links.md` shows how a request travels through
 //! the modules.
 
+pub mod burn;
 pub mod caller;
 pub mod directory;
 pub mod documents;
@@ -15,4 +16,5 @@
 pub mod metrics;
 pub mod operator;
 pub mod owner;
+pub mod reporter;
 pub mod settings;
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -1,7 +1,8 @@
 //! What the instance counts, for metrics collectors and reports.
 
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+    GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -24,6 +25,12 @@
     pub upstream_connections: IntGaugeVec,
     /// The revision of the document in force.
     pub document_revision: IntGauge,
+    /// Whether a newer revision was refused.
+    pub document_refused: IntGauge,
+    /// Whether the platform's store answered the last call.
+    pub store_reachable: IntGauge,
+    /// How fast service levels spend their error budgets, by level and window.
+    pub level_burn_rate: GaugeVec,
 }
 
 impl Metrics {
@@ -49,6 +56,15 @@
                 "masticreel_document_revision",
                 "Revision of the document in force.",
             ),
+            document_refused: gauge(
+                "masticreel_document_refused",
+                "1 if a newer revision of the document is faulty and not in force.",
+            ),
+            store_reachable: gauge(
+                "masticreel_store_reachable",
+                "1 if the platform's store answered the last call.",
+            ),
+            level_burn_rate: level_burn_rate(),
         };
         metrics.register();
         metrics
@@ -63,6 +79,9 @@
             registry.register(Box::new(self.queued.clone())),
             registry.register(Box::new(self.upstream_connections.clone())),
             registry.register(Box::new(self.document_revision.clone())),
+            registry.register(Box::new(self.document_refused.clone())),
+            registry.register(Box::new(self.store_reachable.clone())),
+            registry.register(Box::new(self.level_burn_rate.clone())),
         ];
         for result in results {
             result.expect("metric names are unique");
@@ -86,6 +105,14 @@
     }
 }
 
+fn level_burn_rate() -> GaugeVec {
+    let options = Opts::new(
+        "masticreel_level_burn_rate",
+        "Error budget spent, as a multiple of the rate that the objective allows.",
+    );
+    GaugeVec::new(options, &["level", "window"]).expect("the options are valid")
+}
+
 fn gauge(name: &str, help: &str) -> IntGauge {
     IntGauge::new(name, help).expect("the name is valid")
 }
--- a/daemon/src/operator.rs
+++ b/daemon/src/operator.rs
@@ -1,29 +1,52 @@
 //! The port for operators and metrics collectors.
 
-use std::io;
+pub mod pages;
+pub mod view;
+
+use std::io::{self, Read as _};
 use std::net::TcpListener;
 use std::thread;
 use std::time::Duration;
 
 use masticreel_base::cancellation::CancellationToken;
-use tiny_http::{Request, Response, Server};
+use masticreel_base::clock::Clock;
+use masticreel_report::operators::{
+    DOCUMENT_PATH, GROUPS_PATH, INSTANCES_PATH, REPORT_PATH, SIGNATURE_HEADER, STATUS_PATH,
+};
+use serde::Serialize;
+use tiny_http::{Method, Request, Response, Server};
 
 use crate::metrics::Metrics;
+use crate::operator::pages::{Pages, PostRefusal};
+use crate::operator::view::FleetView;
 
 /// Time between two looks at the cancellation token.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// The status of a request that was obeyed.
+const OK: u16 = 200;
+/// The status of a document that is faulty.
+const UNPROCESSABLE: u16 = 422;
+/// The status of a document without the right signature.
+const FORBIDDEN: u16 = 403;
 /// The status of a path that does not exist.
 const NOT_FOUND: u16 = 404;
+/// Largest posted document, in bytes.
+const MAX_POST_BYTES: u64 = 64 * 1024 * 1024;
 
 /// Answers requests for metrics and reports.
-pub struct OperatorServer {
+pub struct OperatorServer<View, Time> {
     metrics: Metrics,
+    pages: Pages<View, Time>,
 }
 
-impl OperatorServer {
-    /// Creates a server that shows these metrics.
-    pub fn new(metrics: Metrics) -> Self {
-        Self { metrics }
+impl<View, Time> OperatorServer<View, Time>
+where
+    View: FleetView,
+    Time: Clock,
+{
+    /// Creates a server that shows these metrics and pages.
+    pub fn new(metrics: Metrics, pages: Pages<View, Time>) -> Self {
+        Self { metrics, pages }
     }
 
     /// Answers on a thread of its own until cancelled.
@@ -44,12 +67,52 @@
     }
 
     fn answer(&self, request: Request) {
-        // An operator that closed the connection needs no answer.
-        let _ = match request.url() {
-            "/metrics" => request.respond(Response::from_string(self.metrics.render())),
-            _ => {
-                request.respond(Response::from_string("no such page\n").with_status_code(NOT_FOUND))
+        let path = request.url().split('?').next().unwrap_or_default().to_owned();
+        match (request.method(), path.as_str()) {
+            (Method::Get, "/metrics") => respond(request, OK, self.metrics.render()),
+            (Method::Get, STATUS_PATH) => respond_json(request, &self.pages.status()),
+            (Method::Get, INSTANCES_PATH) => respond_json(request, &self.pages.view.members()),
+            (Method::Get, GROUPS_PATH) => respond_json(request, &self.pages.view.groups()),
+            (Method::Get, REPORT_PATH) => respond_json(request, &self.pages.levels()),
+            (Method::Get, DOCUMENT_PATH) => respond_json(request, &self.pages.document()),
+            (Method::Post, DOCUMENT_PATH) => self.take_document(request),
+            _ => respond(request, NOT_FOUND, "no such page\n".to_owned()),
+        }
+    }
+
+    fn take_document(&self, mut request: Request) {
+        let signature = request
+            .headers()
+            .iter()
+            .find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(SIGNATURE_HEADER))
+            .map(|header| header.value.to_string())
+            .unwrap_or_default();
+        let mut body = Vec::new();
+        if request.as_reader().take(MAX_POST_BYTES).read_to_end(&mut body).is_err() {
+            // The client is gone and needs no answer.
+            return;
+        }
+        match self.pages.post_document(&body, &signature) {
+            Ok(()) => respond(request, OK, "taken\n".to_owned()),
+            Err(PostRefusal::Unsigned) => {
+                respond(request, FORBIDDEN, "the signature is missing or wrong\n".to_owned());
+            }
+            Err(PostRefusal::Invalid) => {
+                respond(request, UNPROCESSABLE, "the document is faulty\n".to_owned());
             }
-        };
+        }
     }
 }
+
+fn respond_json<Value>(request: Request, value: &Value)
+where
+    Value: Serialize,
+{
+    let text = serde_json::to_string(value).expect("reports have string keys only");
+    respond(request, OK, text);
+}
+
+fn respond(request: Request, status: u16, text: String) {
+    // An operator that closed the connection needs no answer.
+    let _ = request.respond(Response::from_string(text).with_status_code(status));
+}
--- /dev/null
+++ b/daemon/src/operator/pages.rs
@@ -0,0 +1,100 @@
+//! What the operators' port answers besides metrics.
+
+use std::sync::Arc;
+
+use masticreel_base::cancellation::CancellationToken;
+use masticreel_base::clock::Clock;
+use masticreel_base::ids::{FailureDomain, InstanceId};
+use masticreel_burn::report::LevelReport;
+use masticreel_document::document::Document;
+use masticreel_document::wire::WireDocument;
+use masticreel_report::instances::{InstanceReport, InstanceState};
+use masticreel_wire::frame::SharedKey;
+use masticreel_wire::signature::is_signed;
+
+use crate::burn::BurnAccount;
+use crate::documents::Documents;
+use crate::operator::view::FleetView;
+
+/// Why a posted document was not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PostRefusal {
+    /// The signature is missing or wrong.
+    Unsigned,
+    /// The content is no valid document.
+    Invalid,
+}
+
+/// Answers operators from what the instance knows.
+#[derive(Clone)]
+pub struct Pages<View, Time> {
+    /// The instance's name.
+    pub name: InstanceId,
+    /// Where the instance runs.
+    pub failure_domain: FailureDomain,
+    /// The document in force.
+    pub documents: Documents,
+    /// The fleet and the database groups.
+    pub view: View,
+    /// The service levels.
+    pub burn: BurnAccount<Time>,
+    /// The secret that a posted document is signed with.
+    pub key: SharedKey,
+    /// Whether the instance takes on no work.
+    pub stopping: CancellationToken,
+}
+
+impl<View, Time> Pages<View, Time>
+where
+    View: FleetView,
+    Time: Clock,
+{
+    /// Returns how this instance is.
+    pub fn status(&self) -> InstanceReport {
+        let document = self.documents.current();
+        InstanceReport {
+            name: self.name.clone(),
+            version: env!("CARGO_PKG_VERSION").into(),
+            failure_domain: self.failure_domain.clone(),
+            state: self.state(&document),
+            revision: document.revision(),
+            refused: self.documents.refused(),
+            store: self.documents.store_state(),
+        }
+    }
+
+    /// Returns the service levels of the document in force.
+    pub fn levels(&self) -> Vec<LevelReport> {
+        self.burn.reports(self.documents.current().levels())
+    }
+
+    /// Returns the document in force.
+    pub fn document(&self) -> WireDocument {
+        WireDocument::from(&*self.documents.current())
+    }
+
+    /// Puts a posted document in force unless a newer one is.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the document is not signed with the fleet's key or faulty.
+    pub fn post_document(&self, body: &[u8], signature: &str) -> Result<(), PostRefusal> {
+        if !is_signed(&self.key, body, signature) {
+            return Err(PostRefusal::Unsigned);
+        }
+        let wire: WireDocument = serde_json::from_slice(body).map_err(|_| PostRefusal::Invalid)?;
+        let document = Document::try_from(wire).map_err(|_| PostRefusal::Invalid)?;
+        self.documents.apply(document);
+        Ok(())
+    }
+
+    fn state(&self, document: &Arc<Document>) -> InstanceState {
+        if self.stopping.is_cancelled() {
+            return InstanceState::Leaving;
+        }
+        if document.revision().0 == 0 {
+            return InstanceState::Starting;
+        }
+        InstanceState::Serving
+    }
+}
--- /dev/null
+++ b/daemon/src/reporter.rs
@@ -0,0 +1,82 @@
+//! Writes what the system reports back into the platform's store.
+//!
+//! Only the few instances with a rank write, each to a key of its rank, so the
+//! store's load and the number of keys don't grow with the fleet.
+
+use std::io;
+use std::thread;
+use std::time::{Duration, UNIX_EPOCH};
+
+use masticreel_base::cancellation::CancellationToken;
+use masticreel_base::clock::Clock;
+use masticreel_document::layout::report_key;
+use masticreel_document::records::encode;
+use masticreel_platform::store::{PlatformStore, Put, StoreError};
+use masticreel_report::fleet::FleetReport;
+use slog::debug;
+
+use crate::operator::pages::Pages;
+use crate::operator::view::FleetView;
+
+/// Time between two reports.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Writes reports for operators to read in the document.
+pub struct Reporter<View, Time, Store> {
+    pages: Pages<View, Time>,
+    clock: Time,
+    store: Store,
+    logger: slog::Logger,
+}
+
+impl<View, Time, Store> Reporter<View, Time, Store>
+where
+    View: FleetView,
+    Time: Clock,
+    Store: PlatformStore,
+{
+    /// Creates a reporter.
+    pub fn new(pages: Pages<View, Time>, clock: Time, store: Store, logger: slog::Logger) -> Self {
+        Self { pages, clock, store, logger }
+    }
+
+    /// Reports on a thread of its own until cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system has no room for the thread.
+    pub fn start(self, cancellation: CancellationToken) -> io::Result<()> {
+        thread::Builder::new().name("reporter".to_owned()).spawn(move || {
+            while !cancellation.wait_timeout(REPORT_INTERVAL) {
+                // A report that is lost is followed by the next.
+                if let Err(error) = self.report() {
+                    debug!(self.logger, "report not written"; "error" => %error);
+                }
+            }
+        })?;
+        Ok(())
+    }
+
+    /// Writes a report if this instance is one of the few that do.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer.
+    pub fn report(&self) -> Result<(), StoreError> {
+        let Some(rank) = self.pages.view.reporter_rank() else { return Ok(()) };
+        let put = Put { key: report_key(rank), value: encode(&self.fleet_report()) };
+        self.store.commit(&[], &[put]).map(drop)
+    }
+
+    fn fleet_report(&self) -> FleetReport {
+        let written_at = self.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        FleetReport {
+            reporter: self.pages.name.clone(),
+            written_at_ms: u64::try_from(written_at.as_millis()).unwrap_or(u64::MAX),
+            revision: self.pages.documents.current().revision(),
+            members: self.pages.view.members(),
+            groups: self.pages.view.groups(),
+            levels: self.pages.levels(),
+        }
+    }
+}
--- a/lib/document/src/layout.rs
+++ b/lib/document/src/layout.rs
@@ -20,6 +20,11 @@
 /// offers no deletion to its users.
 pub const HISTORY_SLOTS: u64 = 512;
 
+/// Returns the key of a report by the writer's place among the few that report.
+pub fn report_key(rank: usize) -> String {
+    format!("{REPORT_PREFIX}{rank}")
+}
+
 /// Returns the key of a section.
 pub fn section_key(section: &SectionName) -> String {
     format!("{SECTIONS_PREFIX}{section}")
