daemon: classify, bound and budget requests at the entry

Cause: all requests were normal, an entry full of waiting requests did not read urgent ones, and an owner that was gone or shutting down was asked again. Change: tags and rules set the class; a statement of a transaction with an urgent statement is urgent, so its commit is. The door refuses before the threads run out and keeps a part for urgent requests; open transactions pass. A retry after an attempt that reached a server spends from the caller's and the group's budget and is refunded when it succeeds; one probe in 100 ms is free, or requests that wait for a new primary would never find it. Owners that were unreachable or refused are asked last for 2 s. Ruled out: charging refusals that no server saw; that starves callers who could be served after a failover. Left: integration tests, measurements with processes.

--- a/daemon/src/caller/connection.rs
+++ b/daemon/src/caller/connection.rs
@@ -243,7 +243,7 @@
         let mut output = BytesMut::new();
         let outcome =
             session.serve(request, &context.router, &mut output).map_err(protocol_failure)?;
-        context.count_request(outcome.label(), started.elapsed());
+        context.count_request(outcome.label(), session.route.class, started.elapsed());
         Ok(self.write(&output))
     }
 
--- a/daemon/src/caller/server.rs
+++ b/daemon/src/caller/server.rs
@@ -11,6 +11,7 @@
 use crossbeam_channel::{Receiver, unbounded};
 use masticreel_base::cancellation::CancellationToken;
 use masticreel_base::ids::Incarnation;
+use masticreel_document::class::Class;
 use masticreel_postgres::startup::CancelKey;
 use masticreel_wire::message::SessionKey;
 use slog::{Logger, error, warn};
@@ -19,7 +20,7 @@
 use crate::caller::parking::Parking;
 use crate::directory::OwnerDirectory;
 use crate::entry::router::{Router, RunningAt};
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, class_label};
 use crate::owner::guard::ServerGuard;
 use crate::settings::LimitSettings;
 
@@ -55,9 +56,10 @@
     }
 
     /// Counts a request that was answered.
-    pub(super) fn count_request(&self, outcome: &str, elapsed: Duration) {
+    pub(super) fn count_request(&self, outcome: &str, class: Class, elapsed: Duration) {
         self.metrics.requests.with_label_values(&[outcome]).inc();
-        self.metrics.request_seconds.with_label_values(&["normal"]).observe(elapsed.as_secs_f64());
+        let seconds = self.metrics.request_seconds.with_label_values(&[class_label(class)]);
+        seconds.observe(elapsed.as_secs_f64());
     }
 }
 
--- a/daemon/src/caller/session.rs
+++ b/daemon/src/caller/session.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use bytes::BytesMut;
+use masticreel_admission::retry_budget::RetryBudget;
 use masticreel_base::failure::{Failure, FailureKind, Verdict};
+use masticreel_document::class::Class;
 use masticreel_postgres::failure::{Severity, put_failure};
 use masticreel_postgres::message::{RawMessage, put_message, tag};
 use masticreel_postgres::request::{
@@ -62,6 +64,8 @@
             database: parameters.database.as_str().into(),
             settings,
             pinned: None,
+            class: Class::default(),
+            retry_budget: RetryBudget::for_caller(),
             running_at: Arc::default(),
         };
         Self {
--- a/daemon/src/directory.rs
+++ b/daemon/src/directory.rs
@@ -10,7 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Where the owner of a server is reached.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum OwnerLocation {
     /// This instance owns the server.
     Local,
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -3,4 +3,5 @@
 //! See `docs/design/05-read-your-writes.md` and `docs/design/06-verdicts.md`.
 
 pub mod dispatch;
+pub mod gate;
 pub mod router;
--- a/daemon/src/entry/dispatch.rs
+++ b/daemon/src/entry/dispatch.rs
@@ -1,8 +1,9 @@
 //! Sending a request to the owner of its server, here or elsewhere.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Instant;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::bounded;
 use masticreel_base::failure::{Failure, FailureKind};
@@ -20,8 +21,13 @@
     owner: Arc<Owner<Guard>>,
     links: LinkPool,
     directory: Directory,
+    /// Owners that could not be used, and when.
+    avoided: Mutex<HashMap<OwnerLocation, Instant>>,
 }
 
+/// How long an owner that could not be used is asked last.
+const AVOIDANCE_TIME: Duration = Duration::from_secs(2);
+
 impl<Guard, Directory> Dispatcher<Guard, Directory>
 where
     Guard: ServerGuard,
@@ -29,12 +35,24 @@
 {
     /// Creates a dispatcher.
     pub fn new(owner: Arc<Owner<Guard>>, links: LinkPool, directory: Directory) -> Self {
-        Self { owner, links, directory }
+        Self { owner, links, directory, avoided: Mutex::new(HashMap::new()) }
     }
 
     /// Returns the owners of a server, the one to ask first in front.
+    ///
+    /// Owners that lately were unreachable or refused the server come last.
     pub fn owners(&self, server: &ServerSpec) -> Vec<OwnerLocation> {
-        self.directory.owners(server)
+        let mut owners = self.directory.owners(server);
+        let now = Instant::now();
+        let mut avoided = self.avoided.lock().expect("no holder of the owners panics");
+        avoided.retain(|_, since| now.duration_since(*since) < AVOIDANCE_TIME);
+        owners.sort_by_key(|owner| avoided.contains_key(owner));
+        owners
+    }
+
+    fn avoid(&self, owner: OwnerLocation) {
+        let mut avoided = self.avoided.lock().expect("no holder of the owners panics");
+        avoided.insert(owner, Instant::now());
     }
 
     /// Runs a request at an owner and waits for the outcome.
@@ -53,13 +71,20 @@
         let (sender, receiver) = bounded(1);
         match owner {
             OwnerLocation::Local => self.owner.submit(request, Reply::Local(sender)),
-            OwnerLocation::Remote(peer) => self.links.send_request(peer, request, sender)?,
+            OwnerLocation::Remote(peer) => {
+                let sent = self.links.send_request(peer, request, sender);
+                sent.inspect_err(|_| self.avoid(owner))?;
+            }
         }
-        receiver.recv_deadline(deadline).unwrap_or_else(|_| {
+        let outcome = receiver.recv_deadline(deadline).unwrap_or_else(|_| {
             self.cancel(owner, session);
             let message = "the owner of the server did not answer in time";
             Err(Failure::may_have_run(FailureKind::Lost, message))
-        })
+        });
+        if matches!(&outcome, Err(failure) if failure.kind == FailureKind::NotOwner) {
+            self.avoid(owner);
+        }
+        outcome
     }
 
     /// Asks an owner to cancel what a session is running.
--- /dev/null
+++ b/daemon/src/entry/gate.rs
@@ -0,0 +1,162 @@
+//! What happens to a request before it leaves the entry: its class, the bound
+//! on concurrent requests and the budget for retries.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
+
+use masticreel_admission::door_limit::DoorLimit;
+use masticreel_admission::expected_times::Fingerprint;
+use masticreel_admission::retry_budget::{self, RetryBudget};
+use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_base::ids::GroupId;
+use masticreel_document::class::Class;
+use masticreel_document::document::Document;
+use masticreel_postgres::request::{RequestPlan, RequestStatement};
+use masticreel_postgres::statement::StatementKind;
+use masticreel_session::tags::parse_tags;
+
+/// Failing retries that a group can save up.
+const GROUP_BURST_RETRIES: u32 = 20;
+
+/// How a request competes with others.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Treatment {
+    /// The request's class.
+    pub class: Class,
+    /// Identifies requests that take about the same time.
+    pub fingerprint: u64,
+    /// Whether the request begins a transaction and leaves it open.
+    pub begins: bool,
+}
+
+impl Treatment {
+    /// Decides by the statements' tags and the document's rules.
+    ///
+    /// A request of several statements is long if one of them is, and urgent
+    /// only if all are that do work.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a tag has an impossible value; the request has not run.
+    pub fn of(document: &Document, plan: &RequestPlan) -> Result<Self, Failure> {
+        let mut class = None;
+        for statement in plan.statements.iter().filter(|statement| does_work(statement)) {
+            let other = statement_class(document, statement)?;
+            class = Some(class.map_or(other, |class| combine(class, other)));
+        }
+        let begin = plan.statements.iter().rposition(|s| s.kind == StatementKind::Begin);
+        let end = plan.statements.iter().rposition(|s| ends_transaction(s.kind));
+        Ok(Self {
+            class: class.unwrap_or_default(),
+            fingerprint: fingerprint(&plan.statements),
+            begins: begin.is_some() && begin > end,
+        })
+    }
+}
+
+fn does_work(statement: &RequestStatement) -> bool {
+    statement.kind != StatementKind::Begin && !ends_transaction(statement.kind)
+}
+
+fn ends_transaction(kind: StatementKind) -> bool {
+    matches!(kind, StatementKind::Commit | StatementKind::Rollback)
+}
+
+fn statement_class(document: &Document, statement: &RequestStatement) -> Result<Class, Failure> {
+    let tags = parse_tags(&statement.text)
+        .map_err(|error| Failure::not_run(FailureKind::Protocol, error.to_string()))?;
+    Ok(document.policy().classify(&statement.text, &tags.statement).class)
+}
+
+fn combine(first: Class, second: Class) -> Class {
+    match (first, second) {
+        (Class::Long, _) | (_, Class::Long) => Class::Long,
+        (Class::Urgent, Class::Urgent) => Class::Urgent,
+        _ => Class::Normal,
+    }
+}
+
+fn fingerprint(statements: &[RequestStatement]) -> u64 {
+    match statements {
+        [statement] => Fingerprint::of(&statement.text).into(),
+        _ => {
+            let texts: Vec<&str> = statements.iter().map(|statement| &*statement.text).collect();
+            Fingerprint::of(&texts.join(";")).into()
+        }
+    }
+}
+
+/// Bounds what the entry works on and how often it tries again.
+#[derive(Debug, Clone)]
+pub struct Gate {
+    door: Arc<Mutex<DoorLimit>>,
+    budgets: Arc<Mutex<HashMap<GroupId, RetryBudget>>>,
+}
+
+/// A request's place inside the entry; it is given back when dropped.
+#[derive(Debug)]
+pub struct Pass {
+    gate: Gate,
+    class: Class,
+}
+
+impl Gate {
+    /// Creates a gate for this many requests at a time.
+    pub fn new(max_concurrent_requests: usize) -> Self {
+        let total = u32::try_from(max_concurrent_requests).unwrap_or(u32::MAX);
+        Self {
+            door: Arc::new(Mutex::new(DoorLimit::new(total))),
+            budgets: Arc::new(Mutex::new(HashMap::new())),
+        }
+    }
+
+    /// Lets a request in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when as many requests of its class are inside as may be; the
+    /// request has not run.
+    pub fn enter(&self, class: Class) -> Result<Pass, Failure> {
+        self.door().enter(class)?;
+        Ok(Pass { gate: self.clone(), class })
+    }
+
+    /// Notes a request's first attempt, which pays for later retries.
+    pub fn attempted(&self, caller: &mut RetryBudget, group: &GroupId) {
+        caller.attempted();
+        self.with_budget(group, RetryBudget::attempted);
+    }
+
+    /// Returns whether a retry that loads a server may be made now.
+    pub fn may_retry(&self, caller: &mut RetryBudget, group: &GroupId, now: Instant) -> bool {
+        self.with_budget(group, |budget| retry_budget::spend(caller, budget, now))
+    }
+
+    /// Notes that such a retry succeeded.
+    pub fn retry_succeeded(&self, caller: &mut RetryBudget, group: &GroupId) {
+        self.with_budget(group, |budget| retry_budget::refund(caller, budget));
+    }
+
+    fn with_budget<Change, Answer>(&self, group: &GroupId, change: Change) -> Answer
+    where
+        Change: FnOnce(&mut RetryBudget) -> Answer,
+    {
+        let mut budgets = self.budgets.lock().expect("no holder of the budgets panics");
+        if let Some(budget) = budgets.get_mut(group) {
+            return change(budget);
+        }
+        let budget = budgets.entry(group.clone());
+        change(budget.or_insert_with(|| RetryBudget::new(GROUP_BURST_RETRIES)))
+    }
+
+    fn door(&self) -> MutexGuard<'_, DoorLimit> {
+        self.door.lock().expect("no holder of the door limit panics")
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        self.gate.door().leave(self.class);
+    }
+}
--- a/daemon/src/entry/router.rs
+++ b/daemon/src/entry/router.rs
@@ -3,8 +3,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use masticreel_admission::retry_budget::RetryBudget;
 use masticreel_base::failure::{Failure, FailureKind, Verdict};
-use masticreel_base::ids::RequestId;
+use masticreel_base::ids::{GroupId, RequestId};
+use masticreel_document::class::Class;
 use masticreel_document::groups::{GroupSpec, ServerSpec};
 use masticreel_postgres::request::{NeededStatement, RequestPlan};
 use masticreel_postgres::statement::StatementKind;
@@ -15,6 +17,7 @@
 
 use crate::directory::{OwnerDirectory, OwnerLocation};
 use crate::entry::dispatch::Dispatcher;
+use crate::entry::gate::{Gate, Treatment};
 use crate::groups::Groups;
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::Outcome;
@@ -40,6 +43,10 @@
     pub settings: Vec<Arc<str>>,
     /// The owner and server that hold the session's open transaction.
     pub pinned: Option<PinnedServer>,
+    /// How the session's latest request competed with others.
+    pub class: Class,
+    /// What the session may try again.
+    pub retry_budget: RetryBudget,
     /// The owner that is running a request of the session, for cancel requests.
     pub running_at: RunningAt,
 }
@@ -56,6 +63,16 @@
     pub server: ServerSpec,
     /// The group.
     pub group: GroupSpec,
+    /// Whether a statement of the transaction was urgent, so that its commit is.
+    pub is_urgent: bool,
+}
+
+/// Where one attempt goes.
+#[derive(Debug, Clone, Copy)]
+struct Destination<'spec> {
+    group: &'spec GroupSpec,
+    server: &'spec ServerSpec,
+    pinning: Pinning,
 }
 
 /// Sends requests to the right servers.
@@ -63,6 +80,7 @@
     dispatcher: Dispatcher<Guard, Directory>,
     groups: Groups,
     limits: LimitSettings,
+    gate: Gate,
 }
 
 impl<Guard, Directory> Router<Guard, Directory>
@@ -76,7 +94,8 @@
         groups: Groups,
         limits: LimitSettings,
     ) -> Self {
-        Self { dispatcher, groups, limits }
+        let gate = Gate::new(limits.max_concurrent_requests);
+        Self { dispatcher, groups, limits, gate }
     }
 
     /// Returns whether a database is in the document.
@@ -91,10 +110,15 @@
     /// Fails with a verdict that says whether the request may have run.
     pub fn run(&self, session: &mut SessionRoute, plan: &RequestPlan) -> Outcome {
         let deadline = Instant::now() + self.limits.request_timeout();
-        match session.pinned.clone() {
-            Some(pinned) => self.run_pinned(session, plan, &pinned, deadline),
-            None => self.run_free(session, plan, deadline),
-        }
+        let treatment = Treatment::of(&self.groups.document(), plan)?;
+        session.class = treatment.class;
+        let Some(pinned) = session.pinned.clone() else {
+            let _pass = self.gate.enter(treatment.class)?;
+            return self.run_free(session, plan, treatment, deadline);
+        };
+        // The server's connections bound the open transactions, so they pass
+        // the door freely; a refusal would only keep their locks longer.
+        self.run_pinned(session, plan, treatment, pinned, deadline)
     }
 
     /// Cancels what a session is running.
@@ -113,15 +137,19 @@
         &self,
         session: &mut SessionRoute,
         plan: &RequestPlan,
-        pinned: &PinnedServer,
+        treatment: Treatment,
+        mut pinned: PinnedServer,
         deadline: Instant,
     ) -> Outcome {
-        let request =
-            self.request(session, plan, &pinned.group, &pinned.server, Pinning::Pinned, deadline);
+        pinned.is_urgent |= treatment.class == Class::Urgent;
+        let class = if pinned.is_urgent { Class::Urgent } else { treatment.class };
+        let treatment = Treatment { class, ..treatment };
+        let destination =
+            Destination { group: &pinned.group, server: &pinned.server, pinning: Pinning::Pinned };
+        let request = self.request(session, plan, treatment, destination, deadline);
         let outcome = self.run_at(pinned.owner, session, request, deadline);
-        if !matches!(&outcome, Ok(answer) if answer.state != TransactionState::Idle) {
-            session.pinned = None;
-        }
+        let is_open = matches!(&outcome, Ok(answer) if answer.state != TransactionState::Idle);
+        session.pinned = is_open.then_some(pinned);
         outcome
     }
 
@@ -129,32 +157,67 @@
         &self,
         session: &mut SessionRoute,
         plan: &RequestPlan,
+        treatment: Treatment,
         deadline: Instant,
     ) -> Outcome {
+        let group = self.group(session)?;
+        self.gate.attempted(&mut session.retry_budget, &group.name);
         let mut delay = FIRST_RETRY_DELAY;
+        let mut has_paid = false;
         loop {
-            let outcome = self.attempt(session, plan, deadline);
+            let outcome = self.attempt(session, plan, treatment, deadline);
             let outcome = refusal_as_failure(plan, outcome);
+            if has_paid && outcome.is_ok() {
+                self.gate.retry_succeeded(&mut session.retry_budget, &group.name);
+            }
             let Err(failure) = outcome else { return outcome };
-            let out_of_time = Instant::now() + delay >= deadline;
-            if out_of_time || !is_worth_retrying(&failure) {
+            if !is_worth_retrying(&failure) {
+                return Err(failure);
+            }
+            has_paid = loads_server(&failure);
+            if !self.wait_to_retry(session, &group.name, has_paid, &mut delay, deadline) {
                 return Err(failure);
             }
-            std::thread::sleep(delay);
-            delay = MAX_RETRY_DELAY.min(delay * 2);
         }
     }
 
+    /// Waits until another attempt may be made; returns whether there is time.
+    fn wait_to_retry(
+        &self,
+        session: &mut SessionRoute,
+        group: &GroupId,
+        must_pay: bool,
+        delay: &mut Duration,
+        deadline: Instant,
+    ) -> bool {
+        loop {
+            if Instant::now() + *delay >= deadline {
+                return false;
+            }
+            std::thread::sleep(*delay);
+            *delay = MAX_RETRY_DELAY.min(*delay * 2);
+            let now = Instant::now();
+            if !must_pay || self.gate.may_retry(&mut session.retry_budget, group, now) {
+                return true;
+            }
+        }
+    }
+
+    fn group(&self, session: &SessionRoute) -> Result<GroupSpec, Failure> {
+        self.groups.by_database(&session.database).ok_or_else(|| {
+            let message = format!("database \"{}\" does not exist", session.database);
+            Failure::not_run(FailureKind::UnknownDatabase, message)
+        })
+    }
+
     fn attempt(
         &self,
         session: &mut SessionRoute,
         plan: &RequestPlan,
+        treatment: Treatment,
         deadline: Instant,
     ) -> Outcome {
-        let group = self.groups.by_database(&session.database).ok_or_else(|| {
-            let message = format!("database \"{}\" does not exist", session.database);
-            Failure::not_run(FailureKind::UnknownDatabase, message)
-        })?;
+        let group = self.group(session)?;
         let server = self
             .groups
             .primary(&group)
@@ -162,11 +225,17 @@
         let owner = self.dispatcher.owners(server).first().copied().ok_or_else(|| {
             Failure::not_run(FailureKind::Unavailable, "no instance owns the server")
         })?;
-        let request = self.request(session, plan, &group, server, Pinning::Free, deadline);
+        let pinning = if treatment.begins { Pinning::Begins } else { Pinning::Free };
+        let destination = Destination { group: &group, server, pinning };
+        let request = self.request(session, plan, treatment, destination, deadline);
         let answer = self.run_at(owner, session, request, deadline)?;
         if answer.state != TransactionState::Idle {
-            let pinned = PinnedServer { owner, server: server.clone(), group: group.clone() };
-            session.pinned = Some(pinned);
+            session.pinned = Some(PinnedServer {
+                owner,
+                server: server.clone(),
+                group: group.clone(),
+                is_urgent: treatment.class == Class::Urgent,
+            });
         }
         Ok(answer)
     }
@@ -191,25 +260,24 @@
         &self,
         session: &SessionRoute,
         plan: &RequestPlan,
-        group: &GroupSpec,
-        server: &ServerSpec,
-        pinning: Pinning,
+        treatment: Treatment,
+        destination: Destination<'_>,
         deadline: Instant,
     ) -> UpstreamRequest {
         let remaining = deadline.saturating_duration_since(Instant::now());
         UpstreamRequest {
             id: RequestId::default(),
             session: session.key,
-            group: group.name.clone(),
-            server: server.name.clone(),
+            group: destination.group.name.clone(),
+            server: destination.server.name.clone(),
             target: Target::Primary,
-            pinning,
-            class: WireClass::Normal,
+            pinning: destination.pinning,
+            class: wire_class(treatment.class),
             user: session.user.clone(),
             database: session.database.clone(),
             settings: session.settings.clone(),
             deadline_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
-            fingerprint: 0,
+            fingerprint: treatment.fingerprint,
             leaves_state: plan.statements.iter().any(|statement| leaves_state(statement.kind)),
             payload: plan.payload.clone(),
             prepared: plan.needed.iter().map(prepared_statement).collect(),
@@ -246,6 +314,20 @@
     )
 }
 
+/// Returns whether the failed attempt reached a server, so that trying again
+/// adds load.
+fn loads_server(failure: &Failure) -> bool {
+    failure.kind == FailureKind::NotPrimary
+}
+
+fn wire_class(class: Class) -> WireClass {
+    match class {
+        Class::Urgent => WireClass::Urgent,
+        Class::Normal => WireClass::Normal,
+        Class::Long => WireClass::Long,
+    }
+}
+
 fn prepared_statement(needed: &NeededStatement) -> PreparedStatement {
     PreparedStatement { name: needed.name.clone(), message: needed.message.to_vec() }
 }
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -1,5 +1,6 @@
 //! What the instance counts, for metrics collectors and reports.
 
+use masticreel_document::class::Class;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
@@ -99,6 +100,15 @@
     }
 }
 
+/// Returns the label of a class.
+pub fn class_label(class: Class) -> &'static str {
+    match class {
+        Class::Urgent => "urgent",
+        Class::Normal => "normal",
+        Class::Long => "long",
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self::new()
--- a/daemon/src/owner/server.rs
+++ b/daemon/src/owner/server.rs
@@ -20,6 +20,7 @@
 use masticreel_wire::message::{Pinning, SessionKey, UpstreamRequest, WireClass};
 use slog::{info, warn};
 
+use crate::metrics::class_label;
 use crate::owner::OwnerContext;
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::{Job, Outcome, Reply};
@@ -350,14 +351,6 @@
     }
 }
 
-fn class_label(class: Class) -> &'static str {
-    match class {
-        Class::Urgent => "urgent",
-        Class::Normal => "normal",
-        Class::Long => "long",
-    }
-}
-
 fn gauge(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
