--- a/daemon/src/owner/worker.rs
+++ b/daemon/src/owner/worker.rs
@@ -25,8 +25,8 @@
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Shortest wait for an answer; a zero wait would mean none at all.
 const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(1);
-/// Longest wait for a rollback after which the connection is closed.
-const ROLLBACK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for a rollback or reset, after which the connection is closed.
+const RESET_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Runs one request after the other on one connection.
 pub(super) struct Worker<Guard> {
@@ -77,6 +77,16 @@
             }
         }
         self.drop_connection();
+        self.refuse_late_requests();
+    }
+
+    /// Answers requests that were handed over while the connection closed.
+    fn refuse_late_requests(&mut self) {
+        while let Ok(command) = self.commands.try_recv() {
+            if let Command::Run(request, job) = command {
+                self.serve(request, job);
+            }
+        }
     }
 
     /// Runs one request and reports the outcome.
@@ -88,11 +98,24 @@
         };
         let is_open = matches!(&outcome, Ok(answer) if answer.state != WireState::Idle);
         self.holder = is_open.then(|| Holder { session, idle_since: Instant::now() });
+        if !is_open {
+            self.reset();
+        }
         self.server.request_finished(request, self.id, self.connection_after(), took);
         let outcome = self.confirm(&job, outcome);
         self.server.answer(job.reply, outcome);
     }
 
+    /// Makes the connection fit for another session.
+    fn reset(&mut self) {
+        let Some(open) = &mut self.connection else { return };
+        let is_reset =
+            open.upstream.set_timeout(RESET_TIMEOUT).is_ok() && open.upstream.reset().is_ok();
+        if !is_reset {
+            self.drop_connection();
+        }
+    }
+
     fn connection_after(&self) -> ConnectionAfter {
         match (&self.connection, &self.holder) {
             (None, _) => ConnectionAfter::Closed,
@@ -108,6 +131,7 @@
             return;
         }
         self.roll_back();
+        self.reset();
         self.server.transaction_ended(session, self.id, self.connection_after());
     }
 
@@ -128,11 +152,20 @@
                 "the deadline passed in the queue",
             ));
         }
-        if request.pinning != Pinning::Pinned {
-            self.server.context().guard.admit(request, job.deadline)?;
-            self.connect(request)?;
+        if request.pinning == Pinning::Pinned {
+            return self.check_holder(request.session);
         }
-        Ok(())
+        self.server.context().guard.admit(request, job.deadline)?;
+        self.connect(request)
+    }
+
+    /// The transaction may have ended while the request was on its way here.
+    fn check_holder(&self, session: SessionKey) -> Result<(), Failure> {
+        if self.holder.as_ref().is_some_and(|holder| holder.session == session) {
+            return Ok(());
+        }
+        let message = "the transaction was rolled back";
+        Err(Failure::not_run(FailureKind::TransactionLost, message))
     }
 
     /// Runs the request and measures how long it took.
@@ -155,6 +188,10 @@
         upstream
             .set_timeout(remaining.max(MIN_ANSWER_TIMEOUT))
             .map_err(|error| Failure::not_run(FailureKind::Unavailable, error.to_string()))?;
+        if request.pinning != Pinning::Pinned {
+            let settings = &request.settings;
+            upstream.adopt_settings(settings).map_err(|error| settings_failure(&error))?;
+        }
         self.server.request_started(self.id, upstream.cancel_key());
         let answer = run_request(upstream, request).map_err(|error| run_failure(&error))?;
         if request.leaves_state {
@@ -204,7 +241,7 @@
 
     fn roll_back(&mut self) {
         let Some(open) = &mut self.connection else { return };
-        let rolled_back = open.upstream.set_timeout(ROLLBACK_TIMEOUT).is_ok()
+        let rolled_back = open.upstream.set_timeout(RESET_TIMEOUT).is_ok()
             && open.upstream.query("ROLLBACK").is_ok_and(|answer| answer.sqlstate.is_none());
         if !rolled_back {
             self.drop_connection();
@@ -227,11 +264,14 @@
         .iter()
         .map(|statement| Needed { name: &statement.name, message: &statement.message })
         .collect();
-    let settings = (request.pinning != Pinning::Pinned).then_some(request.settings.as_slice());
-    let preparation = Preparation { settings, needed: &needed, prepares: &request.prepares };
+    let preparation = Preparation { needed: &needed, prepares: &request.prepares };
     upstream.run(preparation, &request.payload)
 }
 
+fn settings_failure(error: &UpstreamError) -> Failure {
+    Failure::not_run(FailureKind::Unsupported, format!("the session's settings: {error}"))
+}
+
 fn run_failure(error: &UpstreamError) -> Failure {
     Failure::may_have_run(FailureKind::Lost, error.to_string())
 }
--- a/lib/admission/src/server_admission.rs
+++ b/lib/admission/src/server_admission.rs
@@ -163,15 +163,22 @@
     }
 
     /// Notes that a session's transaction ended between two statements.
+    ///
+    /// If the session's next statement has been started already, its end
+    /// concludes the transaction.
     pub fn transaction_ended(
         &mut self,
         session: &Session,
         after: ConnectionAfter,
         now: Instant,
     ) -> Vec<ServerAction<Identity>> {
-        let Some(connection) = self.holders.remove(session) else {
+        let Some(connection) = self.holders.get(session).copied() else {
             return Vec::new();
         };
+        if self.running.values().any(|other| *other == connection) {
+            return Vec::new();
+        }
+        self.holders.remove(session);
         self.settle(connection, after, now);
         let orphans = self.waiting_of(session);
         let mut actions: Vec<Action> = Vec::new();
