--- a/daemon/src/caller/session.rs
+++ b/daemon/src/caller/session.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::BytesMut;
+use masticreel_admission::retry_budget::RetryBudget;
 use masticreel_base::failure::{Failure, FailureKind, Verdict};
 use masticreel_burn::recorder::Answer;
 use masticreel_document::class::Class;
@@ -64,8 +65,9 @@
             database: parameters.database.as_str().into(),
             settings,
             pinned: None,
-            running_at: Arc::default(),
             class: Class::default(),
+            retry_budget: RetryBudget::for_caller(),
+            running_at: Arc::default(),
         };
         Self {
             assembler: RequestAssembler::default(),
@@ -81,11 +83,6 @@
         self.transaction == Transaction::None && !self.assembler.is_partial()
     }
 
-    /// Returns the class of the last request that was routed.
-    pub(super) fn class(&self) -> Class {
-        self.route.class
-    }
-
     /// Runs a request and appends its answer for the caller.
     ///
     /// Returns what the request came to, for the metrics.
--- a/daemon/src/owner/worker.rs
+++ b/daemon/src/owner/worker.rs
@@ -77,6 +77,16 @@
             }
         }
         self.drop_connection();
+        self.refuse_late_requests();
+    }
+
+    /// Answers requests that were handed over while the connection closed.
+    fn refuse_late_requests(&mut self) {
+        while let Ok(command) = self.commands.try_recv() {
+            if let Command::Run(request, job) = command {
+                self.serve(request, job);
+            }
+        }
     }
 
     /// Runs one request and reports the outcome.
@@ -96,6 +106,16 @@
         self.server.answer(job.reply, outcome);
     }
 
+    /// Makes the connection fit for another session.
+    fn reset(&mut self) {
+        let Some(open) = &mut self.connection else { return };
+        let is_reset =
+            open.upstream.set_timeout(RESET_TIMEOUT).is_ok() && open.upstream.reset().is_ok();
+        if !is_reset {
+            self.drop_connection();
+        }
+    }
+
     fn connection_after(&self) -> ConnectionAfter {
         match (&self.connection, &self.holder) {
             (None, _) => ConnectionAfter::Closed,
@@ -132,16 +152,19 @@
                 "the deadline passed in the queue",
             ));
         }
-        if request.pinning != Pinning::Pinned {
-            self.server.context().guard.admit(request, job.deadline)?;
-            return self.connect(request);
+        if request.pinning == Pinning::Pinned {
+            return self.check_holder(request.session);
         }
-        // The transaction may have ended while the request was handed over.
-        let is_held = self.holder.as_ref().is_some_and(|held| held.session == request.session);
-        if !is_held {
-            return Err(transaction_lost());
+        self.server.context().guard.admit(request, job.deadline)?;
+        self.connect(request)
+    }
+
+    /// The transaction may have ended while the request was on its way here.
+    fn check_holder(&self, session: SessionKey) -> Result<(), Failure> {
+        if self.holder.as_ref().is_some_and(|holder| holder.session == session) {
+            return Ok(());
         }
-        Ok(())
+        Err(transaction_lost())
     }
 
     /// Runs the request and measures how long it took.
@@ -214,16 +237,6 @@
         Ok(answer)
     }
 
-    /// Makes the connection fit for another session.
-    fn reset(&mut self) {
-        let Some(open) = &mut self.connection else { return };
-        let is_reset =
-            open.upstream.set_timeout(RESET_TIMEOUT).is_ok() && open.upstream.reset().is_ok();
-        if !is_reset {
-            self.drop_connection();
-        }
-    }
-
     fn roll_back(&mut self) {
         let Some(open) = &mut self.connection else { return };
         let rolled_back = open.upstream.set_timeout(RESET_TIMEOUT).is_ok()
