--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -2,5 +2,6 @@
 //! tool and the comparison of admission policies.
 
 pub mod experiment;
+pub mod load;
 pub mod pg_client;
 pub mod processes;
