--- /dev/null
+++ b/daemon/tests/test_operating_page.rs
@@ -0,0 +1,50 @@
+//! Tests that the page for whoever is on call names all there is to see.
+
+use std::path::Path;
+
+const PAGE: &str = include_str!("../../docs/operating.md");
+
+fn sources(folder: &Path, texts: &mut Vec<String>) {
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            sources(&path, texts);
+        } else {
+            texts.push(std::fs::read_to_string(path).unwrap());
+        }
+    }
+}
+
+fn all_sources() -> Vec<String> {
+    let mut texts = Vec::new();
+    sources(&Path::new(env!("CARGO_MANIFEST_DIR")).join("src"), &mut texts);
+    texts
+}
+
+/// Returns the first text in quotes after each place where a marker stands.
+fn quoted_after<'text>(text: &'text str, marker: &'text str) -> impl Iterator<Item = &'text str> {
+    text.split(marker).skip(1).filter_map(|rest| rest.split('"').nth(1))
+}
+
+#[test]
+fn test_every_metric_is_on_the_page() {
+    for text in all_sources() {
+        for rest in text.split("\"masticreel_").skip(1) {
+            let name = format!("masticreel_{}", rest.split('"').next().unwrap());
+            assert!(PAGE.contains(&format!("`{name}")), "docs/operating.md lacks {name}");
+        }
+    }
+}
+
+#[test]
+fn test_every_warning_and_error_is_on_the_page() {
+    let texts = all_sources();
+    let events: Vec<&str> = texts
+        .iter()
+        .flat_map(|text| quoted_after(text, "warn!(").chain(quoted_after(text, "error!(")))
+        .collect();
+    assert!(!events.is_empty());
+    for event in events {
+        assert!(PAGE.contains(&format!("| `{event}`")), "docs/operating.md lacks {event:?}");
+    }
+}
