--- a/lib/platform/src/lib.rs
+++ b/lib/platform/src/lib.rs
@@ -2,5 +2,8 @@
 //!
 //! See `docs/design/08-document.md`.
 
+pub mod document_store;
+pub mod editor;
 pub mod etcd;
+pub mod instance_list;
 pub mod store;
