testutils: add the scenario language

Failure tests need whole systems and must not depend on time. A scenario file starts masticreel and its stand-ins as processes, lets callers and operators act, makes processes, links and the store fail, and compares what is seen with what is expected. Every server stands behind a link that can be cut, and each instance has one to the store and one to its callers.

Sessions can be compared byte by byte, both sides, with cancel keys and positions left out. Waiting is by wait-for only.

Ruled out: links between instances, which use UDP and addresses that instances pass on; cutting them needs a seam in the product.

--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod load;
 pub mod pg_client;
 pub mod processes;
+pub mod scenario;
--- a/testutils/src/processes.rs
+++ b/testutils/src/processes.rs
@@ -3,7 +3,7 @@
 //! Programs are looked for beside the running test, where cargo puts them.
 
 pub mod deployment;
-mod document;
+pub(crate) mod document;
 
 use std::io::{self, BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr};
--- a/testutils/src/processes/deployment.rs
+++ b/testutils/src/processes/deployment.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::pg_client::{ClientError, PgClient};
-use crate::processes::{Process, own_address};
+use crate::processes::{Process, document, own_address};
 
 /// The database that callers connect to.
 pub const DATABASE: &str = "app";
@@ -21,6 +21,8 @@
 const OPERATOR_PORT: u16 = 6434;
 /// Longest wait of a test's caller for bytes.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(20);
+/// The section that holds all that tests write.
+const SECTION: &str = "test";
 
 /// What a deployment is made of.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -85,7 +87,7 @@
         std::fs::create_dir_all(&folder)?;
         let store = Process::start("masticreel-standin", &words("store"), None)?;
         let servers = start_servers(&settings)?;
-        let addresses = (0..settings.instances).map(|_| InstanceAddresses::new()).collect();
+        let addresses = (0..settings.instances).map(|_| InstanceAddresses::choose()).collect();
         let mut deployment =
             Self { store, servers, instances: Vec::new(), addresses, settings, folder };
         deployment.write_document()?;
@@ -178,7 +180,7 @@
     }
 
     fn write_document(&self) -> io::Result<()> {
-        crate::processes::document::write(&self.store_endpoint()?, &self.document_text()?)
+        document::write(&self.store_endpoint()?, SECTION, &self.document_text()?)
     }
 }
 
@@ -190,7 +192,8 @@
 }
 
 impl InstanceAddresses {
-    fn new() -> Self {
+    /// Chooses addresses that no other instance of this test run has.
+    pub fn choose() -> Self {
         let address = own_address();
         let with_port = |port| SocketAddr::from((address, port));
         Self {
--- a/testutils/src/processes/document.rs
+++ b/testutils/src/processes/document.rs
@@ -12,19 +12,16 @@
 
 const TIMING: EditTiming =
     EditTiming { deadline: Duration::from_secs(5), retry_pause: Duration::from_millis(50) };
-/// The section that holds all that tests write.
-const SECTION: &str = "test";
-
-/// Writes the first text of the only section.
+/// Writes the first text of a section.
 ///
 /// # Errors
 ///
 /// Fails when the text is not accepted.
-pub fn write(endpoint: &str, text: &str) -> io::Result<()> {
+pub fn write(endpoint: &str, section: &str, text: &str) -> io::Result<()> {
     let store = EtcdStore::new(endpoint, Duration::from_secs(1));
     let editor = Editor::new(store, SystemClock, TIMING, CancellationToken::new());
     let request = EditRequest {
-        section: SECTION.into(),
+        section: section.into(),
         base: Revision(0),
         text: text.into(),
         author: "test".into(),
--- /dev/null
+++ b/testutils/src/scenario.rs
@@ -0,0 +1,110 @@
+//! The language of scripted scenarios; see `docs/scenarios.md`.
+//!
+//! A scenario starts masticreel and its stand-ins as processes, lets callers
+//! and operators act, makes things fail, and compares what is seen with what
+//! the file expects. The output has no times, ports or process numbers.
+
+mod arguments;
+mod caller;
+mod environment;
+mod faults;
+mod operator;
+pub mod session;
+mod waiting;
+
+use std::path::Path;
+
+use datadriven::{TestCase, walk};
+use derive_more::{Display, From};
+
+use crate::scenario::arguments::Arguments;
+use crate::scenario::caller::Callers;
+use crate::scenario::environment::Environment;
+
+/// Why a directive can't be carried out.
+#[derive(Debug, Display, From)]
+pub enum ScenarioError {
+    /// The scenario's text is wrong.
+    #[display("{_0}")]
+    #[from(ignore)]
+    Text(String),
+    /// A process, file or socket failed.
+    #[display("{_0}")]
+    Io(std::io::Error),
+    /// The directive's arguments are wrong.
+    #[display("{_0}")]
+    Arguments(datadriven::DataDrivenError),
+}
+
+impl std::error::Error for ScenarioError {}
+
+impl ScenarioError {
+    fn text(message: impl Into<String>) -> Self {
+        Self::Text(message.into())
+    }
+}
+
+/// Runs the scenario in a file, or all below a directory.
+///
+/// With the variable `REWRITE` set, the expected output is replaced by the
+/// actual one.
+///
+/// # Panics
+///
+/// Panics with the differences when the output is not as expected.
+pub fn run(path: &Path) {
+    let path = path.to_str().expect("the path is UTF-8");
+    assert!(Path::new(path).exists(), "{path} does not exist");
+    walk(path, |file| {
+        let mut scenario = Scenario::default();
+        file.run(|case| scenario.step(case));
+    });
+}
+
+/// What a running scenario holds; all its processes end with it.
+#[derive(Default)]
+struct Scenario {
+    callers: Callers,
+    environment: Environment,
+}
+
+impl Scenario {
+    fn step(&mut self, case: &mut TestCase) -> Result<String, ScenarioError> {
+        let directive = case.directive.clone();
+        let input = case.input.trim_end().to_owned();
+        let mut arguments = Arguments::new(case);
+        let output = self.obey(&directive, &mut arguments, &input)?;
+        arguments.finish()?;
+        Ok(output.trim_end().to_owned() + "\n")
+    }
+
+    fn obey(
+        &mut self,
+        directive: &str,
+        arguments: &mut Arguments<'_>,
+        input: &str,
+    ) -> Result<String, ScenarioError> {
+        let environment = &mut self.environment;
+        match directive {
+            "start" => environment.start(arguments, input),
+            "kill" | "freeze" | "thaw" | "terminate" | "restart" => {
+                faults::process(environment, directive, arguments)
+            }
+            "cut" | "heal" | "delay" => faults::link(environment, directive, arguments),
+            "store" => faults::store(environment, arguments),
+            "edit" => operator::edit(environment, arguments, input),
+            "masticreel" => operator::run(environment, input),
+            "sql" => self.callers.run(environment, arguments, input),
+            "send" => self.callers.send(environment, arguments, input),
+            "receive" => self.callers.receive(arguments),
+            "disconnect" => self.callers.disconnect(arguments),
+            "session" => {
+                let address = environment.caller_address(&arguments.text("instance")?)?;
+                session::run(address, input)
+            }
+            "status" => environment.status_line(&arguments.text("server")?),
+            "wait-for" => waiting::wait(environment, &mut self.callers, arguments, input),
+            other => Err(ScenarioError::text(format!("unknown directive: {other}"))),
+        }
+    }
+}
--- /dev/null
+++ b/testutils/src/scenario/arguments.rs
@@ -0,0 +1,68 @@
+//! The arguments of a directive.
+
+use std::time::Duration;
+
+use datadriven::TestCase;
+
+use crate::scenario::ScenarioError;
+
+/// How long a directive waits unless it says so.
+const DEFAULT_WAIT: Duration = Duration::from_secs(10);
+
+/// The arguments of a directive, each of which must be used.
+pub struct Arguments<'a> {
+    case: &'a mut TestCase,
+}
+
+impl<'a> Arguments<'a> {
+    /// Takes the arguments of a test case.
+    pub fn new(case: &'a mut TestCase) -> Self {
+        Self { case }
+    }
+
+    /// Returns an argument that must be there.
+    pub fn text(&mut self, name: &str) -> Result<String, ScenarioError> {
+        Ok(self.case.take_arg(name)?)
+    }
+
+    /// Returns an argument, if it is there.
+    pub fn optional(&mut self, name: &str) -> Result<Option<String>, ScenarioError> {
+        Ok(self.case.try_take_arg(name)?)
+    }
+
+    /// Returns a number.
+    pub fn number(&mut self, name: &str, default: u64) -> Result<u64, ScenarioError> {
+        Ok(self.case.try_take_arg(name)?.unwrap_or(default))
+    }
+
+    /// Returns whether a word is there.
+    pub fn flag(&mut self, name: &str) -> Result<bool, ScenarioError> {
+        Ok(self.case.take_flag(name)?)
+    }
+
+    /// Returns the values of a list, empty if it is not there.
+    pub fn list(&mut self, name: &str) -> Result<Vec<String>, ScenarioError> {
+        Ok(self.case.try_take_args(name)?.unwrap_or_default())
+    }
+
+    /// Returns the first of some words that is there.
+    pub fn one_of(&mut self, names: &[&'static str]) -> Result<&'static str, ScenarioError> {
+        for name in names {
+            if self.flag(name)? {
+                return Ok(name);
+            }
+        }
+        Err(ScenarioError::text(format!("one of {} is needed", names.join(", "))))
+    }
+
+    /// Returns how long to wait.
+    pub fn within(&mut self) -> Result<Duration, ScenarioError> {
+        let default = DEFAULT_WAIT.as_millis() as u64;
+        Ok(Duration::from_millis(self.number("within-ms", default)?))
+    }
+
+    /// Fails if an argument was not used.
+    pub fn finish(self) -> Result<(), ScenarioError> {
+        Ok(self.case.expect_empty()?)
+    }
+}
--- /dev/null
+++ b/testutils/src/scenario/environment.rs
@@ -0,0 +1,292 @@
+//! The processes and links of a scenario.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use masticreel_standins::relay::Relay;
+
+use crate::pg_client::PgClient;
+use crate::processes::deployment::{FAILURE_DOMAINS, InstanceAddresses};
+use crate::processes::{Process, document};
+use crate::scenario::ScenarioError;
+use crate::scenario::arguments::Arguments;
+
+/// How long a server may take to tell its status.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
+/// The settings of a server that a scenario may change, all in numbers.
+const SERVER_OPTIONS: [&str; 7] = [
+    "slots",
+    "max-connections",
+    "connect-ms",
+    "receive-lag-ms",
+    "apply-lag-ms",
+    "one-way-ms",
+    "lock-timeout-ms",
+];
+
+/// A database server behind its link.
+pub struct Server {
+    /// The process; `None` once it was killed.
+    pub process: Option<Process>,
+    /// The link by which all reach it.
+    pub relay: Relay,
+    arguments: Vec<String>,
+    failure_domain: String,
+}
+
+/// An instance with its links.
+pub struct Instance {
+    /// The process; `None` once it has ended.
+    pub process: Option<Process>,
+    /// The link from its callers.
+    pub caller_relay: Relay,
+    /// The link to the store.
+    pub store_relay: Relay,
+    /// Where it listens.
+    pub addresses: InstanceAddresses,
+    failure_domain: String,
+    settings: String,
+}
+
+/// All processes and links.
+#[derive(Default)]
+pub struct Environment {
+    /// The store.
+    pub store: Option<Process>,
+    /// The database servers by name.
+    pub servers: BTreeMap<String, Server>,
+    /// The instances by name.
+    pub instances: BTreeMap<String, Instance>,
+    folder: Option<PathBuf>,
+}
+
+impl Environment {
+    /// Starts what the directive names.
+    pub fn start(
+        &mut self,
+        arguments: &mut Arguments<'_>,
+        input: &str,
+    ) -> Result<String, ScenarioError> {
+        match arguments.one_of(&["store", "group", "instances"])? {
+            "store" => {
+                let process = Process::start("masticreel-standin", &words("store"), None)?;
+                self.store = Some(process);
+            }
+            "group" => self.start_group(arguments)?,
+            _ => self.start_instances(arguments, input)?,
+        }
+        Ok("started".to_owned())
+    }
+
+    /// Returns a directory for the scenario's files.
+    pub fn folder(&mut self) -> Result<PathBuf, ScenarioError> {
+        if let Some(folder) = &self.folder {
+            return Ok(folder.clone());
+        }
+        let number = rand::random::<u64>();
+        let folder = std::env::temp_dir().join(format!("masticreel-scenario-{number:016x}"));
+        std::fs::create_dir_all(&folder)?;
+        self.folder = Some(folder.clone());
+        Ok(folder)
+    }
+
+    /// Returns where the store listens for clients that no cut concerns.
+    pub fn store_address(&self) -> Result<SocketAddr, ScenarioError> {
+        let store = self.store.as_ref().ok_or_else(|| ScenarioError::text("no store runs"))?;
+        listening(store)
+    }
+
+    /// Returns where callers reach an instance.
+    pub fn caller_address(&self, instance: &str) -> Result<SocketAddr, ScenarioError> {
+        Ok(self.instance(instance)?.caller_relay.address())
+    }
+
+    /// Returns an instance.
+    pub fn instance(&self, name: &str) -> Result<&Instance, ScenarioError> {
+        self.instances.get(name).ok_or_else(|| unknown("instance", name))
+    }
+
+    /// Returns a server.
+    pub fn server(&self, name: &str) -> Result<&Server, ScenarioError> {
+        self.servers.get(name).ok_or_else(|| unknown("server", name))
+    }
+
+    /// Replaces `{name}` by the address of the server or instance.
+    pub fn fill_in(&self, text: &str) -> String {
+        let mut text = text.to_owned();
+        for (name, server) in &self.servers {
+            text = text.replace(&format!("{{{name}}}"), &server.relay.address().to_string());
+        }
+        for (name, instance) in &self.instances {
+            text = text.replace(&format!("{{{name}}}"), &instance.addresses.peers.to_string());
+        }
+        text
+    }
+
+    /// Returns a server's status as column and value pairs.
+    pub fn status(&self, server: &str) -> Result<BTreeMap<String, String>, ScenarioError> {
+        let process = self.server(server)?.process.as_ref();
+        let process = process.ok_or_else(|| ScenarioError::text(format!("{server} is down")))?;
+        let parameters = [("user", "masticreel_control")];
+        let client = PgClient::connect(listening(process)?, &parameters, STATUS_TIMEOUT);
+        let answer = client.and_then(|mut client| client.query("SELECT * FROM group_status()"));
+        let answer = answer.map_err(|error| ScenarioError::text(error.to_string()))?;
+        let result = answer.results.into_iter().next().unwrap_or_default();
+        let row = result.rows.into_iter().next().unwrap_or_default();
+        Ok(result.columns.into_iter().zip(row.into_iter().flatten()).collect())
+    }
+
+    /// Returns a server's role and term as a line.
+    pub fn status_line(&self, server: &str) -> Result<String, ScenarioError> {
+        let status = self.status(server)?;
+        Ok(format!("role={} term={}", status["role"], status["term"]))
+    }
+
+    /// Starts a server again that was killed; it finds its log.
+    pub fn restart_server(&mut self, name: &str) -> Result<(), ScenarioError> {
+        let server = self.servers.get_mut(name).ok_or_else(|| unknown("server", name))?;
+        let process = Process::start("masticreel-standin", &server.arguments, None)?;
+        server.relay.set_target(listening(&process)?);
+        server.process = Some(process);
+        Ok(())
+    }
+
+    /// Starts an instance, or another life of one.
+    pub fn start_instance(&mut self, name: &str) -> Result<(), ScenarioError> {
+        let folder = self.folder()?;
+        let path = folder.join(format!("{name}.toml"));
+        std::fs::write(&path, self.instance_settings(name)?)?;
+        let arguments = ["--settings".to_owned(), path.display().to_string()];
+        let log = folder.join(format!("{name}.log"));
+        let process = Process::start("masticreeld", &arguments, Some(&log))?;
+        if let Some(instance) = self.instances.get_mut(name) {
+            instance.process = Some(process);
+        }
+        Ok(())
+    }
+
+    fn start_group(&mut self, arguments: &mut Arguments<'_>) -> Result<(), ScenarioError> {
+        let group = arguments.text("name")?;
+        let count = arguments.number("servers", 3)?;
+        let mut options = Vec::new();
+        for option in SERVER_OPTIONS {
+            if let Some(value) = arguments.optional(option)? {
+                options.extend([format!("--{option}"), value]);
+            }
+        }
+        let mut primary = None;
+        for number in 0..count as usize {
+            let name = format!("{group}-{number}");
+            let data_dir = self.folder()?.join(&name).display().to_string();
+            let mut words = words(&format!("upstream --name {name} --data-dir {data_dir}"));
+            if let Some(primary) = primary {
+                let role = format!("--initial-role replica --primary {primary}");
+                words.extend(role.split_whitespace().map(str::to_owned));
+            }
+            words.extend(options.iter().cloned());
+            let process = Process::start("masticreel-standin", &words, None)?;
+            let relay = Relay::start(any_port(), listening(&process)?)?;
+            primary.get_or_insert(relay.address());
+            let failure_domain = FAILURE_DOMAINS[number % FAILURE_DOMAINS.len()].to_owned();
+            let server = Server { process: Some(process), relay, arguments: words, failure_domain };
+            self.servers.insert(name, server);
+        }
+        let text = self.group_text(&group);
+        let endpoint = format!("http://{}", self.store_address()?);
+        Ok(document::write(&endpoint, &group, &text)?)
+    }
+
+    fn group_text(&self, group: &str) -> String {
+        let mut text = format!("[[groups]]\nname = \"{group}\"\ndatabase = \"{group}\"\n");
+        let prefix = format!("{group}-");
+        for (name, server) in self.servers.iter().filter(|(name, _)| name.starts_with(&prefix)) {
+            text.push_str(&format!(
+                "\n[[groups.servers]]\nname = \"{name}\"\naddress = \"{}\"\n\
+                 failure_domain = \"{}\"\n",
+                server.relay.address(),
+                server.failure_domain
+            ));
+        }
+        text
+    }
+
+    fn start_instances(
+        &mut self,
+        arguments: &mut Arguments<'_>,
+        settings: &str,
+    ) -> Result<(), ScenarioError> {
+        let names = arguments.list("names")?;
+        let store = self.store_address()?;
+        for (number, name) in names.iter().enumerate() {
+            let addresses = InstanceAddresses::choose();
+            let instance = Instance {
+                process: None,
+                caller_relay: Relay::start(any_port(), addresses.callers)?,
+                store_relay: Relay::start(any_port(), store)?,
+                addresses,
+                failure_domain: FAILURE_DOMAINS[number % FAILURE_DOMAINS.len()].to_owned(),
+                settings: settings.to_owned(),
+            };
+            self.instances.insert(name.clone(), instance);
+        }
+        for name in &names {
+            self.start_instance(name)?;
+        }
+        Ok(())
+    }
+
+    fn instance_settings(&self, name: &str) -> Result<String, ScenarioError> {
+        let own = self.instance(name)?;
+        let InstanceAddresses { callers, peers, operators } = own.addresses;
+        let mut text = format!(
+            "[instance]\nname = \"{name}\"\nfailure_domain = \"{}\"\n\
+             caller_address = \"{callers}\"\npeer_address = \"{peers}\"\n\
+             operator_address = \"{operators}\"\nshared_key = \"{SHARED_KEY}\"\n\n\
+             [platform]\nstore_endpoint = \"http://{}\"\ndocument_poll_ms = 200\n",
+            own.failure_domain,
+            own.store_relay.address(),
+        );
+        for (peer, instance) in &self.instances {
+            text.push_str(&format!(
+                "\n[[peers]]\nname = \"{peer}\"\nfailure_domain = \"{}\"\npeer_address = \"{}\"\n",
+                instance.failure_domain, instance.addresses.peers
+            ));
+        }
+        text.push('\n');
+        text.push_str(&own.settings);
+        Ok(text)
+    }
+}
+
+impl Drop for Environment {
+    fn drop(&mut self) {
+        if let Some(folder) = &self.folder {
+            // What can't be removed is left to the system's clean-up.
+            let _ = std::fs::remove_dir_all(folder);
+        }
+    }
+}
+
+/// The secret that all instances of a scenario share.
+pub const SHARED_KEY: &str = "scenario";
+
+/// Returns where a process says that it listens.
+pub fn listening(process: &Process) -> Result<SocketAddr, ScenarioError> {
+    let missing = || io::Error::other("a process did not say where it listens");
+    Ok(process.address("address").ok_or_else(missing)?)
+}
+
+fn unknown(kind: &str, name: &str) -> ScenarioError {
+    ScenarioError::text(format!("no {kind} is named {name}"))
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn words(text: &str) -> Vec<String> {
+    text.split_whitespace().map(str::to_owned).collect()
+}
--- /dev/null
+++ b/testutils/src/scenario/session.rs
@@ -0,0 +1,166 @@
+//! Sessions as the bytes that both sides send.
+//!
+//! Each input line is one message of the caller. The output shows every
+//! message with its type, its length and its body, in which bytes that can't
+//! be printed are escaped. Values that differ from run to run are left out.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use pgwire::messages::PgWireFrontendMessage;
+use pgwire::messages::extendedquery::{Bind, Close, Describe, Execute, Flush, Parse, Sync};
+use pgwire::messages::simplequery::Query;
+use pgwire::messages::startup::Startup;
+
+use crate::scenario::ScenarioError;
+
+/// How long to wait for the next message.
+const TIMEOUT: Duration = Duration::from_secs(10);
+/// The parameter statuses whose values differ from run to run.
+const VARYING_PARAMETERS: [&str; 2] = ["group_position", "masticreel.token"];
+
+/// Runs a session and returns the messages of both sides.
+///
+/// # Errors
+///
+/// Fails when a line can't be read or the instance does not answer.
+pub fn run(address: SocketAddr, script: &str) -> Result<String, ScenarioError> {
+    let mut session = Session::connect(address)?;
+    for line in script.lines() {
+        session.step(line)?;
+    }
+    Ok(session.transcript)
+}
+
+struct Session {
+    stream: TcpStream,
+    transcript: String,
+    awaited: usize,
+}
+
+impl Session {
+    fn connect(address: SocketAddr) -> Result<Self, ScenarioError> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(TIMEOUT))?;
+        Ok(Self { stream, transcript: String::new(), awaited: 0 })
+    }
+
+    /// Sends a message, and reads the answers unless the line starts with `+`.
+    fn step(&mut self, line: &str) -> Result<(), ScenarioError> {
+        let waits = !line.starts_with('+');
+        let message = message(line.trim_start_matches('+'))?;
+        let mut bytes = BytesMut::new();
+        message.encode(&mut bytes).map_err(|error| ScenarioError::text(error.to_string()))?;
+        self.stream.write_all(&bytes)?;
+        let (kind, body) = match &message {
+            PgWireFrontendMessage::Startup(_) => (None, &bytes[4..]),
+            _ => (Some(bytes[0]), &bytes[5..]),
+        };
+        self.note('>', kind, body);
+        let is_answered = matches!(
+            message,
+            PgWireFrontendMessage::Startup(_)
+                | PgWireFrontendMessage::Query(_)
+                | PgWireFrontendMessage::Sync(_)
+        );
+        self.awaited += usize::from(is_answered);
+        while waits && self.awaited > 0 {
+            self.read_message()?;
+        }
+        Ok(())
+    }
+
+    fn read_message(&mut self) -> Result<(), ScenarioError> {
+        let mut head = [0; 5];
+        self.stream.read_exact(&mut head)?;
+        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+        let mut body = vec![0; length.saturating_sub(4)];
+        self.stream.read_exact(&mut body)?;
+        if head[0] == b'Z' {
+            self.awaited -= 1;
+        }
+        self.note('<', Some(head[0]), &body);
+        Ok(())
+    }
+
+    fn note(&mut self, direction: char, kind: Option<u8>, body: &[u8]) {
+        let kind = kind.map_or('-', char::from);
+        let line = match varying(kind, body) {
+            Some(shown) => format!("{direction} {kind} {shown}"),
+            None => format!("{direction} {kind} {} {}", body.len() + 4, escape(body)),
+        };
+        self.transcript.push_str(line.trim_end());
+        self.transcript.push('\n');
+    }
+}
+
+/// Returns what stands for a message that differs from run to run.
+fn varying(kind: char, body: &[u8]) -> Option<String> {
+    match kind {
+        'K' => Some("(key)".to_owned()),
+        'S' if body.contains(&0) => {
+            let name = String::from_utf8_lossy(body.split(|byte| *byte == 0).next()?).into_owned();
+            VARYING_PARAMETERS.contains(&name.as_str()).then(|| format!("{name} (value)"))
+        }
+        _ => None,
+    }
+}
+
+fn escape(bytes: &[u8]) -> String {
+    let mut text = String::new();
+    for byte in bytes {
+        match byte {
+            b'\\' => text.push_str("\\\\"),
+            b' '..=b'~' => text.push(char::from(*byte)),
+            b'\n' => text.push_str("\\n"),
+            0 => text.push_str("\\0"),
+            other => text.push_str(&format!("\\x{other:02x}")),
+        }
+    }
+    text
+}
+
+/// Reads one line of a script; `-` stands for the unnamed statement or portal.
+fn message(line: &str) -> Result<PgWireFrontendMessage, ScenarioError> {
+    let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
+    let mut words = rest.split_whitespace();
+    let mut name = || words.next().filter(|name| *name != "-").map(str::to_owned);
+    Ok(match word {
+        "startup" => PgWireFrontendMessage::Startup(startup(rest)),
+        "query" => PgWireFrontendMessage::Query(Query::new(rest.to_owned())),
+        "parse" => {
+            let (name, sql) = rest.split_once(' ').unwrap_or((rest, ""));
+            let name = Some(name.to_owned()).filter(|name| name != "-");
+            PgWireFrontendMessage::Parse(Parse::new(name, sql.to_owned(), Vec::new()))
+        }
+        "bind" => {
+            let (portal, statement) = (name(), name());
+            let value = |text: &str| Some(Bytes::from(text.to_owned())).filter(|_| text != "NULL");
+            let values = words.map(value).collect();
+            let bind = Bind::new(portal, statement, Vec::new(), values, Vec::new());
+            PgWireFrontendMessage::Bind(bind)
+        }
+        "describe-statement" => PgWireFrontendMessage::Describe(Describe::new(b'S', name())),
+        "describe-portal" => PgWireFrontendMessage::Describe(Describe::new(b'P', name())),
+        "close-statement" => PgWireFrontendMessage::Close(Close::new(b'S', name())),
+        "close-portal" => PgWireFrontendMessage::Close(Close::new(b'P', name())),
+        "execute" => {
+            let portal = name();
+            let limit = name().and_then(|limit| limit.parse().ok()).unwrap_or(0);
+            PgWireFrontendMessage::Execute(Execute::new(portal, limit))
+        }
+        "flush" => PgWireFrontendMessage::Flush(Flush::new()),
+        "sync" => PgWireFrontendMessage::Sync(Sync::new()),
+        other => return Err(ScenarioError::text(format!("unknown message: {other}"))),
+    })
+}
+
+fn startup(rest: &str) -> Startup {
+    let pairs = rest.split_whitespace().filter_map(|pair| pair.split_once('='));
+    let pairs = pairs.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    let mut startup = Startup::new();
+    startup.parameters = pairs.collect();
+    startup
+}
