testutils: let scenarios wait until a statement runs

The graceful shutdown scenario failed once in nine runs: SIGTERM came before the instance had read the request, which it then truly refused as not run. A pause was ruled out, since it only makes the race rare.

--- a/standins/src/upstream/control.rs
+++ b/standins/src/upstream/control.rs
@@ -21,6 +21,7 @@
 pub fn call(server: &Server, name: &str, arguments: &[String]) -> Result<ResultSet, SqlError> {
     let group = &server.group;
     let status = match (name, arguments) {
+        ("group_running", []) => return Ok(running(server)),
         ("group_status", []) => group.lock().status(),
         ("group_fence", [term, claim]) => {
             let status = group.fence(parse_term(term)?, claim)?;
@@ -55,6 +56,13 @@
     ]
 }
 
+/// Returns how many statements run now, which lets tests wait for one.
+fn running(server: &Server) -> ResultSet {
+    let columns = vec![Column::new("running", ColumnType::Int8)];
+    let rows = vec![vec![Value::Integer(server.slots.running() as i64)]];
+    ResultSet { columns, rows, tag: "SELECT 1".to_owned() }
+}
+
 fn row(status: &Status) -> ResultSet {
     let primary = status.primary.map(|address| address.to_string()).unwrap_or_default();
     let row = vec![
--- a/standins/src/upstream/slots.rs
+++ b/standins/src/upstream/slots.rs
@@ -5,6 +5,7 @@
 /// The slots of a server; a statement holds one while it runs.
 #[derive(Debug)]
 pub struct Slots {
+    count: usize,
     free: Mutex<usize>,
     released: Condvar,
 }
@@ -18,7 +19,12 @@
 impl Slots {
     /// Creates a number of free slots.
     pub fn new(count: usize) -> Self {
-        Self { free: Mutex::new(count), released: Condvar::new() }
+        Self { count, free: Mutex::new(count), released: Condvar::new() }
+    }
+
+    /// Returns how many statements run now.
+    pub fn running(&self) -> usize {
+        self.count - *self.free.lock().expect("no holder of the slots panics")
     }
 
     /// Waits for a free slot and takes it.
--- a/testutils/src/scenario/environment.rs
+++ b/testutils/src/scenario/environment.rs
@@ -8,7 +8,7 @@
 
 use masticreel_standins::relay::Relay;
 
-use crate::pg_client::PgClient;
+use crate::pg_client::{PgClient, StatementResult};
 use crate::processes::deployment::{FAILURE_DOMAINS, InstanceAddresses};
 use crate::processes::{Process, document};
 use crate::scenario::ScenarioError;
@@ -128,15 +128,31 @@
 
     /// Returns a server's status as column and value pairs.
     pub fn status(&self, server: &str) -> Result<BTreeMap<String, String>, ScenarioError> {
+        let result = self.ask(server, "SELECT * FROM group_status()")?;
+        let row = result.rows.into_iter().next().unwrap_or_default();
+        Ok(result.columns.into_iter().zip(row.into_iter().flatten()).collect())
+    }
+
+    /// Returns how many statements run on the servers of a group.
+    pub fn running(&self, group: &str) -> Result<usize, ScenarioError> {
+        let prefix = format!("{group}-");
+        let mut running = 0;
+        for name in self.servers.keys().filter(|name| name.starts_with(&prefix)) {
+            let result = self.ask(name, "SELECT * FROM group_running()")?;
+            let value = result.rows.into_iter().flatten().flatten().next();
+            running += value.and_then(|value| value.parse::<usize>().ok()).unwrap_or(0);
+        }
+        Ok(running)
+    }
+
+    fn ask(&self, server: &str, sql: &str) -> Result<StatementResult, ScenarioError> {
         let process = self.server(server)?.process.as_ref();
         let process = process.ok_or_else(|| ScenarioError::text(format!("{server} is down")))?;
         let parameters = [("user", "masticreel_control")];
         let client = PgClient::connect(listening(process)?, &parameters, STATUS_TIMEOUT);
-        let answer = client.and_then(|mut client| client.query("SELECT * FROM group_status()"));
+        let answer = client.and_then(|mut client| client.query(sql));
         let answer = answer.map_err(|error| ScenarioError::text(error.to_string()))?;
-        let result = answer.results.into_iter().next().unwrap_or_default();
-        let row = result.rows.into_iter().next().unwrap_or_default();
-        Ok(result.columns.into_iter().zip(row.into_iter().flatten()).collect())
+        Ok(answer.results.into_iter().next().unwrap_or_default())
     }
 
     /// Returns a server's role and term as a line.
--- a/testutils/src/scenario/waiting.rs
+++ b/testutils/src/scenario/waiting.rs
@@ -32,6 +32,12 @@
         });
     }
     if let Some(group) = arguments.optional("group")? {
+        if let Some(wanted) = arguments.optional("running")? {
+            return until(deadline, || {
+                let running = environment.running(&group)?.to_string();
+                Ok((running == wanted, running))
+            });
+        }
         return until(deadline, || settled(environment, &group));
     }
     let wanted = arguments.text("until")?;
