--- a/daemon/src/caller/session.rs
+++ b/daemon/src/caller/session.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use bytes::BytesMut;
+use masticreel_admission::retry_budget::RetryBudget;
 use masticreel_base::failure::{Failure, FailureKind, Verdict};
+use masticreel_burn::recorder::Answer;
+use masticreel_document::class::Class;
 use masticreel_postgres::failure::{Severity, put_failure};
 use masticreel_postgres::message::{RawMessage, put_message, tag};
 use masticreel_postgres::request::{
@@ -62,6 +65,8 @@
             database: parameters.database.as_str().into(),
             settings,
             pinned: None,
+            class: Class::default(),
+            retry_budget: RetryBudget::for_caller(),
             running_at: Arc::default(),
         };
         Self {
@@ -256,6 +261,14 @@
 }
 
 impl RequestOutcome {
+    /// Returns what the outcome means for service levels.
+    pub(super) fn answer(self) -> Answer {
+        match self {
+            Self::Answered | Self::Failed => Answer::Served,
+            Self::Refused | Self::InDoubt => Answer::Failed,
+        }
+    }
+
     /// Returns the outcome's name in metrics.
     pub(super) fn label(self) -> &'static str {
         match self {
--- /dev/null
+++ b/daemon/tests/test_burn.rs
@@ -0,0 +1,51 @@
+//! Tests of burn rates as the metrics tell them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use masticreel_base::clock::ManualClock;
+use masticreel_base::ids::Revision;
+use masticreel_burn::recorder::Answer;
+use masticreel_daemon::burn::{BurnAccount, BurnWatch};
+use masticreel_daemon::metrics::Metrics;
+use masticreel_document::class::Class;
+use masticreel_document::document::Document;
+use masticreel_document::section::SectionText;
+
+const LEVEL: &str = "[[levels]]\nname = \"abort-in-time\"\nclass = \"urgent\"\nlatency_ms = 20\n\
+                     objective_percent = 99.0\n";
+
+fn document(text: &str, revision: u64) -> Arc<Document> {
+    let section =
+        SectionText { revision: Revision(revision), text: text.into(), author: "test".into() };
+    let sections = [("levels".into(), section)].into();
+    Arc::new(Document::parse(sections, Revision(revision)).unwrap())
+}
+
+#[test]
+fn test_burn_rates_follow_requests_and_levels() {
+    let account = BurnAccount::new(ManualClock::new());
+    let metrics = Metrics::new();
+    let cell = Arc::new(ArcSwap::new(document(LEVEL, 1)));
+    let logger = slog::Logger::root(slog::Discard, slog::o!());
+    let mut watch = BurnWatch::new(account.clone(), cell.clone(), &metrics, logger);
+    for number in 0..100 {
+        let latency = Duration::from_millis(if number < 30 { 50 } else { 5 });
+        account.record(Class::Urgent, latency, Answer::Served);
+    }
+    watch.look();
+    let text = metrics.render();
+    for window in ["5m", "1h"] {
+        let prefix =
+            format!("masticreel_level_burn_rate{{level=\"abort-in-time\",window=\"{window}\"}} ");
+        let line = text.lines().find(|line| line.starts_with(&prefix)).unwrap();
+        let rate: f64 = line.rsplit(' ').next().unwrap().parse().unwrap();
+        assert!((rate - 30.0).abs() < 1e-6, "{line}");
+    }
+
+    // A level that the document no longer has leaves the metrics.
+    cell.store(document("", 2));
+    watch.look();
+    assert!(!metrics.render().contains("masticreel_level_burn_rate{"));
+}
--- a/lib/admission/tests/test_server_admission.rs
+++ b/lib/admission/tests/test_server_admission.rs
@@ -180,9 +180,14 @@
             Step::Finish { index, outcome } => self.finish(index, outcome),
             Step::End { session } => {
                 let is_running = self.running.values().any(|(other, ..)| *other == session);
-                if is_running || self.holders.remove(&session).is_none() {
+                if is_running {
+                    // The statement that was started concludes the transaction.
+                    let after = ConnectionAfter::Idle;
+                    let ended = self.admission.transaction_ended(&session, after, self.now);
+                    assert!(ended.is_empty());
                     return;
                 }
+                self.holders.remove(&session);
                 self.admission.transaction_ended(&session, ConnectionAfter::Idle, self.now)
             }
             Step::Cancel { session } => self.admission.cancel(&session).0,
