--- a/daemon/src/owner/ticker.rs
+++ b/daemon/src/owner/ticker.rs
@@ -16,9 +16,6 @@
 
 /// Time between two looks at the servers.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
-/// How long an instance must be a server's first owner before it counts on the
-/// earlier one to be gone.
-const HANDOVER_TIME: Duration = Duration::from_secs(5);
 
 /// Tells each owned server the time, whether it is leaving and who owns it.
 pub(super) struct Ticker<Guard, Directory> {
@@ -68,7 +65,8 @@
         let now = Instant::now();
         let since = *self.first_since.entry(spec.name.clone()).or_insert(now);
         let is_alone = owners.len() == 1;
-        if is_alone || now.duration_since(since) >= HANDOVER_TIME {
+        let handover_timeout = self.owner.context.limits.handover_timeout();
+        if is_alone || now.duration_since(since) >= handover_timeout {
             Ownership::Sole
         } else {
             Ownership::Disputed
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -88,6 +88,9 @@
     pub connect_timeout_ms: u64,
     /// Longest time that shutting down may take, in milliseconds.
     pub shutdown_timeout_ms: u64,
+    /// Time after which a new owner counts on the earlier one to be gone, in
+    /// milliseconds.
+    pub handover_timeout_ms: u64,
 }
 
 /// What is logged.
@@ -143,6 +146,7 @@
             transaction_idle_timeout_ms: 60_000,
             connect_timeout_ms: 1_000,
             shutdown_timeout_ms: 30_000,
+            handover_timeout_ms: 5_000,
         }
     }
 }
@@ -163,6 +167,12 @@
         Duration::from_millis(self.connect_timeout_ms)
     }
 
+    /// Returns the time after which a new owner counts on the earlier one to be
+    /// gone.
+    pub fn handover_timeout(&self) -> Duration {
+        Duration::from_millis(self.handover_timeout_ms)
+    }
+
     /// Returns the longest time that shutting down may take.
     pub fn shutdown_timeout(&self) -> Duration {
         Duration::from_millis(self.shutdown_timeout_ms)
--- a/testutils/src/processes/deployment.rs
+++ b/testutils/src/processes/deployment.rs
@@ -5,8 +5,10 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use masticreel_base::ids::Revision;
+
 use crate::pg_client::{ClientError, PgClient};
-use crate::processes::{Process, own_address};
+use crate::processes::{Process, document, own_address};
 
 /// The database that callers connect to.
 pub const DATABASE: &str = "app";
@@ -72,6 +74,7 @@
     pub addresses: Vec<InstanceAddresses>,
     settings: DeploymentSettings,
     folder: PathBuf,
+    revision: Revision,
 }
 
 impl Deployment {
@@ -86,9 +89,17 @@
         let store = Process::start("masticreel-standin", &words("store"), None)?;
         let servers = start_servers(&settings)?;
         let addresses = (0..settings.instances).map(|_| InstanceAddresses::new()).collect();
-        let mut deployment =
-            Self { store, servers, instances: Vec::new(), addresses, settings, folder };
-        deployment.write_document()?;
+        let mut deployment = Self {
+            store,
+            servers,
+            instances: Vec::new(),
+            addresses,
+            settings,
+            folder,
+            revision: Revision(0),
+        };
+        let text = deployment.document_text()?;
+        deployment.edit_document(&text)?;
         for number in 0..deployment.settings.instances {
             let instance = deployment.start_instance(number)?;
             deployment.instances.push(instance);
@@ -177,8 +188,14 @@
         Ok(text)
     }
 
-    fn write_document(&self) -> io::Result<()> {
-        crate::processes::document::write(&self.store_endpoint()?, &self.document_text()?)
+    /// Replaces the text of the document's only section.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is not accepted.
+    pub fn edit_document(&mut self, text: &str) -> io::Result<()> {
+        self.revision = document::write(&self.store_endpoint()?, text, self.revision)?;
+        Ok(())
     }
 }
 
--- a/testutils/src/processes/document.rs
+++ b/testutils/src/processes/document.rs
@@ -15,23 +15,24 @@
 /// The section that holds all that tests write.
 const SECTION: &str = "test";
 
-/// Writes the first text of the only section.
+/// Writes the text of the only section over the given revision of it, zero at
+/// first; returns the new revision.
 ///
 /// # Errors
 ///
 /// Fails when the text is not accepted.
-pub fn write(endpoint: &str, text: &str) -> io::Result<()> {
+pub fn write(endpoint: &str, text: &str, base: Revision) -> io::Result<Revision> {
     let store = EtcdStore::new(endpoint, Duration::from_secs(1));
     let editor = Editor::new(store, SystemClock, TIMING, CancellationToken::new());
     let request = EditRequest {
         section: SECTION.into(),
-        base: Revision(0),
+        base,
         text: text.into(),
         author: "test".into(),
         edited_at_ms: 0,
     };
     match editor.apply(request, rand::random::<u64>().into()) {
-        EditOutcome::Landed(_) => Ok(()),
+        EditOutcome::Landed(revision) => Ok(revision),
         other => Err(io::Error::other(format!("the document was not accepted: {other:?}"))),
     }
 }
