--- a/daemon/src/entry/router.rs
+++ b/daemon/src/entry/router.rs
@@ -43,12 +43,12 @@
     pub settings: Vec<Arc<str>>,
     /// The owner and server that hold the session's open transaction.
     pub pinned: Option<PinnedServer>,
-    /// How the session's latest request competed with others.
-    pub class: Class,
     /// What the session may try again.
     pub retry_budget: RetryBudget,
     /// The owner that is running a request of the session, for cancel requests.
     pub running_at: RunningAt,
+    /// The class of the last request, for metrics and service levels.
+    pub class: Class,
 }
 
 /// The owner that is running a session's request, if any.
--- a/daemon/src/owner/worker.rs
+++ b/daemon/src/owner/worker.rs
@@ -164,8 +164,7 @@
         if self.holder.as_ref().is_some_and(|holder| holder.session == session) {
             return Ok(());
         }
-        let message = "the transaction was rolled back";
-        Err(Failure::not_run(FailureKind::TransactionLost, message))
+        Err(transaction_lost())
     }
 
     /// Runs the request and measures how long it took.
@@ -180,8 +179,7 @@
 
     fn run_on_connection(&mut self, request: &UpstreamRequest, deadline: Instant) -> Outcome {
         let Some(connection) = &mut self.connection else {
-            let message = "the transaction was rolled back";
-            return Err(Failure::not_run(FailureKind::TransactionLost, message));
+            return Err(transaction_lost());
         };
         let upstream = &mut connection.upstream;
         let remaining = deadline.saturating_duration_since(Instant::now());
@@ -268,6 +266,10 @@
     upstream.run(preparation, &request.payload)
 }
 
+fn transaction_lost() -> Failure {
+    Failure::not_run(FailureKind::TransactionLost, "the transaction was rolled back")
+}
+
 fn settings_failure(error: &UpstreamError) -> Failure {
     Failure::not_run(FailureKind::Unsupported, format!("the session's settings: {error}"))
 }
