--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod load;
 pub mod pg_client;
 pub mod processes;
+pub mod replay;
 pub mod scenario;
--- a/testutils/src/scenario/environment.rs
+++ b/testutils/src/scenario/environment.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use masticreel_base::ids::Revision;
 use masticreel_standins::relay::Relay;
 
 use crate::pg_client::{PgClient, StatementResult};
@@ -212,7 +213,8 @@
         }
         let text = self.group_text(&group);
         let endpoint = format!("http://{}", self.store_address()?);
-        Ok(document::write(&endpoint, &group, &text)?)
+        document::write(&endpoint, &group, &text, Revision(0))?;
+        Ok(())
     }
 
     fn group_text(&self, group: &str) -> String {
