testutils: measure how long an edit takes until it is in force

masticreel-time-to-force starts a store and instances as processes, makes edits and asks every instance for its revision, with a choice of faults: slow store, lost answers, store down after the edit, an instance restarted meanwhile, an instance frozen.

--- /dev/null
+++ b/testutils/src/bin/masticreel-time-to-force.rs
@@ -0,0 +1,267 @@
+//! Measures how long an accepted edit takes until it is in force everywhere.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use derive_more::FromStr;
+use masticreel_base::cancellation::CancellationToken;
+use masticreel_base::clock::SystemClock;
+use masticreel_base::ids::Revision;
+use masticreel_document::edit::{EditOutcome, EditRequest};
+use masticreel_document::wire::WireDocument;
+use masticreel_platform::document_store::read_document;
+use masticreel_platform::editor::{EditTiming, Editor};
+use masticreel_platform::etcd::EtcdStore;
+use masticreel_report::instances::InstanceReport;
+use masticreel_report::operators::{DOCUMENT_PATH, SIGNATURE_HEADER, STATUS_PATH};
+use masticreel_testutils::processes::deployment::{Deployment, DeploymentSettings};
+use masticreel_testutils::processes::{Process, Signal};
+use masticreel_wire::frame::SharedKey;
+use masticreel_wire::signature::sign;
+use serde::Serialize;
+
+const SHARED_KEY: &str = "test key";
+const SECTION: &str = "measured";
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const TIMING: EditTiming =
+    EditTiming { deadline: Duration::from_secs(20), retry_pause: Duration::from_millis(20) };
+/// Pause between two looks at an instance's revision.
+const LOOK_PAUSE: Duration = Duration::from_millis(2);
+/// Longest wait until a revision is in force.
+const FORCE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Measure how long accepted edits take until they are in force everywhere.
+#[derive(FromArgs)]
+struct Arguments {
+    /// how many edits are made
+    #[argh(option, default = "50")]
+    edits: usize,
+
+    /// how many instances there are
+    #[argh(option, default = "6")]
+    instances: usize,
+
+    /// what fails: none, slow, lost, down, restart or frozen
+    #[argh(option, default = "Fault::None")]
+    fault: Fault,
+
+    /// pause after each edit, in milliseconds
+    #[argh(option, default = "200")]
+    pause_ms: u64,
+}
+
+/// What fails during each edit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, FromStr)]
+#[from_str(rename_all = "lowercase")]
+enum Fault {
+    /// Nothing.
+    None,
+    /// Each call to the store takes 300 ms longer.
+    Slow,
+    /// Three of ten answers to writes are lost after the effect.
+    Lost,
+    /// The store goes down when the edit was accepted and handed to one instance.
+    Down,
+    /// The store goes down likewise, and one instance is killed and starts anew.
+    Restart,
+    /// One instance is frozen from before the edit until a second after it.
+    Frozen,
+}
+
+/// The figures of one run, in milliseconds.
+#[derive(Debug, Serialize)]
+struct Figures {
+    fault: String,
+    instances: usize,
+    edits: usize,
+    p50_ms: u128,
+    p99_ms: u128,
+    max_ms: u128,
+    store_calls_per_second: f64,
+}
+
+struct Bench {
+    deployment: Deployment,
+    store: EtcdStore,
+    agent: ureq::Agent,
+    fault: Fault,
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let arguments: Arguments = argh::from_env();
+    let settings =
+        DeploymentSettings { instances: arguments.instances, ..DeploymentSettings::default() };
+    let deployment = Deployment::start("time-to-force", settings)?;
+    let store = EtcdStore::new(&deployment.store_endpoint()?, CALL_TIMEOUT);
+    let config = ureq::Agent::config_builder().timeout_global(Some(CALL_TIMEOUT)).build();
+    let mut bench = Bench { deployment, store, agent: config.into(), fault: arguments.fault };
+    // Membership settles before the first edit.
+    thread::sleep(Duration::from_secs(2));
+    bench.order_store("counts/reset")?;
+    let started = Instant::now();
+    let mut times = Vec::new();
+    for number in 0..arguments.edits {
+        times.push(bench.measure(number)?);
+        thread::sleep(Duration::from_millis(arguments.pause_ms));
+    }
+    let calls = bench.store_calls()? as f64;
+    let seconds = started.elapsed().as_secs_f64();
+    times.sort();
+    let figures = Figures {
+        fault: format!("{:?}", arguments.fault).to_lowercase(),
+        instances: arguments.instances,
+        edits: arguments.edits,
+        p50_ms: quantile(&times, 0.5).as_millis(),
+        p99_ms: quantile(&times, 0.99).as_millis(),
+        max_ms: quantile(&times, 1.0).as_millis(),
+        store_calls_per_second: calls / seconds,
+    };
+    println!("{}", serde_json::to_string(&figures)?);
+    Ok(())
+}
+
+/// Returns the smallest time that a share of all times doesn't exceed.
+fn quantile(sorted: &[Duration], share: f64) -> Duration {
+    let rank = (sorted.len() as f64 * share).ceil() as usize;
+    sorted.get(rank.max(1) - 1).copied().unwrap_or_default()
+}
+
+impl Bench {
+    /// Makes an edit and returns the time from its acceptance to force everywhere.
+    fn measure(&mut self, number: usize) -> Result<Duration, Box<dyn Error>> {
+        self.begin_fault()?;
+        let revision = self.edit(number)?;
+        let accepted = Instant::now();
+        self.hand_over()?;
+        let restarted = self.worsen_fault()?;
+        let slowest = self.wait_until_in_force(revision)?;
+        self.end_fault()?;
+        Ok(slowest.saturating_duration_since(restarted.unwrap_or(accepted)))
+    }
+
+    fn begin_fault(&mut self) -> Result<(), Box<dyn Error>> {
+        match self.fault {
+            Fault::Slow => self.order_store("slow_ms/300"),
+            Fault::Lost => self.order_store("lose/0.3/7"),
+            Fault::Frozen => Ok(self.last_instance()?.signal(Signal::Stop)?),
+            Fault::None | Fault::Down | Fault::Restart => Ok(()),
+        }
+    }
+
+    /// Returns when an instance was started anew, if one was.
+    fn worsen_fault(&mut self) -> Result<Option<Instant>, Box<dyn Error>> {
+        match self.fault {
+            Fault::Down => self.order_store("down")?,
+            Fault::Restart => {
+                self.order_store("down")?;
+                let last = self.deployment.instances.len() - 1;
+                self.last_instance()?.signal(Signal::Kill)?;
+                let started = Instant::now();
+                let process = self.deployment.start_instance(last)?;
+                self.deployment.instances[last] = process;
+                return Ok(Some(started));
+            }
+            Fault::Frozen => {
+                thread::sleep(Duration::from_secs(1));
+                self.last_instance()?.signal(Signal::Continue)?;
+                return Ok(Some(Instant::now()));
+            }
+            Fault::None | Fault::Slow | Fault::Lost => {}
+        }
+        Ok(None)
+    }
+
+    fn end_fault(&self) -> Result<(), Box<dyn Error>> {
+        self.order_store("up")
+    }
+
+    fn last_instance(&mut self) -> Result<&mut Process, Box<dyn Error>> {
+        self.deployment.instances.last_mut().ok_or_else(|| "there are no instances".into())
+    }
+
+    fn edit(&self, number: usize) -> Result<Revision, Box<dyn Error>> {
+        let stored = read_document(&self.store)?;
+        let section = stored.sections.get(&SECTION.into());
+        let request = EditRequest {
+            section: SECTION.into(),
+            base: section.map_or(Revision(0), |section| section.record.revision),
+            text: format!("[[rules]]\npattern = \"edit {number}\"\nclass = \"urgent\"\n").into(),
+            author: "measurement".into(),
+            edited_at_ms: 0,
+        };
+        let editor = Editor::new(self.store.clone(), SystemClock, TIMING, CancellationToken::new());
+        match editor.apply(request, rand::random::<u64>().into()) {
+            EditOutcome::Landed(revision) => Ok(revision),
+            other => Err(format!("the edit was not accepted: {other:?}").into()),
+        }
+    }
+
+    fn hand_over(&self) -> Result<(), Box<dyn Error>> {
+        let document = read_document(&self.store)?;
+        let document = document.to_document().map_err(|errors| format!("{errors:?}"))?;
+        let body = serde_json::to_vec(&WireDocument::from(&document))?;
+        let address = self.deployment.addresses[0].operators;
+        self.agent
+            .post(format!("http://{address}{DOCUMENT_PATH}"))
+            .header(SIGNATURE_HEADER, sign(&SharedKey::from_text(SHARED_KEY), &body))
+            .send(&body[..])?;
+        Ok(())
+    }
+
+    /// Returns when the last instance had the revision in force.
+    fn wait_until_in_force(&self, revision: Revision) -> Result<Instant, Box<dyn Error>> {
+        let deadline = Instant::now() + FORCE_TIMEOUT;
+        let waiters: Vec<_> = self
+            .deployment
+            .addresses
+            .iter()
+            .map(|addresses| {
+                let (agent, address) = (self.agent.clone(), addresses.operators);
+                thread::spawn(move || wait_at(&agent, address, revision, deadline))
+            })
+            .collect();
+        let mut slowest = Instant::now();
+        for waiter in waiters {
+            let reached = waiter.join().map_err(|_| "a waiter panicked")?;
+            slowest = slowest.max(reached.ok_or("a revision was not in force in 30 s")?);
+        }
+        Ok(slowest)
+    }
+
+    fn order_store(&self, order: &str) -> Result<(), Box<dyn Error>> {
+        self.control(order).map(drop)
+    }
+
+    fn store_calls(&self) -> Result<u64, Box<dyn Error>> {
+        let counts = self.control("counts")?;
+        let count = |name: &str| counts[name].as_u64().unwrap_or_default();
+        Ok(count("reads") + count("writes") + count("watches"))
+    }
+
+    fn control(&self, order: &str) -> Result<serde_json::Value, Box<dyn Error>> {
+        let control = self.deployment.store.address("control").ok_or("no control address")?;
+        let mut response = ureq::get(format!("http://{control}/{order}")).call()?;
+        Ok(response.body_mut().read_json()?)
+    }
+}
+
+fn wait_at(
+    agent: &ureq::Agent,
+    address: SocketAddr,
+    revision: Revision,
+    deadline: Instant,
+) -> Option<Instant> {
+    while Instant::now() < deadline {
+        let answer = agent.get(format!("http://{address}{STATUS_PATH}")).call();
+        let report: Option<InstanceReport> =
+            answer.ok().and_then(|mut response| response.body_mut().read_json().ok());
+        if report.is_some_and(|report| report.revision >= revision) {
+            return Some(Instant::now());
+        }
+        thread::sleep(LOOK_PAUSE);
+    }
+    None
+}
