--- a/daemon/src/owner/worker.rs
+++ b/daemon/src/owner/worker.rs
@@ -1,22 +1,25 @@
-//! A thread that runs requests on one connection to a server.
+//! The thread of one connection to a server.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+use masticreel_admission::connection_pool::ConnectionId;
+use masticreel_admission::request::ConnectionAfter;
 use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_base::ids::RequestId;
 use masticreel_postgres::upstream::{
     Answer, Needed, Preparation, TransactionState, UpstreamAddress, UpstreamConnection,
     UpstreamError,
 };
 use masticreel_wire::message::{
-    Pinning, Target, TransactionState as WireState, UpstreamAnswer, UpstreamRequest,
+    Pinning, SessionKey, Target, TransactionState as WireState, UpstreamAnswer, UpstreamRequest,
 };
 use slog::warn;
 
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::{Job, Outcome};
-use crate::owner::server::{Command, OwnedServer};
+use crate::owner::server::{Command, OwnedServer, address};
 
 /// Time between two looks at the cancellation token of an idle worker.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -25,13 +28,13 @@
 /// Longest wait for a rollback or reset, after which the connection is closed.
 const RESET_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Runs one request after the other.
+/// Runs one request after the other on one connection.
 pub(super) struct Worker<Guard> {
     server: Arc<OwnedServer<Guard>>,
-    free_jobs: Receiver<Job>,
+    id: ConnectionId,
     commands: Receiver<Command>,
-    holder: Sender<Command>,
     connection: Option<OpenConnection>,
+    holder: Option<Holder>,
 }
 
 struct OpenConnection {
@@ -39,31 +42,68 @@
     upstream: UpstreamConnection,
 }
 
+/// The session whose open transaction holds the connection.
+struct Holder {
+    session: SessionKey,
+    idle_since: Instant,
+}
+
 impl<Guard> Worker<Guard>
 where
     Guard: ServerGuard,
 {
-    pub(super) fn new(server: Arc<OwnedServer<Guard>>, free_jobs: Receiver<Job>) -> Self {
-        let (holder, commands) = unbounded();
-        Self { server, free_jobs, commands, holder, connection: None }
+    pub(super) fn new(
+        server: Arc<OwnedServer<Guard>>,
+        id: ConnectionId,
+        commands: Receiver<Command>,
+    ) -> Self {
+        Self { server, id, commands, connection: None, holder: None }
     }
 
-    /// Runs requests until the owner is cancelled.
-    pub(super) fn run(mut self) {
+    /// Opens the connection and runs requests until it is closed.
+    pub(super) fn run(mut self, address: UpstreamAddress) {
+        if self.open(&address).is_err() {
+            self.server.connection_failed(self.id);
+            return;
+        }
+        self.server.connection_opened(self.id, address);
         let cancellation = self.server.context().cancellation.clone();
-        while !cancellation.is_cancelled() {
-            match self.free_jobs.recv_timeout(IDLE_CHECK_INTERVAL) {
-                Ok(job) => self.serve_session(job),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+        while self.connection.is_some() && !cancellation.is_cancelled() {
+            match self.commands.recv_timeout(IDLE_CHECK_INTERVAL) {
+                Ok(Command::Run(request, job)) => self.serve(request, job),
+                Ok(Command::Release(session)) => self.release(session),
+                Err(RecvTimeoutError::Timeout) => self.end_idle_transaction(),
+                Ok(Command::Close) | Err(RecvTimeoutError::Disconnected) => break,
             }
         }
+        self.drop_connection();
+        self.refuse_late_requests();
     }
 
-    /// Runs a request and whatever follows in its transaction.
-    fn serve_session(&mut self, job: Job) {
-        self.serve_transaction(job);
-        self.reset();
+    /// Answers requests that were handed over while the connection closed.
+    fn refuse_late_requests(&mut self) {
+        while let Ok(command) = self.commands.try_recv() {
+            if let Command::Run(request, job) = command {
+                self.serve(request, job);
+            }
+        }
+    }
+
+    /// Runs one request and reports the outcome.
+    fn serve(&mut self, request: RequestId, job: Job) {
+        let session = job.request.session;
+        let (outcome, took) = match self.prepare(&job) {
+            Ok(()) => self.execute(&job),
+            Err(failure) => (Err(failure), None),
+        };
+        let is_open = matches!(&outcome, Ok(answer) if answer.state != WireState::Idle);
+        self.holder = is_open.then(|| Holder { session, idle_since: Instant::now() });
+        if !is_open {
+            self.reset();
+        }
+        self.server.request_finished(request, self.id, self.connection_after(), took);
+        let outcome = self.confirm(&job, outcome);
+        self.server.answer(job.reply, outcome);
     }
 
     /// Makes the connection fit for another session.
@@ -76,46 +116,35 @@
         }
     }
 
-    fn serve_transaction(&mut self, job: Job) {
-        let session = job.request.session;
-        let mut is_open = self.serve(job);
-        while is_open {
-            let timeout = self.server.context().limits.transaction_idle_timeout();
-            match self.commands.recv_timeout(timeout) {
-                Ok(Command::Run(job)) => is_open = self.serve(job),
-                Ok(Command::Release) | Err(_) => {
-                    self.roll_back();
-                    self.server.holder_gone(session);
-                    self.refuse_late_requests();
-                    return;
-                }
-            }
+    fn connection_after(&self) -> ConnectionAfter {
+        match (&self.connection, &self.holder) {
+            (None, _) => ConnectionAfter::Closed,
+            (Some(_), Some(_)) => ConnectionAfter::Pinned,
+            (Some(_), None) => ConnectionAfter::Idle,
         }
     }
 
-    /// Answers requests that were handed over while the transaction ended.
-    ///
-    /// No more can come, since the session holds this worker no longer.
-    fn refuse_late_requests(&self) {
-        for command in self.commands.try_iter() {
-            if let Command::Run(job) = command {
-                self.server.refuse_started(job);
-            }
+    /// Ends the transaction of a session that is gone.
+    fn release(&mut self, session: SessionKey) {
+        // A request of the session may have ended the transaction meanwhile.
+        if self.holder.take_if(|holder| holder.session == session).is_none() {
+            return;
         }
+        self.roll_back();
+        self.reset();
+        self.server.transaction_ended(session, self.id, self.connection_after());
     }
 
-    /// Runs one request; returns whether its transaction is still open.
-    fn serve(&mut self, job: Job) -> bool {
-        let session = job.request.session;
-        let outcome = self.execute(&job);
-        let is_open = matches!(&outcome, Ok(answer) if answer.state != WireState::Idle);
-        self.server.request_finished(session, is_open.then(|| self.holder.clone()));
-        let outcome = self.confirm(&job, outcome);
-        job.reply.send(outcome);
-        is_open
+    fn end_idle_transaction(&mut self) {
+        let timeout = self.server.context().limits.transaction_idle_timeout();
+        let expired = self.holder.as_ref().filter(|holder| holder.idle_since.elapsed() >= timeout);
+        if let Some(session) = expired.map(|holder| holder.session) {
+            self.release(session);
+        }
     }
 
-    fn execute(&mut self, job: &Job) -> Outcome {
+    /// Makes sure that the request may run on the connection.
+    fn prepare(&mut self, job: &Job) -> Result<(), Failure> {
         let request = &job.request;
         if job.deadline <= Instant::now() {
             return Err(Failure::not_run(
@@ -123,35 +152,45 @@
                 "the deadline passed in the queue",
             ));
         }
-        if request.pinning == Pinning::Free {
-            self.server.context().guard.admit(request, job.deadline)?;
-            self.connect(request)?;
+        if request.pinning == Pinning::Pinned {
+            return self.check_holder(request.session);
         }
-        let result = self.run_on_connection(request, job.deadline);
-        match result {
-            Ok(outcome) => Ok(outcome),
-            Err(failure) => {
-                self.drop_connection();
-                Err(failure)
-            }
+        self.server.context().guard.admit(request, job.deadline)?;
+        self.connect(request)
+    }
+
+    /// The transaction may have ended while the request was on its way here.
+    fn check_holder(&self, session: SessionKey) -> Result<(), Failure> {
+        if self.holder.as_ref().is_some_and(|holder| holder.session == session) {
+            return Ok(());
+        }
+        Err(transaction_lost())
+    }
+
+    /// Runs the request and measures how long it took.
+    fn execute(&mut self, job: &Job) -> (Outcome, Option<Duration>) {
+        let begin = Instant::now();
+        let outcome = self.run_on_connection(&job.request, job.deadline);
+        if outcome.is_err() {
+            self.drop_connection();
         }
+        (outcome, Some(begin.elapsed()))
     }
 
     fn run_on_connection(&mut self, request: &UpstreamRequest, deadline: Instant) -> Outcome {
         let Some(connection) = &mut self.connection else {
-            let message = "the transaction was rolled back";
-            return Err(Failure::not_run(FailureKind::TransactionLost, message));
+            return Err(transaction_lost());
         };
         let upstream = &mut connection.upstream;
         let remaining = deadline.saturating_duration_since(Instant::now());
         upstream
             .set_timeout(remaining.max(MIN_ANSWER_TIMEOUT))
             .map_err(|error| Failure::not_run(FailureKind::Unavailable, error.to_string()))?;
-        if request.pinning == Pinning::Free {
+        if request.pinning != Pinning::Pinned {
             let settings = &request.settings;
             upstream.adopt_settings(settings).map_err(|error| settings_failure(&error))?;
         }
-        self.server.request_started(request.session, upstream.cancel_key());
+        self.server.request_started(self.id, upstream.cancel_key());
         let answer = run_request(upstream, request).map_err(|error| run_failure(&error))?;
         if request.leaves_state {
             upstream.mark_leaves_state();
@@ -161,11 +200,7 @@
 
     /// Makes sure that the connection fits the request.
     fn connect(&mut self, request: &UpstreamRequest) -> Result<(), Failure> {
-        let address = UpstreamAddress {
-            address: self.server.spec().address,
-            user: request.user.clone(),
-            database: request.database.clone(),
-        };
+        let address = address(self.server.spec(), request);
         let fits = self
             .connection
             .as_ref()
@@ -174,11 +209,16 @@
             return Ok(());
         }
         self.drop_connection();
+        self.open(&address)?;
+        self.server.connection_reopened(self.id, address);
+        Ok(())
+    }
+
+    fn open(&mut self, address: &UpstreamAddress) -> Result<(), Failure> {
         let timeout = self.server.context().limits.connect_timeout();
-        let upstream = UpstreamConnection::connect(&address, timeout)
+        let upstream = UpstreamConnection::connect(address, timeout)
             .map_err(|error| self.connect_failure(&error))?;
-        self.connection = Some(OpenConnection { address, upstream });
-        self.count_connections(1);
+        self.connection = Some(OpenConnection { address: address.clone(), upstream });
         Ok(())
     }
 
@@ -209,15 +249,7 @@
     }
 
     fn drop_connection(&mut self) {
-        if self.connection.take().is_some() {
-            self.count_connections(-1);
-        }
-    }
-
-    fn count_connections(&self, change: i64) {
-        let server = self.server.spec().name.as_str();
-        let metrics = &self.server.context().metrics;
-        metrics.upstream_connections.with_label_values(&[server]).add(change);
+        self.connection = None;
     }
 }
 
@@ -234,6 +266,10 @@
     upstream.run(preparation, &request.payload)
 }
 
+fn transaction_lost() -> Failure {
+    Failure::not_run(FailureKind::TransactionLost, "the transaction was rolled back")
+}
+
 fn settings_failure(error: &UpstreamError) -> Failure {
     Failure::not_run(FailureKind::Unsupported, format!("the session's settings: {error}"))
 }
--- a/lib/admission/src/request.rs
+++ b/lib/admission/src/request.rs
@@ -5,7 +5,7 @@
 
 use derive_more::{Display, From};
 use masticreel_base::failure::Failure;
-use masticreel_base::ids::{InstanceId, RequestId};
+use masticreel_base::ids::{Incarnation, RequestId};
 use masticreel_document::class::Class;
 
 /// Names the callers that share one fair share of a server.
@@ -51,12 +51,24 @@
     pub deadline: Instant,
     /// Whose share of the server the request uses.
     pub caller_base: CallerBase,
-    /// The entry instance that sent the request.
-    pub entry: InstanceId,
+    /// The life of the entry instance that sent the request.
+    pub entry: Incarnation,
     /// How the request relates to the server's connections.
     pub need: ConnectionNeed,
 }
 
+impl AdmissionRequest {
+    /// Returns when the request must start to be finished by its deadline.
+    ///
+    /// The expected time counts for half of the patience at most: otherwise a
+    /// statement that once took long would be refused for ever, because only an
+    /// execution can correct what was learned.
+    pub(crate) fn latest_start(&self, now: Instant) -> Instant {
+        let patience = self.deadline.saturating_duration_since(now);
+        self.deadline - self.expected.min(patience / 2)
+    }
+}
+
 /// What the owner has to do about a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
--- a/lib/admission/tests/test_server_admission.rs
+++ b/lib/admission/tests/test_server_admission.rs
@@ -8,7 +8,7 @@
 use masticreel_admission::request::{ConnectionAfter, ConnectionNeed};
 use masticreel_admission::server_admission::{ServerAction, ServerAdmission, Submission};
 use masticreel_base::failure::{FailureKind, Verdict};
-use masticreel_base::ids::{InstanceId, RequestId};
+use masticreel_base::ids::{Incarnation, RequestId};
 use masticreel_document::class::Class;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -28,7 +28,7 @@
         fingerprint: Fingerprint::of("select 1"),
         deadline,
         caller_base: format!("base-{}", session % 3).into(),
-        entry: InstanceId::from("entry-1"),
+        entry: Incarnation(1),
         need,
     }
 }
@@ -87,6 +87,25 @@
     assert_eq!((failure.kind, failure.verdict), (FailureKind::TransactionLost, Verdict::NotRun));
 }
 
+#[test]
+fn test_request_for_a_server_that_accepts_no_connection_is_refused() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(5);
+    let mut admission = Admission::new(MAX_CONNECTIONS, 2, Ownership::Sole);
+    let (_, actions) = admission.submit(submission(1, ConnectionNeed::Statement, deadline), now);
+    let mut refusals = Vec::new();
+    for action in actions {
+        let ServerAction::Open(connection, _) = action else { panic!("{action:?}") };
+        refusals.extend(admission.connection_failed(connection, now));
+    }
+    let [ServerAction::Refuse(_, failure)] = &refusals[..] else {
+        panic!("{refusals:?}");
+    };
+    assert_eq!((failure.kind, failure.verdict), (FailureKind::Unavailable, Verdict::NotRun));
+    let later = now + Duration::from_millis(100);
+    assert!(matches!(admission.tick(later)[..], [ServerAction::Open(..), ..]));
+}
+
 #[test]
 fn test_learned_time_keeps_slow_statements_out_of_the_reserved_slot() {
     let now = Instant::now();
@@ -161,9 +180,14 @@
             Step::Finish { index, outcome } => self.finish(index, outcome),
             Step::End { session } => {
                 let is_running = self.running.values().any(|(other, ..)| *other == session);
-                if is_running || self.holders.remove(&session).is_none() {
+                if is_running {
+                    // The statement that was started concludes the transaction.
+                    let after = ConnectionAfter::Idle;
+                    let ended = self.admission.transaction_ended(&session, after, self.now);
+                    assert!(ended.is_empty());
                     return;
                 }
+                self.holders.remove(&session);
                 self.admission.transaction_ended(&session, ConnectionAfter::Idle, self.now)
             }
             Step::Cancel { session } => self.admission.cancel(&session).0,
