operator: keep stalled posts from blocking reports and metrics

A client that began to post a document and stalled blocked the operators' port, metrics included, until it closed the connection. Posts are now read by four threads of their own. Ruled out: refusing them at once, since the HTTP library reads the rest of a request before it is dropped. Left: four stalled clients still keep hand-overs waiting; instances then read the document from the store.

--- a/cli/tests/test_processes.rs
+++ b/cli/tests/test_processes.rs
@@ -1,6 +1,7 @@
 //! Tests of the client against a store and instances in processes of their own.
 
-use std::io;
+use std::io::{self, Write as _};
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Command, Output, Stdio};
 use std::thread;
@@ -14,7 +15,7 @@
 use masticreel_platform::document_store::read_document;
 use masticreel_platform::etcd::EtcdStore;
 use masticreel_report::instances::{InstanceReport, StoreState};
-use masticreel_report::operators::{DOCUMENT_PATH, STATUS_PATH};
+use masticreel_report::operators::{DOCUMENT_PATH, SIGNATURE_HEADER, STATUS_PATH};
 use masticreel_testutils::pg_client::PgClient;
 use masticreel_testutils::processes::deployment::{DATABASE, Deployment, DeploymentSettings};
 use masticreel_wire::frame::SharedKey;
@@ -284,6 +285,27 @@
     assert_eq!(report.revision, Revision(7));
 }
 
+#[test]
+fn test_stalled_posts_do_not_keep_operators_from_their_reports() {
+    let bench = Bench::start("stalled-posts");
+    let address = bench.deployment.addresses[0].operators;
+    let stalled: Vec<TcpStream> = (0..8)
+        .map(|_| {
+            let mut stream = TcpStream::connect(address).unwrap();
+            let head = format!(
+                "POST {DOCUMENT_PATH} HTTP/1.1\r\nHost: operators\r\n\
+                 {SIGNATURE_HEADER}: 00\r\nContent-Length: 100000\r\n\r\nstart"
+            );
+            stream.write_all(head.as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(200));
+    let report: InstanceReport = bench.operators().get(STATUS_PATH).unwrap();
+    assert_eq!(report.revision, Revision(1));
+    drop(stalled);
+}
+
 #[test]
 fn test_reports_tell_levels_instances_and_groups() {
     let bench = Bench::start("reports");
--- a/daemon/src/operator.rs
+++ b/daemon/src/operator.rs
@@ -5,9 +5,11 @@
 
 use std::io::{self, Read as _};
 use std::net::TcpListener;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
+use crossbeam_channel::{Sender, unbounded};
 use masticreel_base::cancellation::CancellationToken;
 use masticreel_base::clock::Clock;
 use masticreel_report::operators::{
@@ -30,6 +32,8 @@
 const FORBIDDEN: u16 = 403;
 /// The status of a path that does not exist.
 const NOT_FOUND: u16 = 404;
+/// Threads that take posted documents.
+const POST_THREADS: usize = 4;
 /// Largest posted document, in bytes.
 const MAX_POST_BYTES: u64 = 64 * 1024 * 1024;
 
@@ -49,24 +53,38 @@
         Self { metrics, pages }
     }
 
-    /// Answers on a thread of its own until cancelled.
+    /// Answers on threads of its own until cancelled.
+    ///
+    /// Posted documents have threads to themselves, since a client that stalls
+    /// in the middle of one must not keep others from their reports. Even to
+    /// refuse such a request waits for its rest.
     ///
     /// # Errors
     ///
     /// Fails when the listener can't be used or there is no room for a thread.
     pub fn start(self, listener: TcpListener, cancellation: CancellationToken) -> io::Result<()> {
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+        let (posts, receiver) = unbounded();
+        let this = Arc::new(self);
+        for _ in 0..POST_THREADS {
+            let (poster, receiver) = (this.clone(), receiver.clone());
+            thread::Builder::new().name("operator-posts".to_owned()).spawn(move || {
+                for request in receiver {
+                    poster.take_document(request);
+                }
+            })?;
+        }
         thread::Builder::new().name("operator".to_owned()).spawn(move || {
             while !cancellation.is_cancelled() {
                 if let Ok(Some(request)) = server.recv_timeout(CHECK_INTERVAL) {
-                    self.answer(request);
+                    this.answer(request, &posts);
                 }
             }
         })?;
         Ok(())
     }
 
-    fn answer(&self, request: Request) {
+    fn answer(&self, request: Request, posts: &Sender<Request>) {
         let path = request.url().split('?').next().unwrap_or_default().to_owned();
         match (request.method(), path.as_str()) {
             (Method::Get, "/metrics") => respond(request, OK, self.metrics.render()),
@@ -75,7 +93,10 @@
             (Method::Get, GROUPS_PATH) => respond_json(request, &self.pages.view.groups()),
             (Method::Get, REPORT_PATH) => respond_json(request, &self.pages.levels()),
             (Method::Get, DOCUMENT_PATH) => respond_json(request, &self.pages.document()),
-            (Method::Post, DOCUMENT_PATH) => self.take_document(request),
+            (Method::Post, DOCUMENT_PATH) => {
+                // It fails only when the instance stops.
+                let _ = posts.send(request);
+            }
             _ => respond(request, NOT_FOUND, "no such page\n".to_owned()),
         }
     }
