--- a/daemon/src/entry/treatment.rs
+++ b/daemon/src/entry/demands.rs
@@ -1,19 +1,18 @@
-//! How a request is to be treated: its tags, the document's rules and its kind.
+//! What a request demands of its server, by its tags, the document's rules and its kind.
 
 use bytes::BytesMut;
 use masticreel_base::failure::{Failure, FailureKind};
-use masticreel_document::class::Class;
 use masticreel_document::policy::{Policy, StatementTraits};
 use masticreel_postgres::message::{MAX_CALLER_MESSAGE_BYTES, RawMessage, tag, take_message};
 use masticreel_postgres::request::RequestPlan;
 use masticreel_postgres::statement::StatementKind;
 use masticreel_session::tags::{Tags, parse_tags, without_tags};
-use masticreel_wire::message::{RequestKey, WireClass};
+use masticreel_wire::message::RequestKey;
 use xxhash_rust::xxh3::Xxh3;
 
 /// What the entry must know about a request to route it.
 #[derive(Debug, Clone, Default)]
-pub struct Treatment {
+pub struct Demands {
     /// What the first tagged statement says.
     pub tags: Tags,
     /// What tags, rules and defaults come to.
@@ -24,7 +23,7 @@
     pub request_key: Option<RequestKey>,
 }
 
-impl Treatment {
+impl Demands {
     /// Reads the tags of a request and applies the document's rules.
     ///
     /// # Errors
@@ -32,36 +31,27 @@
     /// Fails when a tag has an impossible value, or names a request that can't
     /// run in a transaction of its own.
     pub fn new(plan: &RequestPlan, policy: &Policy) -> Result<Self, Failure> {
-        let mut treatment = Self { is_read: is_read(plan), ..Self::default() };
+        let mut demands = Self { is_read: is_read(plan), ..Self::default() };
         for (index, statement) in plan.statements.iter().enumerate() {
             let tags = parse_tags(&statement.text)
                 .map_err(|error| Failure::not_run(FailureKind::Unsupported, error.to_string()))?;
             let traits = policy.classify(&statement.text, &tags.statement);
-            treatment.traits = match index {
+            demands.traits = match index {
                 0 => traits,
-                _ => combine(treatment.traits, traits),
+                _ => combine(demands.traits, traits),
             };
-            if treatment.tags == Tags::default() {
-                treatment.tags = tags;
+            if demands.tags == Tags::default() {
+                demands.tags = tags;
             }
         }
-        treatment.request_key = request_key(plan, &treatment.tags)?;
-        Ok(treatment)
+        demands.request_key = request_key(plan, &demands.tags)?;
+        Ok(demands)
     }
 
     /// Returns whether the request may run twice without harm.
     pub fn is_idempotent(&self) -> bool {
         self.is_read || self.traits.idempotent || self.request_key.is_some()
     }
-
-    /// Returns how the request competes for its server.
-    pub fn class(&self) -> WireClass {
-        match self.traits.class {
-            Class::Urgent => WireClass::Urgent,
-            Class::Normal => WireClass::Normal,
-            Class::Long => WireClass::Long,
-        }
-    }
 }
 
 fn is_read(plan: &RequestPlan) -> bool {
@@ -103,7 +93,7 @@
     RawMessage::split_text(rest).map(|(_, parameters)| parameters)
 }
 
-/// Returns the more careful treatment of two statements in one request.
+/// Returns the more careful demands of two statements in one request.
 fn combine(one: StatementTraits, other: StatementTraits) -> StatementTraits {
     StatementTraits {
         class: one.class.max(other.class),
--- a/daemon/src/entry/reads.rs
+++ b/daemon/src/entry/reads.rs
@@ -5,10 +5,11 @@
 use masticreel_base::failure::{Failure, FailureKind};
 use masticreel_base::ids::ServerId;
 use masticreel_base::position::TermPosition;
+use masticreel_document::class::Class;
 use masticreel_document::groups::{GroupSpec, ServerSpec};
 use masticreel_session::floors::{Floor, Floors};
 use masticreel_session::routing::{Candidate, ReadNeeds, ReadRoute, ReadRouter};
-use masticreel_wire::message::{Target, WireClass};
+use masticreel_wire::message::Target;
 
 use crate::directory::OwnerDirectory;
 use crate::entry::router::{Attempts, Destination, Router, SessionRoute};
@@ -31,7 +32,7 @@
     ) -> Result<Destination, Failure> {
         let needs = self.read_needs(session, group, attempts)?;
         let view = self.views.view(&group.name);
-        let is_urgent = attempts.treatment.class() == WireClass::Urgent;
+        let is_urgent = attempts.treatment.class == Class::Urgent;
         let router = ReadRouter {
             failure_domain: self.failure_domain.clone(),
             patience: if is_urgent { Duration::ZERO } else { READ_PATIENCE },
@@ -61,8 +62,8 @@
         group: &GroupSpec,
         attempts: &Attempts<'_>,
     ) -> Result<ReadNeeds, Failure> {
-        let max_staleness = attempts.treatment.traits.max_staleness;
-        let is_named = session.identity.is_named() || attempts.treatment.tags.session.is_some();
+        let max_staleness = attempts.demands.traits.max_staleness;
+        let is_named = session.identity.is_named() || attempts.demands.tags.session.is_some();
         let known = session.identity.floor(&group.name);
         let floor = match known {
             Some(floor) if !is_named => floor,
--- a/daemon/src/entry/router.rs
+++ b/daemon/src/entry/router.rs
@@ -3,8 +3,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
-use masticreel_base::failure::{Failure, FailureKind};
+use masticreel_admission::retry_budget::RetryBudget;
+use masticreel_base::failure::{Failure, FailureKind, Verdict};
 use masticreel_base::ids::{FailureDomain, GroupId, RequestId};
+use masticreel_document::class::Class;
 use masticreel_document::groups::{GroupSpec, ServerSpec};
 use masticreel_postgres::request::{NeededStatement, RequestPlan};
 use masticreel_postgres::statement::StatementKind;
@@ -15,9 +17,10 @@
 };
 
 use crate::directory::{OwnerDirectory, OwnerLocation};
+use crate::entry::demands::Demands;
 use crate::entry::dispatch::Dispatcher;
+use crate::entry::gate::{Gate, Treatment};
 use crate::entry::identity::SessionIdentity;
-use crate::entry::treatment::Treatment;
 use crate::groups::Groups;
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::Outcome;
@@ -43,6 +46,10 @@
     pub pinned: Option<PinnedServer>,
     /// What the session must see.
     pub identity: SessionIdentity,
+    /// How the session's latest request competed with others.
+    pub class: Class,
+    /// What the session may try again.
+    pub retry_budget: RetryBudget,
     /// The owner that is running a request of the session, for cancel requests.
     pub running_at: RunningAt,
 }
@@ -59,34 +66,38 @@
     pub server: ServerSpec,
     /// The group.
     pub group: GroupSpec,
+    /// Whether a statement of the transaction was urgent, so that its commit is.
+    pub is_urgent: bool,
 }
 
-/// Sends requests to the right servers.
-pub struct Router<Guard, Directory> {
-    dispatcher: Dispatcher<Guard, Directory>,
-    groups: Groups,
-    pub(super) views: Arc<Views<Directory>>,
-    pub(super) positions: Positions,
-    pub(super) failure_domain: FailureDomain,
-    limits: LimitSettings,
+/// Where an attempt goes.
+pub(super) struct Destination {
+    pub(super) server: ServerSpec,
+    pub(super) target: Target,
 }
 
 /// A request under way, with what its failed attempts have taught.
 pub(super) struct Attempts<'request> {
     plan: &'request RequestPlan,
     pub(super) treatment: Treatment,
+    pub(super) demands: Demands,
     pub(super) deadline: Instant,
     failed: u32,
     /// A replica could not serve the request, so the primary must.
     pub(super) avoids_replicas: bool,
-    /// A server said that the request writes.
+    /// The request writes, or a server said so.
     is_write: bool,
 }
 
-/// Where an attempt goes.
-pub(super) struct Destination {
-    pub(super) server: ServerSpec,
-    pub(super) target: Target,
+/// Sends requests to the right servers.
+pub struct Router<Guard, Directory> {
+    dispatcher: Dispatcher<Guard, Directory>,
+    groups: Groups,
+    pub(super) views: Arc<Views<Directory>>,
+    pub(super) positions: Positions,
+    pub(super) failure_domain: FailureDomain,
+    limits: LimitSettings,
+    gate: Gate,
 }
 
 impl<Guard, Directory> Router<Guard, Directory>
@@ -102,8 +113,9 @@
         failure_domain: FailureDomain,
         limits: LimitSettings,
     ) -> Self {
+        let gate = Gate::new(limits.max_concurrent_requests);
         let positions = Positions::default();
-        Self { dispatcher, groups, views, positions, failure_domain, limits }
+        Self { dispatcher, groups, views, positions, failure_domain, limits, gate }
     }
 
     /// Returns whether a database is in the document.
@@ -118,28 +130,35 @@
     /// Fails with a verdict that says whether the request may have run.
     pub fn run(&self, session: &mut SessionRoute, plan: &RequestPlan) -> Outcome {
         let deadline = Instant::now() + self.limits.request_timeout();
-        let treatment = Treatment::new(plan, self.groups.document().policy())?;
-        if let Some(token) = &treatment.tags.token {
+        let document = self.groups.document();
+        let treatment = Treatment::of(&document, plan)?;
+        let demands = Demands::new(plan, document.policy())?;
+        if let Some(token) = &demands.tags.token {
             session.identity.merge_token(token)?;
         }
-        match session.pinned.clone() {
-            Some(_) if treatment.request_key.is_some() => {
-                let message = "a request key can't be used in an open transaction";
-                Err(Failure::not_run(FailureKind::Unsupported, message))
-            }
-            Some(pinned) => self.run_pinned(session, plan, &treatment, &pinned, deadline),
-            None => {
-                let attempts = Attempts {
-                    plan,
-                    is_write: !treatment.is_read || treatment.request_key.is_some(),
-                    treatment,
-                    deadline,
-                    failed: 0,
-                    avoids_replicas: false,
-                };
-                self.run_free(session, attempts)
-            }
+        session.class = treatment.class;
+        let Some(pinned) = session.pinned.clone() else {
+            let _pass = self.gate.enter(treatment.class)?;
+            let is_write = !demands.is_read || demands.request_key.is_some();
+            let avoids_replicas = false;
+            let attempts = Attempts {
+                plan,
+                treatment,
+                demands,
+                deadline,
+                failed: 0,
+                avoids_replicas,
+                is_write,
+            };
+            return self.run_free(session, attempts);
+        };
+        if demands.request_key.is_some() {
+            let message = "a request key can't be used in an open transaction";
+            return Err(Failure::not_run(FailureKind::Unsupported, message));
         }
+        // The server's connections bound the open transactions, so they pass
+        // the door freely; a refusal would only keep their locks longer.
+        self.run_pinned(session, plan, treatment, pinned, deadline)
     }
 
     /// Cancels what a session is running.
@@ -158,69 +177,97 @@
         &self,
         session: &mut SessionRoute,
         plan: &RequestPlan,
-        treatment: &Treatment,
-        pinned: &PinnedServer,
+        treatment: Treatment,
+        mut pinned: PinnedServer,
         deadline: Instant,
     ) -> Outcome {
-        let mut request = self.request(session, plan, &pinned.group, &pinned.server, deadline);
+        pinned.is_urgent |= treatment.class == Class::Urgent;
+        let class = if pinned.is_urgent { Class::Urgent } else { treatment.class };
+        let treatment = Treatment { class, ..treatment };
+        let mut request =
+            self.request(session, plan, treatment, &pinned.group, &pinned.server, deadline);
         request.pinning = Pinning::Pinned;
-        request.class = treatment.class();
         let outcome = self.run_at(pinned.owner, session, request, deadline);
-        if !matches!(&outcome, Ok(answer) if answer.state != TransactionState::Idle) {
-            session.pinned = None;
+        let is_open = matches!(&outcome, Ok(answer) if answer.state != TransactionState::Idle);
+        if let Ok(answer) = &outcome {
+            note_answer(&mut session.identity, &pinned.group.name, answer, true);
         }
-        match outcome {
-            Ok(answer) => {
-                note_answer(&mut session.identity, &pinned.group.name, &answer, true);
-                Ok(answer)
+        session.pinned = is_open.then_some(pinned);
+        outcome.map_err(|failure| transaction_failure(plan, failure))
+    }
+
+    fn run_free(&self, session: &mut SessionRoute, mut attempts: Attempts<'_>) -> Outcome {
+        let group = self.group(session)?;
+        self.gate.attempted(&mut session.retry_budget, &group.name);
+        let mut has_paid = false;
+        loop {
+            let outcome = self.attempt(session, &group, &attempts);
+            let outcome = refusal_as_failure(attempts.plan, outcome);
+            if has_paid && outcome.is_ok() {
+                self.gate.retry_succeeded(&mut session.retry_budget, &group.name);
+            }
+            let Err(failure) = outcome else { return outcome };
+            has_paid = loads_server(&failure);
+            if !self.wait_to_retry(session, &group.name, &mut attempts, &failure) {
+                return Err(failure);
             }
-            Err(failure) => Err(transaction_failure(plan, failure)),
         }
     }
 
-    fn run_free(&self, session: &mut SessionRoute, mut attempts: Attempts<'_>) -> Outcome {
+    /// Waits until another attempt may be made; returns whether one may.
+    fn wait_to_retry(
+        &self,
+        session: &mut SessionRoute,
+        group: &GroupId,
+        attempts: &mut Attempts<'_>,
+        failure: &Failure,
+    ) -> bool {
         loop {
-            let outcome = self.attempt(session, &attempts);
-            let failure = match refusal_as_failure(attempts.plan, outcome) {
-                Ok(answer) => return Ok(answer),
-                Err(failure) => failure,
+            let RetryDecision::RetryAfter(delay) = attempts.decide(failure) else {
+                return false;
             };
-            let failed = FailedAttempt {
-                earlier_attempts: attempts.failed,
-                idempotent: attempts.treatment.is_idempotent(),
-                deadline: attempts.deadline,
-            };
-            match decide(&failed, &failure, rand::random(), Instant::now()) {
-                RetryDecision::GiveUp => return Err(failure),
-                RetryDecision::RetryAfter(delay) => std::thread::sleep(delay),
+            std::thread::sleep(delay);
+            attempts.learn_from(failure);
+            let must_pay = loads_server(failure);
+            let now = Instant::now();
+            if !must_pay || self.gate.may_retry(&mut session.retry_budget, group, now) {
+                return true;
             }
-            attempts.learn_from(&failure);
         }
     }
 
-    fn attempt(&self, session: &mut SessionRoute, attempts: &Attempts<'_>) -> Outcome {
-        let group = self.groups.by_database(&session.database).ok_or_else(|| {
+    fn group(&self, session: &SessionRoute) -> Result<GroupSpec, Failure> {
+        self.groups.by_database(&session.database).ok_or_else(|| {
             let message = format!("database \"{}\" does not exist", session.database);
             Failure::not_run(FailureKind::UnknownDatabase, message)
-        })?;
-        let destination = if attempts.is_write {
-            self.primary(&group)?
+        })
+    }
+
+    fn attempt(
+        &self,
+        session: &mut SessionRoute,
+        group: &GroupSpec,
+        attempts: &Attempts<'_>,
+    ) -> Outcome {
+        let Attempts { plan, treatment, deadline, is_write, .. } = *attempts;
+        let destination = if is_write {
+            self.primary(group)?
         } else {
-            self.read_destination(session, &group, attempts)?
+            self.read_destination(session, group, attempts)?
         };
-        let server = &destination.server;
-        let owner = self.dispatcher.owners(server).first().copied().ok_or_else(|| {
+        let server = destination.server;
+        let owner = self.dispatcher.owners(&server).first().copied().ok_or_else(|| {
             Failure::not_run(FailureKind::Unavailable, "no instance owns the server")
         })?;
-        let mut request = self.request(session, attempts.plan, &group, server, attempts.deadline);
+        let mut request = self.request(session, plan, treatment, group, &server, deadline);
         request.target = destination.target;
-        request.class = attempts.treatment.class();
-        request.request_key = attempts.treatment.request_key.clone();
-        let answer = self.run_at(owner, session, request, attempts.deadline)?;
-        note_answer(&mut session.identity, &group.name, &answer, attempts.is_write);
+        request.request_key = attempts.demands.request_key.clone();
+        let answer = self.run_at(owner, session, request, deadline)?;
+        note_answer(&mut session.identity, &group.name, &answer, is_write);
         if answer.state != TransactionState::Idle {
-            let pinned = PinnedServer { owner, server: server.clone(), group: group.clone() };
-            session.pinned = Some(pinned);
+            let is_urgent = treatment.class == Class::Urgent;
+            let group = group.clone();
+            session.pinned = Some(PinnedServer { owner, server, group, is_urgent });
         }
         Ok(answer)
     }
@@ -255,6 +302,7 @@
         &self,
         session: &SessionRoute,
         plan: &RequestPlan,
+        treatment: Treatment,
         group: &GroupSpec,
         server: &ServerSpec,
         deadline: Instant,
@@ -266,13 +314,13 @@
             group: group.name.clone(),
             server: server.name.clone(),
             target: Target::Primary,
-            pinning: Pinning::Free,
-            class: WireClass::Normal,
+            pinning: if treatment.begins { Pinning::Begins } else { Pinning::Free },
+            class: wire_class(treatment.class),
             user: session.user.clone(),
             database: session.database.clone(),
             settings: session.settings.clone(),
             deadline_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
-            fingerprint: 0,
+            fingerprint: treatment.fingerprint,
             leaves_state: plan.statements.iter().any(|statement| leaves_state(statement.kind)),
             payload: plan.payload.clone(),
             prepared: plan.needed.iter().map(prepared_statement).collect(),
@@ -282,24 +330,18 @@
     }
 }
 
-/// Says that a transaction is gone that was lost before it was to commit.
+/// Says what is known of a statement that failed with its transaction.
 ///
-/// Its connection is closed, so nothing of it can last.
+/// Whatever ran before is rolled back, so only a request that commits may have
+/// an effect.
 fn transaction_failure(plan: &RequestPlan, failure: Failure) -> Failure {
-    let may_commit = plan.statements.iter().any(|statement| {
+    let commits = plan.statements.iter().any(|statement| {
         statement.kind == StatementKind::Commit || prepares_transaction(&statement.text)
     });
-    if may_commit || failure.kind != FailureKind::Lost {
+    if commits || failure.verdict != Verdict::MayHaveRun {
         return failure;
     }
-    let message = format!("the transaction was rolled back: {}", failure.message);
-    Failure::not_run(FailureKind::TransactionLost, message)
-}
-
-/// Returns whether a statement may be `PREPARE TRANSACTION`.
-fn prepares_transaction(text: &str) -> bool {
-    let text = text.to_ascii_lowercase();
-    text.contains("prepare") && text.contains("transaction")
+    Failure::not_run(FailureKind::TransactionLost, failure.message)
 }
 
 /// Turns a server's refusal to write into a failure that can be retried.
@@ -318,6 +360,15 @@
 }
 
 impl Attempts<'_> {
+    fn decide(&self, failure: &Failure) -> RetryDecision {
+        let failed = FailedAttempt {
+            earlier_attempts: self.failed,
+            idempotent: self.demands.is_idempotent(),
+            deadline: self.deadline,
+        };
+        decide(&failed, failure, rand::random(), Instant::now())
+    }
+
     fn learn_from(&mut self, failure: &Failure) {
         self.failed += 1;
         match failure.kind {
@@ -345,6 +396,26 @@
     }
 }
 
+/// Returns whether a statement may be `PREPARE TRANSACTION`.
+fn prepares_transaction(text: &str) -> bool {
+    let text = text.to_ascii_lowercase();
+    text.contains("prepare") && text.contains("transaction")
+}
+
+/// Returns whether the failed attempt reached a server, so that trying again
+/// adds load.
+fn loads_server(failure: &Failure) -> bool {
+    failure.kind == FailureKind::NotPrimary
+}
+
+fn wire_class(class: Class) -> WireClass {
+    match class {
+        Class::Urgent => WireClass::Urgent,
+        Class::Normal => WireClass::Normal,
+        Class::Long => WireClass::Long,
+    }
+}
+
 fn prepared_statement(needed: &NeededStatement) -> PreparedStatement {
     PreparedStatement { name: needed.name.clone(), message: needed.message.to_vec() }
 }
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use crossbeam_channel::{Receiver, unbounded};
 use displaydoc::Display;
@@ -16,6 +16,7 @@
 use masticreel_wire::message::Hello;
 use slog::{Logger, info, warn};
 
+use crate::burn::{BurnAccount, BurnWatch};
 use crate::caller::server::{CallerServer, CallerServerParts};
 use crate::directory::{Candidate, OwnerLocation, StaticDirectory};
 use crate::documents::Documents;
@@ -26,8 +27,11 @@
 use crate::link::server::LinkServer;
 use crate::metrics::Metrics;
 use crate::operator::OperatorServer;
+use crate::operator::pages::Pages;
+use crate::operator::view::SettingsView;
 use crate::owner::guard::ServerGuard;
 use crate::owner::{Owner, OwnerContext};
+use crate::reporter::Reporter;
 use crate::settings::{PeerSettings, Settings};
 use crate::views::Views;
 use crate::watch::guard::WatchGuard;
@@ -55,12 +59,19 @@
     }
 }
 
+/// How long entries that did not hear of a shutdown are still told of it.
+const HANDOVER_NOTICE: Duration = Duration::from_millis(500);
+
+type Guard = WatchGuard<StaticDirectory>;
+
 /// One running instance.
 pub struct Instance {
-    callers: Arc<CallerServer<WatchGuard<StaticDirectory>, StaticDirectory>>,
+    callers: Arc<CallerServer<Guard, StaticDirectory>>,
+    owner: Arc<Owner<Guard>>,
     caller_address: SocketAddr,
     shutdown_timeout: Duration,
     logger: Logger,
+    stopping: CancellationToken,
     cancellation: CancellationToken,
 }
 
@@ -72,6 +83,7 @@
     /// Fails when an address is taken or the system has no room.
     pub fn start(settings: &Settings, logger: &Logger) -> Result<Self, StartError> {
         let cancellation = CancellationToken::new();
+        let stopping = cancellation.child();
         let metrics = Metrics::new();
         let incarnation = incarnation(&SystemClock);
         let own = &settings.instance;
@@ -106,6 +118,7 @@
         };
         let owner = Arc::new(Owner::new(context, groups.clone()));
         abandon_demoted(owner.clone(), demotions)?;
+        owner.start_ticker(directory.clone())?;
         let key = SharedKey::from_text(&own.shared_key);
         let link_server = LinkServer::new(
             owner.clone(),
@@ -115,7 +128,17 @@
             cancellation.clone(),
         );
         link_server.start(peer_listener)?;
-        OperatorServer::new(metrics.clone()).start(operator_listener, cancellation.clone())?;
+        let burn = BurnAccount::new(SystemClock);
+        let pages = Pages {
+            name: own.name.clone(),
+            failure_domain: own.failure_domain.clone(),
+            documents: documents.clone(),
+            view: SettingsView::new(settings, documents.clone(), groups.clone()),
+            burn: burn.clone(),
+            key: key.clone(),
+            stopping: stopping.clone(),
+        };
+        start_reports(settings, pages, operator_listener, &metrics, logger, &cancellation)?;
 
         let hello = Hello { instance: own.name.clone(), incarnation };
         let links = LinkPool::new(hello, key);
@@ -126,7 +149,7 @@
             links.clone(),
             cancellation.clone(),
         )?;
-        let dispatcher = Dispatcher::new(owner, links, directory);
+        let dispatcher = Dispatcher::new(owner.clone(), links, directory);
         let domain = own.failure_domain.clone();
         let router = Router::new(dispatcher, groups, views, domain, settings.limits.clone());
         let parts = CallerServerParts {
@@ -134,6 +157,7 @@
             incarnation,
             limits: settings.limits.clone(),
             metrics,
+            burn,
             logger: logger.clone(),
             cancellation: cancellation.clone(),
         };
@@ -141,9 +165,11 @@
         info!(logger, "instance started"; "callers" => %caller_address, "incarnation" => %incarnation);
         Ok(Self {
             callers,
+            owner,
             caller_address,
             shutdown_timeout: settings.limits.shutdown_timeout(),
             logger: logger.clone(),
+            stopping,
             cancellation,
         })
     }
@@ -154,11 +180,22 @@
     }
 
     /// Finishes what is in flight, then ends all threads.
+    ///
+    /// The instance's own callers go first. Then its servers are handed over:
+    /// for a while longer it tells entries that still ask that it is not the
+    /// owner, so that no request is under way when the links close.
     pub fn stop(self) {
         info!(self.logger, "instance stopping");
+        self.stopping.cancel();
+        let deadline = Instant::now() + self.shutdown_timeout;
         if !self.callers.drain(self.shutdown_timeout) {
             warn!(self.logger, "instance stopped with callers left"; "reason" => "timeout");
         }
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        if !self.owner.drain(remaining) {
+            warn!(self.logger, "instance stopped with requests left"; "reason" => "timeout");
+        }
+        self.cancellation.wait_timeout(HANDOVER_NOTICE);
         self.cancellation.cancel();
         info!(self.logger, "instance stopped");
     }
@@ -177,18 +214,38 @@
     Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
 }
 
+fn store(settings: &Settings) -> EtcdStore {
+    let timeout = Duration::from_millis(settings.platform.store_timeout_ms);
+    EtcdStore::new(&settings.platform.store_endpoint, timeout)
+}
+
+/// Starts all that tells operators how the instance is.
+fn start_reports(
+    settings: &Settings,
+    pages: Pages<SettingsView, SystemClock>,
+    listener: TcpListener,
+    metrics: &Metrics,
+    logger: &Logger,
+    cancellation: &CancellationToken,
+) -> io::Result<()> {
+    let document = pages.documents.cell();
+    BurnWatch::new(pages.burn.clone(), document, metrics, logger.clone())
+        .start(cancellation.clone())?;
+    Reporter::new(pages.clone(), SystemClock, store(settings), logger.clone())
+        .start(cancellation.clone())?;
+    OperatorServer::new(metrics.clone(), pages).start(listener, cancellation.clone())
+}
+
 fn start_documents(
     settings: &Settings,
     metrics: &Metrics,
     logger: &Logger,
     cancellation: &CancellationToken,
 ) -> io::Result<Documents> {
-    let platform = &settings.platform;
-    let timeout = Duration::from_millis(platform.store_timeout_ms);
-    let store = EtcdStore::new(&platform.store_endpoint, timeout);
+    let store = store(settings);
     let documents = Documents::new(metrics.clone(), logger.clone());
     documents.refresh(&store);
-    let interval = Duration::from_millis(platform.document_poll_ms);
+    let interval = Duration::from_millis(settings.platform.document_poll_ms);
     documents.clone().follow(store, interval, cancellation.clone())?;
     Ok(documents)
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 //! `docs/design/01-threads-and-links.md` shows how a request travels through
 //! the modules.
 
+pub mod burn;
 pub mod caller;
 pub mod directory;
 pub mod documents;
@@ -15,6 +16,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod owner;
+pub mod reporter;
 pub mod settings;
 pub mod views;
 pub mod watch;
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -1,7 +1,9 @@
 //! What the instance counts, for metrics collectors and reports.
 
+use masticreel_document::class::Class;
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+    GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -18,28 +20,50 @@
     pub requests: IntCounterVec,
     /// Time from a caller's request to its answer, by class.
     pub request_seconds: HistogramVec,
-    /// Requests queued for a server.
+    /// Requests queued for a server, by class.
     pub queued: IntGaugeVec,
+    /// Time from a request's arrival at its owner to its start, by class.
+    pub queue_wait_seconds: HistogramVec,
+    /// Requests that owners refused, by server and kind of failure.
+    pub refused: IntCounterVec,
+    /// Requests that execute on a server.
+    pub running: IntGaugeVec,
     /// Connections open to a server.
     pub upstream_connections: IntGaugeVec,
     /// The revision of the document in force.
     pub document_revision: IntGauge,
+    /// Whether a newer revision was refused.
+    pub document_refused: IntGauge,
+    /// Whether the platform's store answered the last call.
+    pub store_reachable: IntGauge,
+    /// How fast service levels spend their error budgets, by level and window.
+    pub level_burn_rate: GaugeVec,
 }
 
 impl Metrics {
     /// Creates and registers the metrics.
     pub fn new() -> Self {
-        let latency = HistogramOpts::new(
-            "masticreel_request_seconds",
-            "Time from a caller's request to its answer.",
-        )
-        .buckets(LATENCY_BUCKETS_SECONDS.to_vec());
         let metrics = Self {
             registry: Registry::new(),
             callers: gauge("masticreel_callers", "Connections of callers."),
             requests: counters("masticreel_requests_total", "Requests by outcome.", &["outcome"]),
-            request_seconds: HistogramVec::new(latency, &["class"]).expect("the options are valid"),
-            queued: gauges("masticreel_queued_requests", "Requests queued.", &["server"]),
+            request_seconds: histograms(
+                "masticreel_request_seconds",
+                "Time from a caller's request to its answer.",
+                &["class"],
+            ),
+            queued: gauges("masticreel_queued_requests", "Requests queued.", &["server", "class"]),
+            queue_wait_seconds: histograms(
+                "masticreel_queue_wait_seconds",
+                "Time that requests waited for a server.",
+                &["server", "class"],
+            ),
+            refused: counters(
+                "masticreel_refused_requests_total",
+                "Requests refused by the owner of a server.",
+                &["server", "kind"],
+            ),
+            running: gauges("masticreel_running_requests", "Requests executing.", &["server"]),
             upstream_connections: gauges(
                 "masticreel_upstream_connections",
                 "Connections open to a server.",
@@ -49,6 +73,15 @@
                 "masticreel_document_revision",
                 "Revision of the document in force.",
             ),
+            document_refused: gauge(
+                "masticreel_document_refused",
+                "1 if a newer revision of the document is faulty and not in force.",
+            ),
+            store_reachable: gauge(
+                "masticreel_store_reachable",
+                "1 if the platform's store answered the last call.",
+            ),
+            level_burn_rate: level_burn_rate(),
         };
         metrics.register();
         metrics
@@ -61,8 +94,14 @@
             registry.register(Box::new(self.requests.clone())),
             registry.register(Box::new(self.request_seconds.clone())),
             registry.register(Box::new(self.queued.clone())),
+            registry.register(Box::new(self.queue_wait_seconds.clone())),
+            registry.register(Box::new(self.refused.clone())),
+            registry.register(Box::new(self.running.clone())),
             registry.register(Box::new(self.upstream_connections.clone())),
             registry.register(Box::new(self.document_revision.clone())),
+            registry.register(Box::new(self.document_refused.clone())),
+            registry.register(Box::new(self.store_reachable.clone())),
+            registry.register(Box::new(self.level_burn_rate.clone())),
         ];
         for result in results {
             result.expect("metric names are unique");
@@ -80,12 +119,29 @@
     }
 }
 
+/// Returns the label of a class.
+pub fn class_label(class: Class) -> &'static str {
+    match class {
+        Class::Urgent => "urgent",
+        Class::Normal => "normal",
+        Class::Long => "long",
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self::new()
     }
 }
 
+fn level_burn_rate() -> GaugeVec {
+    let options = Opts::new(
+        "masticreel_level_burn_rate",
+        "Error budget spent, as a multiple of the rate that the objective allows.",
+    );
+    GaugeVec::new(options, &["level", "window"]).expect("the options are valid")
+}
+
 fn gauge(name: &str, help: &str) -> IntGauge {
     IntGauge::new(name, help).expect("the name is valid")
 }
@@ -94,6 +150,11 @@
     IntGaugeVec::new(Opts::new(name, help), labels).expect("the name is valid")
 }
 
+fn histograms(name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_SECONDS.to_vec());
+    HistogramVec::new(options, labels).expect("the options are valid")
+}
+
 fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     IntCounterVec::new(Opts::new(name, help), labels).expect("the name is valid")
 }
--- a/daemon/src/owner/keyed.rs
+++ b/daemon/src/owner/keyed.rs
@@ -2,15 +2,12 @@
 //!
 //! See `docs/design/06-verdicts.md`.
 
-use bytes::BytesMut;
 use masticreel_base::failure::{Failure, FailureKind};
-use masticreel_postgres::message::put_message;
 use masticreel_postgres::upstream::{
     Answer, Needed, Preparation, TransactionState, UpstreamConnection, UpstreamError, text_rows,
 };
 use masticreel_session::request_key::{CREATE_TABLE, KeyedRequest, Replay, Reservation};
 use masticreel_wire::message::UpstreamRequest;
-use pgwire::messages::simplequery::Query;
 
 /// Largest answer that is stored with its key, in bytes.
 const MAX_STORED_BYTES: usize = 256 * 1024;
@@ -71,12 +68,9 @@
         }
     }
 
-    /// Applies the session's settings outside the transaction, then opens it.
+    /// Opens the transaction.
     fn begin(&mut self) -> Result<(), Failure> {
-        let settings = Some(self.request.settings.as_slice());
-        let preparation = Preparation { settings, needed: &[], prepares: &[] };
-        let begun = self.upstream.run(preparation, &simple_query("BEGIN"));
-        let begun = begun.map_err(|error| not_run(&error))?;
+        let begun = self.query("BEGIN")?;
         match begun.sqlstate {
             None => Ok(()),
             Some(code) => {
@@ -88,7 +82,7 @@
 
     fn work(&mut self) -> Result<Answer, Failure> {
         let prepares = &self.request.prepares;
-        let preparation = Preparation { settings: None, needed: self.needed, prepares };
+        let preparation = Preparation { needed: self.needed, prepares };
         let answer = self.upstream.run(preparation, &self.request.payload);
         let answer = answer.map_err(|error| not_run(&error))?;
         if answer.sqlstate.is_some() {
@@ -174,9 +168,3 @@
     let message = format!("the connection was lost before the commit: {error}");
     Failure::not_run(FailureKind::Lost, message)
 }
-
-fn simple_query(sql: &str) -> Vec<u8> {
-    let mut packet = BytesMut::new();
-    put_message(&mut packet, &Query::new(sql.to_owned()));
-    packet.into()
-}
--- a/daemon/src/owner/pending.rs
+++ b/daemon/src/owner/pending.rs
@@ -12,7 +12,7 @@
 use masticreel_wire::message::{UpstreamAnswer, UpstreamRequest};
 
 use crate::owner::guard::ServerGuard;
-use crate::owner::job::Job;
+use crate::owner::job::{Job, Outcome};
 
 /// Longest wait of a request for its server to meet its demands.
 pub(super) const ADMISSION_PATIENCE: Duration = Duration::from_millis(200);
@@ -49,15 +49,24 @@
     }
 }
 
-/// Settles pending requests until cancelled; admitted ones are passed on.
-pub(super) fn settle_all<Guard, Admit>(
+/// Takes what no longer has to wait.
+pub(super) trait Settler {
+    /// Queues a request whose demands are met.
+    fn admit(&self, job: Job);
+
+    /// Answers a request.
+    fn answer(&self, job: Job, outcome: Outcome);
+}
+
+/// Settles pending requests until cancelled.
+pub(super) fn settle_all<Guard, Target>(
     guard: &Guard,
     receiver: &Receiver<Pending>,
     cancellation: &CancellationToken,
-    admit: Admit,
+    settler: &Target,
 ) where
     Guard: ServerGuard,
-    Admit: Fn(Job),
+    Target: Settler,
 {
     let mut waiting: Vec<Pending> = Vec::new();
     while !cancellation.is_cancelled() {
@@ -72,36 +81,39 @@
         waiting.extend(receiver.try_iter());
         waiting = waiting
             .into_iter()
-            .filter_map(|pending| settle(guard, pending, Instant::now(), &admit))
+            .filter_map(|pending| settle(guard, pending, Instant::now(), settler))
             .collect();
     }
 }
 
 /// Settles a request if possible, or returns it.
-fn settle<Guard, Admit>(
+fn settle<Guard, Target>(
     guard: &Guard,
     pending: Pending,
     now: Instant,
-    admit: &Admit,
+    settler: &Target,
 ) -> Option<Pending>
 where
     Guard: ServerGuard,
-    Admit: Fn(Job),
+    Target: Settler,
 {
     match pending {
         Pending::Admission { job, give_up_at } => match guard.check_request(&job.request) {
-            Some(Ok(_)) => admit(job),
-            Some(Err(failure)) => job.reply.send(Err(failure)),
-            None if now >= give_up_at => job.reply.send(Err(not_ready(&job.request))),
+            Some(Ok(_)) => settler.admit(job),
+            Some(Err(failure)) => settler.answer(job, Err(failure)),
+            None if now >= give_up_at => {
+                let failure = not_ready(&job.request);
+                settler.answer(job, Err(failure));
+            }
             None => return Some(Pending::Admission { job, give_up_at }),
         },
         Pending::Commit { job, answer, position } => {
             match guard.check_commit(&job.request, position) {
-                Some(result) => job.reply.send(result.map(|()| answer)),
+                Some(result) => settler.answer(job, result.map(|()| answer)),
                 None if now >= job.deadline => {
                     let message = "no majority held the commit in time";
                     let failure = Failure::may_have_run(FailureKind::Unconfirmed, message);
-                    job.reply.send(Err(failure));
+                    settler.answer(job, Err(failure));
                 }
                 None => return Some(Pending::Commit { job, answer, position }),
             }
--- a/lib/session/src/retry.rs
+++ b/lib/session/src/retry.rs
@@ -55,8 +55,7 @@
 /// Returns whether the cause of a failure may be gone at the next attempt.
 fn may_pass(kind: FailureKind) -> bool {
     match kind {
-        FailureKind::Overloaded
-        | FailureKind::Unavailable
+        FailureKind::Unavailable
         | FailureKind::Lost
         | FailureKind::Unconfirmed
         | FailureKind::NotPrimary
@@ -64,6 +63,7 @@
         | FailureKind::NotOwner
         | FailureKind::ShuttingDown => true,
         FailureKind::UnknownDatabase
+        | FailureKind::Overloaded
         | FailureKind::Cancelled
         | FailureKind::TransactionLost
         | FailureKind::Unsupported
--- a/testutils/src/processes/deployment.rs
+++ b/testutils/src/processes/deployment.rs
@@ -3,14 +3,31 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
-use crate::processes::{Process, free_address};
+use masticreel_base::ids::Revision;
+
+use crate::pg_client::{ClientError, PgClient};
+use crate::processes::{Process, document, own_address};
 
 /// The database that callers connect to.
 pub const DATABASE: &str = "app";
 /// The failure domains that servers and instances are spread over.
 pub const FAILURE_DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
 
+/// Where callers connect to an instance.
+const CALLER_PORT: u16 = 6432;
+/// Where other instances connect to an instance.
+const PEER_PORT: u16 = 6433;
+/// Where operators connect to an instance.
+const OPERATOR_PORT: u16 = 6434;
+/// Where links lead until their servers have started.
+const UNUSED_ADDRESS: &str = "127.0.0.1:9";
+/// Longest wait of a test's caller for bytes.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(20);
+/// The section that holds all that tests write.
+const SECTION: &str = "test";
+
 /// What a deployment is made of.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DeploymentSettings {
@@ -20,6 +37,8 @@
     pub instances: usize,
     /// Further arguments of each server.
     pub server_arguments: Vec<String>,
+    /// Lines appended to each server in the document.
+    pub server_document: String,
     /// Text appended to each instance's settings.
     pub instance_settings: String,
     /// Text appended to the document's only section.
@@ -34,6 +53,7 @@
             servers: 3,
             instances: 2,
             server_arguments: Vec::new(),
+            server_document: String::new(),
             instance_settings: String::new(),
             document: String::new(),
             has_links: false,
@@ -66,6 +86,7 @@
     pub addresses: Vec<InstanceAddresses>,
     settings: DeploymentSettings,
     folder: PathBuf,
+    revision: Revision,
 }
 
 impl Deployment {
@@ -78,9 +99,7 @@
         let folder = std::env::temp_dir().join(format!("masticreel-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let store = Process::start("masticreel-standin", &words("store"), None)?;
-        let addresses = (0..settings.instances)
-            .map(|_| InstanceAddresses::free())
-            .collect::<io::Result<Vec<_>>>()?;
+        let addresses = (0..settings.instances).map(|_| InstanceAddresses::choose()).collect();
         let mut deployment = Self {
             store,
             servers: Vec::new(),
@@ -89,9 +108,11 @@
             addresses,
             settings,
             folder,
+            revision: Revision(0),
         };
         deployment.start_servers()?;
-        deployment.write_document()?;
+        let text = deployment.document_text()?;
+        deployment.edit_document(&text)?;
         for number in 0..deployment.settings.instances {
             let instance = deployment.start_instance(number)?;
             deployment.instances.push(instance);
@@ -152,6 +173,16 @@
         Process::start("masticreeld", &arguments, Some(&self.log_path(number)))
     }
 
+    /// Opens a caller's session at an instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance does not accept the session.
+    pub fn connect(&self, instance: usize) -> Result<PgClient, ClientError> {
+        let parameters = [("user", "ana"), ("database", DATABASE)];
+        PgClient::connect(self.addresses[instance].callers, &parameters, CLIENT_TIMEOUT)
+    }
+
     /// Returns where an instance logs its events.
     pub fn log_path(&self, number: usize) -> PathBuf {
         self.folder.join(format!("instance-{number}.log"))
@@ -204,15 +235,22 @@
             let domain = FAILURE_DOMAINS[number % FAILURE_DOMAINS.len()];
             text.push_str(&format!(
                 "\n[[groups.servers]]\nname = \"{DATABASE}-{number}\"\naddress = \"{address}\"\n\
-                 failure_domain = \"{domain}\"\n"
+                 failure_domain = \"{domain}\"\n{}",
+                self.settings.server_document
             ));
         }
         text.push_str(&self.settings.document);
         Ok(text)
     }
 
-    fn write_document(&self) -> io::Result<()> {
-        crate::processes::document::write(&self.store_endpoint()?, &self.document_text()?)
+    /// Replaces the text of the document's only section.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is not accepted.
+    pub fn edit_document(&mut self, text: &str) -> io::Result<()> {
+        self.revision = document::write(&self.store_endpoint()?, SECTION, text, self.revision)?;
+        Ok(())
     }
 }
 
@@ -224,14 +262,18 @@
 }
 
 impl InstanceAddresses {
-    fn free() -> io::Result<Self> {
-        Ok(Self { callers: free_address()?, peers: free_address()?, operators: free_address()? })
+    /// Chooses addresses that no other instance of this test run has.
+    pub fn choose() -> Self {
+        let address = own_address();
+        let with_port = |port| SocketAddr::from((address, port));
+        Self {
+            callers: with_port(CALLER_PORT),
+            peers: with_port(PEER_PORT),
+            operators: with_port(OPERATOR_PORT),
+        }
     }
 }
 
-/// Where links lead until their servers have started.
-const UNUSED_ADDRESS: &str = "127.0.0.1:9";
-
 fn words(text: &str) -> Vec<String> {
     text.split_whitespace().map(str::to_owned).collect()
 }
