router: a transaction that lost its owner has not run

Cause: a statement within a block whose server died was reported as may have run, though no COMMIT had been sent (test_lost_transaction, known red). Change: only a request that commits keeps that verdict; the owner is told to roll back after any failure, so that nothing is left open there.

--- a/daemon/src/entry/router.rs
+++ b/daemon/src/entry/router.rs
@@ -147,10 +147,19 @@
         let destination =
             Destination { group: &pinned.group, server: &pinned.server, pinning: Pinning::Pinned };
         let request = self.request(session, plan, treatment, destination, deadline);
-        let outcome = self.run_at(pinned.owner, session, request, deadline);
-        let is_open = matches!(&outcome, Ok(answer) if answer.state != TransactionState::Idle);
-        session.pinned = is_open.then_some(pinned);
-        outcome
+        session.pinned = None;
+        match self.run_at(pinned.owner, session, request, deadline) {
+            Ok(answer) => {
+                let is_open = answer.state != TransactionState::Idle;
+                session.pinned = is_open.then_some(pinned);
+                Ok(answer)
+            }
+            Err(failure) => {
+                // The owner rolls back whatever it may still hold.
+                self.dispatcher.release(pinned.owner, session.key);
+                Err(transaction_failure(plan, failure))
+            }
+        }
     }
 
     fn run_free(
@@ -286,6 +295,18 @@
     }
 }
 
+/// Says what is known of a statement that failed with its transaction.
+///
+/// Whatever ran before is rolled back, so only a request that commits may have
+/// an effect.
+fn transaction_failure(plan: &RequestPlan, failure: Failure) -> Failure {
+    let commits = plan.statements.iter().any(|statement| statement.kind == StatementKind::Commit);
+    if commits || failure.verdict != Verdict::MayHaveRun {
+        return failure;
+    }
+    Failure::not_run(FailureKind::TransactionLost, failure.message)
+}
+
 /// Turns a server's refusal to write into a failure that can be retried.
 fn refusal_as_failure(plan: &RequestPlan, outcome: Outcome) -> Outcome {
     let answer = outcome?;
