--- a/standins/tests/test_upstream.rs
+++ b/standins/tests/test_upstream.rs
@@ -3,8 +3,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use masticreel_standins::upstream::{InitialRole, Upstream, UpstreamSettings};
 use masticreel_testutils::pg_client::{PgClient, send_cancel};
+use pgwire::messages::extendedquery::{Bind, Execute, Parse, Sync};
+use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -260,3 +263,67 @@
     drop(server);
     std::fs::remove_dir_all(directory).unwrap();
 }
+
+#[test]
+fn test_binary_parameters_and_results() {
+    let server = start(|_| {});
+    let mut client = connect(server.address());
+    run(&mut client, "CREATE TABLE t (i BIGINT, f FLOAT8, b BOOL, d BYTEA, s TEXT)");
+    let values: [Vec<u8>; 5] = [
+        (-7_i64).to_be_bytes().to_vec(),
+        0.5_f64.to_be_bytes().to_vec(),
+        vec![1],
+        vec![0, 255],
+        b"text".to_vec(),
+    ];
+    let parameters = values.iter().cloned().map(|value| Some(Bytes::from(value))).collect();
+    let insert = "INSERT INTO t VALUES ($1, $2, $3, $4, $5)".to_owned();
+    let select = "SELECT i, f, b, d, s FROM t".to_owned();
+    client
+        .send(&[
+            PgWireFrontendMessage::Parse(Parse::new(None, insert, vec![20, 701, 16, 17, 25])),
+            PgWireFrontendMessage::Bind(Bind::new(None, None, vec![1], parameters, Vec::new())),
+            PgWireFrontendMessage::Execute(Execute::new(None, 0)),
+            PgWireFrontendMessage::Parse(Parse::new(None, select, Vec::new())),
+            PgWireFrontendMessage::Bind(Bind::new(None, None, Vec::new(), Vec::new(), vec![1])),
+            PgWireFrontendMessage::Execute(Execute::new(None, 0)),
+            PgWireFrontendMessage::Sync(Sync::new()),
+        ])
+        .unwrap();
+    let row = loop {
+        match client.read_message().unwrap() {
+            PgWireBackendMessage::DataRow(row) => break row,
+            PgWireBackendMessage::ErrorResponse(error) => panic!("{error:?}"),
+            _ => {}
+        }
+    };
+    let mut expected = Vec::new();
+    for value in &values {
+        expected.extend((value.len() as u32).to_be_bytes());
+        expected.extend(value);
+    }
+    assert_eq!(row.data.as_ref(), expected);
+}
+
+#[test]
+fn test_portals_return_rows_up_to_a_limit() {
+    let server = start(|_| {});
+    let mut client = connect(server.address());
+    run(&mut client, "CREATE TABLE t (id INT)");
+    run(&mut client, "INSERT INTO t VALUES (1), (2), (3)");
+    let select = "SELECT id FROM t ORDER BY id".to_owned();
+    client
+        .send(&[
+            PgWireFrontendMessage::Parse(Parse::new(None, select, Vec::new())),
+            PgWireFrontendMessage::Bind(Bind::new(None, None, Vec::new(), Vec::new(), Vec::new())),
+            PgWireFrontendMessage::Execute(Execute::new(None, 2)),
+            PgWireFrontendMessage::Execute(Execute::new(None, 2)),
+            PgWireFrontendMessage::Sync(Sync::new()),
+        ])
+        .unwrap();
+    let answer = client.read_answer().unwrap();
+    let counts: Vec<_> = answer.results.iter().map(|result| result.rows.len()).collect();
+    assert_eq!(counts, [2, 1]);
+    assert_eq!(answer.results[0].tag, None);
+    assert_eq!(answer.results[1].tag.as_deref(), Some("SELECT 1"));
+}
