--- a/testutils/src/bin/masticreel-replay.rs
+++ b/testutils/src/bin/masticreel-replay.rs
@@ -7,7 +7,7 @@
 
 use argh::FromArgs;
 use hdrhistogram::Histogram;
-use masticreel_testutils::experiment::settings::ExperimentSettings;
+use masticreel_testutils::experiment::settings::{ExperimentSettings, Phase};
 use masticreel_testutils::processes::deployment::{Deployment, DeploymentSettings};
 use masticreel_testutils::replay::{Played, Route, kinds, play};
 
@@ -46,7 +46,7 @@
     for phase in &mut settings.phases {
         phase.duration_ms = phase.duration_ms.min(arguments.duration_ms);
     }
-    println!("phase,route,kind,arrived,answered,in_time,failed,p50_ms,p99_ms,max_ms,useful_load");
+    println!("phase,route,kind,arrived,answered,in_time,failed,p50_ms,p99_ms,max_ms,load");
     let wanted = arguments.phase.as_deref();
     for phase in settings.phases.iter().filter(|phase| wanted.is_none_or(|w| w == &*phase.name)) {
         for route in ["direct", "masticreel"] {
@@ -62,8 +62,7 @@
                 ),
             };
             let played = play(&settings, phase, &target);
-            let slot_time = f64::from(settings.slots) * phase.duration_ms as f64 / 1000.0;
-            report(&settings, &phase.name, route, &played, slot_time);
+            report(&settings, phase, route, &played);
         }
     }
     Ok(())
@@ -79,28 +78,20 @@
         servers: 1,
         instances: settings.entries as usize,
         server_arguments: text.split(' ').map(str::to_owned).collect(),
-        instance_settings: "\n[limits]\nhandover_timeout_ms = 0\nrequest_timeout_ms = 2000\n"
+        instance_settings: "\n[limits]\nhandover_timeout_ms = 0\nrequest_timeout_ms = 30000\n"
             .into(),
         ..DeploymentSettings::default()
     };
     Deployment::start("replay", deployment)
 }
 
-fn report(
-    settings: &ExperimentSettings,
-    phase: &str,
-    route: &str,
-    played: &[Played],
-    slot_time: f64,
-) {
+fn report(settings: &ExperimentSettings, phase: &Phase, route: &str, played: &[Played]) {
     for kind in kinds(settings) {
         let of_kind: Vec<&Played> =
             played.iter().filter(|played| played.arrival.kind == kind).collect();
-        let answered: Vec<&&Played> =
-            of_kind.iter().filter(|played| played.error_code.is_none()).collect();
-        let in_time: Vec<&&&Played> =
-            answered.iter().filter(|played| played.latency <= played.arrival.patience).collect();
-        let useful: f64 = in_time.iter().map(|p| p.arrival.execution.as_secs_f64()).sum();
+        let answered: Vec<&Played> =
+            of_kind.iter().copied().filter(|played| played.error_code.is_none()).collect();
+        let in_time = answered.iter().filter(|played| played.latency <= played.arrival.patience);
         let mut latencies =
             Histogram::<u64>::new_with_max(MAX_LATENCY_US, 3).expect("three digits are supported");
         for played in &answered {
@@ -108,15 +99,32 @@
         }
         let milliseconds = |percentile| latencies.value_at_percentile(percentile) as f64 / 1000.0;
         println!(
-            "{phase},{route},{kind},{},{},{},{},{:.2},{:.2},{:.2},{:.3}",
+            "{},{route},{kind},{},{},{},{},{:.2},{:.2},{:.2},{:.3}",
+            phase.name,
             of_kind.len(),
             answered.len(),
-            in_time.len(),
+            in_time.count(),
             of_kind.len() - answered.len(),
             milliseconds(50.0),
             milliseconds(99.0),
             latencies.max() as f64 / 1000.0,
-            useful / slot_time,
+            load(settings, phase, &answered),
         );
     }
 }
+
+/// Returns the share of the slots' time during the phase that went into
+/// requests that were answered.
+fn load(settings: &ExperimentSettings, phase: &Phase, answered: &[&Played]) -> f64 {
+    let begin = Duration::from_millis(settings.warm_up_ms);
+    let end = begin + Duration::from_millis(phase.duration_ms);
+    let busy: f64 = answered
+        .iter()
+        .map(|played| {
+            let finished = played.arrival.at + played.latency;
+            let started = finished.saturating_sub(played.arrival.execution);
+            finished.min(end).saturating_sub(started.max(begin)).as_secs_f64()
+        })
+        .sum();
+    busy / (f64::from(settings.slots) * Duration::from_millis(phase.duration_ms).as_secs_f64())
+}
