fleet: decide membership, ownership order and dissemination

Cause: instances must find each other, notice silence and hear of document revisions without a coordination service. Change: pure state machines for membership (probes along a ring and at random, suspicion, refutation, digests that let laggards catch up), document revisions and group views; datagrams with a keyed hash over the receiver's address and a replay window. Left: the daemon's threads.

--- /dev/null
+++ b/lib/fleet/tests/support.rs
@@ -0,0 +1,279 @@
+//! An in-memory loop over state machines with seeded loss and delay.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use masticreel_base::ids::{Incarnation, InstanceId, Revision};
+use masticreel_fleet::codec::{SharedKey, encode};
+use masticreel_fleet::dissemination;
+use masticreel_fleet::fleet::{Action, Event, Fleet};
+use masticreel_fleet::member::{Member, MemberState};
+use masticreel_fleet::membership::{self, TICK_INTERVAL};
+use masticreel_fleet::message::Message;
+use masticreel_fleet::replay::Stamp;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const DOMAINS: usize = 4;
+const FETCH_TIME: Duration = Duration::from_millis(20);
+const STORE_TIME: Duration = Duration::from_millis(5);
+const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+const HEADER_BYTES: usize = 28;
+
+pub fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7000))
+}
+
+pub fn id(index: usize) -> InstanceId {
+    InstanceId::from(format!("instance-{index}"))
+}
+
+pub fn member(index: usize) -> Member {
+    Member {
+        id: id(index),
+        address: address(index),
+        failure_domain: format!("region-{}", index % DOMAINS).into(),
+        incarnation: Incarnation(1_000),
+        state: MemberState::Alive,
+        version: 0,
+        leaving: false,
+        revision: Revision(0),
+    }
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Due {
+    at: Instant,
+    order: u64,
+    to: usize,
+}
+
+enum Arrival {
+    Tick,
+    Datagram(Box<Message>),
+    Document(Revision),
+    FetchFailed,
+}
+
+pub struct Node {
+    pub fleet: Fleet,
+    pub is_running: bool,
+    pub is_frozen: bool,
+    held: Vec<u64>,
+    pub sent_bytes: usize,
+    pub largest_datagram: usize,
+}
+
+pub struct Network {
+    pub nodes: Vec<Node>,
+    pub now: Instant,
+    pub loss: f64,
+    pub store: Option<Revision>,
+    pub store_reads: usize,
+    pub is_cut: fn(usize, usize) -> bool,
+    by_address: BTreeMap<SocketAddr, usize>,
+    queue: BinaryHeap<Reverse<Due>>,
+    arrivals: BTreeMap<u64, Arrival>,
+    order: u64,
+    random: ChaCha8Rng,
+    key: SharedKey,
+}
+
+impl Network {
+    /// Starts instances whose lists name the first few only.
+    pub fn new(size: usize, loss: f64, seed: u64) -> Self {
+        let mut network = Self {
+            nodes: Vec::new(),
+            now: Instant::now(),
+            loss,
+            store: Some(Revision(0)),
+            store_reads: 0,
+            is_cut: |_, _| false,
+            by_address: (0..size).map(|index| (address(index), index)).collect(),
+            queue: BinaryHeap::new(),
+            arrivals: BTreeMap::new(),
+            order: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            key: SharedKey::new("a secret of the tests"),
+        };
+        for index in 0..size {
+            network.nodes.push(start(member(index)));
+            let offset = network.random.random_range(0..TICK_INTERVAL.as_millis() as u64);
+            network.schedule(index, Duration::from_millis(offset), Arrival::Tick);
+        }
+        network
+    }
+
+    /// Replaces a stopped instance by a new process with the same name.
+    pub fn restart(&mut self, index: usize) {
+        let mut own = member(index);
+        own.incarnation = Incarnation(self.nodes[index].fleet.membership().own().incarnation.0 + 1);
+        self.nodes[index] = start(own);
+        self.schedule(index, Duration::ZERO, Arrival::Tick);
+    }
+
+    pub fn thaw(&mut self, index: usize) {
+        self.nodes[index].is_frozen = false;
+        for order in std::mem::take(&mut self.nodes[index].held) {
+            self.queue.push(Reverse(Due { at: self.now, order, to: index }));
+        }
+    }
+
+    pub fn run(&mut self, duration: Duration) {
+        self.run_until(duration, |_| false);
+    }
+
+    /// Runs until the condition holds, checked every 10 ms.
+    pub fn run_until<Condition>(
+        &mut self,
+        limit: Duration,
+        mut condition: Condition,
+    ) -> Option<Duration>
+    where
+        Condition: FnMut(&Self) -> bool,
+    {
+        let start = self.now;
+        while self.now < start + limit {
+            if condition(self) {
+                return Some(self.now - start);
+            }
+            self.now += Duration::from_millis(10);
+            while self.queue.peek().is_some_and(|Reverse(due)| due.at <= self.now) {
+                let Reverse(due) = self.queue.pop().expect("just seen");
+                self.arrive(due);
+            }
+        }
+        condition(self).then_some(limit)
+    }
+
+    pub fn event(&mut self, index: usize, event: Event) {
+        let now = self.now;
+        let actions = self.nodes[index].fleet.handle(event, now, &mut self.random);
+        for action in actions {
+            self.act(index, action);
+        }
+    }
+
+    pub fn membership_event(&mut self, index: usize, event: membership::Event) {
+        self.event(index, Event::Membership(event));
+    }
+
+    fn schedule(&mut self, to: usize, after: Duration, arrival: Arrival) {
+        self.order += 1;
+        self.arrivals.insert(self.order, arrival);
+        self.queue.push(Reverse(Due { at: self.now + after, order: self.order, to }));
+    }
+
+    fn arrive(&mut self, due: Due) {
+        if self.nodes[due.to].is_frozen {
+            self.nodes[due.to].held.push(due.order);
+            return;
+        }
+        let arrival = self.arrivals.remove(&due.order).expect("scheduled once");
+        if !self.nodes[due.to].is_running {
+            return;
+        }
+        match arrival {
+            Arrival::Tick => {
+                self.membership_event(due.to, membership::Event::Tick);
+                self.schedule(due.to, TICK_INTERVAL, Arrival::Tick);
+            }
+            Arrival::Datagram(message) => {
+                self.membership_event(due.to, membership::Event::Received(*message));
+            }
+            Arrival::Document(revision) => self.event(due.to, Event::Applied(revision)),
+            Arrival::FetchFailed => self.event(due.to, Event::FetchFailed),
+        }
+    }
+
+    fn act(&mut self, from: usize, action: Action) {
+        match action {
+            Action::Send(send) => self.send(from, send.to, send.message),
+            Action::Document(dissemination::Action::ReadStore) => self.read_store(from),
+            Action::Document(dissemination::Action::Fetch { address, .. }) => {
+                self.fetch(from, address);
+            }
+            Action::ViewChanged(_) => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: Message) {
+        let stamp = Stamp { life: 1_000_000_000_000, counter: self.order };
+        let bytes = encode(&message, stamp, to, &self.key).expect("fits").len();
+        self.nodes[from].sent_bytes += bytes + HEADER_BYTES;
+        self.nodes[from].largest_datagram = self.nodes[from].largest_datagram.max(bytes);
+        let Some(to) = self.by_address.get(&to).copied() else {
+            return;
+        };
+        if self.random.random_bool(self.loss) || (self.is_cut)(from, to) {
+            return;
+        }
+        let delay = Duration::from_micros(self.random.random_range(500..3_000));
+        self.schedule(to, delay, Arrival::Datagram(Box::new(message)));
+    }
+
+    fn read_store(&mut self, from: usize) {
+        self.store_reads += 1;
+        if let Some(revision) = self.store.filter(|revision| *revision > Revision(0)) {
+            self.schedule(from, STORE_TIME, Arrival::Document(revision));
+        }
+    }
+
+    fn fetch(&mut self, from: usize, peer: SocketAddr) {
+        let peer = self.by_address[&peer];
+        let is_answering = self.nodes[peer].is_running && !self.nodes[peer].is_frozen;
+        if (self.is_cut)(from, peer) || !is_answering {
+            self.schedule(from, Duration::from_secs(1), Arrival::FetchFailed);
+            return;
+        }
+        let revision = self.nodes[peer].fleet.dissemination().applied();
+        self.schedule(from, FETCH_TIME, Arrival::Document(revision));
+    }
+}
+
+fn start(own: Member) -> Node {
+    let mut fleet = Fleet::new(own, WATCH_INTERVAL);
+    let list = membership::Event::Candidates((0..3).map(address).collect());
+    let mut random = ChaCha8Rng::seed_from_u64(0);
+    fleet.handle(Event::Membership(list), Instant::now(), &mut random);
+    Node {
+        fleet,
+        is_running: true,
+        is_frozen: false,
+        held: Vec::new(),
+        sent_bytes: 0,
+        largest_datagram: 0,
+    }
+}
+
+impl Network {
+    /// Returns whether all running instances see exactly these as routable.
+    pub fn agree(&self, routable: &[usize]) -> bool {
+        let mut expected: Vec<InstanceId> = routable.iter().map(|index| id(*index)).collect();
+        expected.sort();
+        routable.iter().all(|index| {
+            let membership = self.nodes[*index].fleet.membership();
+            let mut seen: Vec<InstanceId> =
+                membership.routable().map(|member| member.id.clone()).collect();
+            seen.sort();
+            seen == expected
+        })
+    }
+
+    /// Returns whether none of the given instances routes to this one.
+    pub fn is_routed_around(&self, victim: usize, by: &[usize]) -> bool {
+        let victim = id(victim);
+        by.iter().all(|index| {
+            let membership = self.nodes[*index].fleet.membership();
+            membership.roster().get(&victim).is_none_or(|member| !member.is_routable())
+        })
+    }
+
+    /// Returns on how many instances a revision is in force.
+    pub fn applied(&self, revision: Revision) -> usize {
+        self.nodes.iter().filter(|node| node.fleet.dissemination().applied() >= revision).count()
+    }
+}
