--- a/testutils/src/processes/deployment.rs
+++ b/testutils/src/processes/deployment.rs
@@ -5,8 +5,10 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use masticreel_base::ids::Revision;
+
 use crate::pg_client::{ClientError, PgClient};
-use crate::processes::{Process, own_address};
+use crate::processes::{Process, document, own_address};
 
 /// The database that callers connect to.
 pub const DATABASE: &str = "app";
@@ -21,6 +23,8 @@
 const OPERATOR_PORT: u16 = 6434;
 /// Longest wait of a test's caller for bytes.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(20);
+/// The section that holds all that tests write.
+const SECTION: &str = "test";
 
 /// What a deployment is made of.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,6 +35,8 @@
     pub instances: usize,
     /// Further arguments of each server.
     pub server_arguments: Vec<String>,
+    /// Lines appended to each server in the document.
+    pub server_document: String,
     /// Text appended to each instance's settings.
     pub instance_settings: String,
     /// Text appended to the document's only section.
@@ -43,6 +49,7 @@
             servers: 3,
             instances: 2,
             server_arguments: Vec::new(),
+            server_document: String::new(),
             instance_settings: String::new(),
             document: String::new(),
         }
@@ -72,6 +79,7 @@
     pub addresses: Vec<InstanceAddresses>,
     settings: DeploymentSettings,
     folder: PathBuf,
+    revision: Revision,
 }
 
 impl Deployment {
@@ -85,10 +93,18 @@
         std::fs::create_dir_all(&folder)?;
         let store = Process::start("masticreel-standin", &words("store"), None)?;
         let servers = start_servers(&settings)?;
-        let addresses = (0..settings.instances).map(|_| InstanceAddresses::new()).collect();
-        let mut deployment =
-            Self { store, servers, instances: Vec::new(), addresses, settings, folder };
-        deployment.write_document()?;
+        let addresses = (0..settings.instances).map(|_| InstanceAddresses::choose()).collect();
+        let mut deployment = Self {
+            store,
+            servers,
+            instances: Vec::new(),
+            addresses,
+            settings,
+            folder,
+            revision: Revision(0),
+        };
+        let text = deployment.document_text()?;
+        deployment.edit_document(&text)?;
         for number in 0..deployment.settings.instances {
             let instance = deployment.start_instance(number)?;
             deployment.instances.push(instance);
@@ -170,15 +186,22 @@
             let domain = FAILURE_DOMAINS[number % FAILURE_DOMAINS.len()];
             text.push_str(&format!(
                 "\n[[groups.servers]]\nname = \"{DATABASE}-{number}\"\naddress = \"{address}\"\n\
-                 failure_domain = \"{domain}\"\n"
+                 failure_domain = \"{domain}\"\n{}",
+                self.settings.server_document
             ));
         }
         text.push_str(&self.settings.document);
         Ok(text)
     }
 
-    fn write_document(&self) -> io::Result<()> {
-        crate::processes::document::write(&self.store_endpoint()?, &self.document_text()?)
+    /// Replaces the text of the document's only section.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is not accepted.
+    pub fn edit_document(&mut self, text: &str) -> io::Result<()> {
+        self.revision = document::write(&self.store_endpoint()?, SECTION, text, self.revision)?;
+        Ok(())
     }
 }
 
@@ -190,7 +213,8 @@
 }
 
 impl InstanceAddresses {
-    fn new() -> Self {
+    /// Chooses addresses that no other instance of this test run has.
+    pub fn choose() -> Self {
         let address = own_address();
         let with_port = |port| SocketAddr::from((address, port));
         Self {
