--- a/daemon/src/entry/router.rs
+++ b/daemon/src/entry/router.rs
@@ -22,6 +22,7 @@
 use crate::entry::gate::{Gate, Treatment};
 use crate::entry::identity::SessionIdentity;
 use crate::groups::Groups;
+use crate::metrics::Metrics;
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::Outcome;
 use crate::settings::LimitSettings;
@@ -97,6 +98,7 @@
     pub(super) positions: Positions,
     pub(super) failure_domain: FailureDomain,
     limits: LimitSettings,
+    metrics: Metrics,
     gate: Gate,
 }
 
@@ -112,10 +114,11 @@
         views: Arc<Views<Directory>>,
         failure_domain: FailureDomain,
         limits: LimitSettings,
+        metrics: Metrics,
     ) -> Self {
         let gate = Gate::new(limits.max_concurrent_requests);
         let positions = Positions::default();
-        Self { dispatcher, groups, views, positions, failure_domain, limits, gate }
+        Self { dispatcher, groups, views, positions, failure_domain, limits, metrics, gate }
     }
 
     /// Returns whether a database is in the document.
@@ -187,13 +190,20 @@
         let mut request =
             self.request(session, plan, treatment, &pinned.group, &pinned.server, deadline);
         request.pinning = Pinning::Pinned;
-        let outcome = self.run_at(pinned.owner, session, request, deadline);
-        let is_open = matches!(&outcome, Ok(answer) if answer.state != TransactionState::Idle);
-        if let Ok(answer) = &outcome {
-            note_answer(&mut session.identity, &pinned.group.name, answer, true);
+        session.pinned = None;
+        match self.run_at(pinned.owner, session, request, deadline) {
+            Ok(answer) => {
+                note_answer(&mut session.identity, &pinned.group.name, &answer, true);
+                let is_open = answer.state != TransactionState::Idle;
+                session.pinned = is_open.then_some(pinned);
+                Ok(answer)
+            }
+            Err(failure) => {
+                // The owner rolls back whatever it may still hold.
+                self.dispatcher.release(pinned.owner, session.key);
+                Err(transaction_failure(plan, failure))
+            }
         }
-        session.pinned = is_open.then_some(pinned);
-        outcome.map_err(|failure| transaction_failure(plan, failure))
     }
 
     fn run_free(&self, session: &mut SessionRoute, mut attempts: Attempts<'_>) -> Outcome {
@@ -264,6 +274,9 @@
         request.request_key = attempts.demands.request_key.clone();
         let answer = self.run_at(owner, session, request, deadline)?;
         note_answer(&mut session.identity, &group.name, &answer, is_write);
+        if !is_write {
+            self.count_read(group, &server);
+        }
         if answer.state != TransactionState::Idle {
             let is_urgent = treatment.class == Class::Urgent;
             let group = group.clone();
@@ -272,6 +285,12 @@
         Ok(answer)
     }
 
+    fn count_read(&self, group: &GroupSpec, server: &ServerSpec) {
+        let is_primary = self.views.view(&group.name).primary.as_ref() == Some(&server.name);
+        let served_by = if is_primary { "primary" } else { "replica" };
+        self.metrics.reads.with_label_values(&[served_by]).inc();
+    }
+
     pub(super) fn primary(&self, group: &GroupSpec) -> Result<Destination, Failure> {
         let view = self.views.view(&group.name);
         let is_primary = |server: &&ServerSpec| view.primary.as_ref() == Some(&server.name);
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -151,7 +151,14 @@
         )?;
         let dispatcher = Dispatcher::new(owner.clone(), links, directory);
         let domain = own.failure_domain.clone();
-        let router = Router::new(dispatcher, groups, views, domain, settings.limits.clone());
+        let router = Router::new(
+            dispatcher,
+            groups,
+            views,
+            domain,
+            settings.limits.clone(),
+            metrics.clone(),
+        );
         let parts = CallerServerParts {
             router,
             incarnation,
