--- a/testutils/src/scenario/environment.rs
+++ b/testutils/src/scenario/environment.rs
@@ -149,7 +149,8 @@
     fn ask(&self, server: &str, sql: &str) -> Result<StatementResult, ScenarioError> {
         let process = self.server(server)?.process.as_ref();
         let process = process.ok_or_else(|| ScenarioError::text(format!("{server} is down")))?;
-        let parameters = [("user", "masticreel_control")];
+        // The connections that are reserved for control belong to the instances.
+        let parameters = [("user", "scenario")];
         let client = PgClient::connect(listening(process)?, &parameters, STATUS_TIMEOUT);
         let answer = client.and_then(|mut client| client.query(sql));
         let answer = answer.map_err(|error| ScenarioError::text(error.to_string()))?;
