owner: refuse what is queued for a replaced primary

Cause: requests queued for a frozen primary wait for connections that can't be opened, although the group has a new primary. A process that was stopped and continued takes the interrupted read for a lost connection. Change: when a primary is replaced its queue is refused as "not run", so the entries try the new one; interrupted reads go on, in the proxy and in the tests' client. Left: no test provokes either by itself.

--- a/daemon/src/owner/server.rs
+++ b/daemon/src/owner/server.rs
@@ -34,7 +34,8 @@
 const LEAVING_GRACE: Duration = Duration::from_secs(1);
 
 type Admission = ServerAdmission<SessionKey, UpstreamAddress>;
-type Actions = Vec<ServerAction<UpstreamAddress>>;
+type Action = ServerAction<UpstreamAddress>;
+type Actions = Vec<Action>;
 
 /// What the thread of a connection is told to do.
 pub(super) enum Command {
@@ -156,12 +157,30 @@
         self.carry_out(state, actions);
     }
 
-    /// Closes all connections, so that nobody waits for a server that lost its role.
-    pub(super) fn abandon(&self) {
-        let state = self.lock();
-        info!(self.context.logger, "server abandoned";
-            "server" => %self.spec.name, "connections" => state.closers.len());
+    /// Lets nobody wait any longer for a server that lost its role.
+    ///
+    /// It may be frozen, so connections are closed and whatever is queued is
+    /// refused; it has not run.
+    pub(super) fn abandon(self: &Arc<Self>) {
+        let mut state = self.lock();
+        info!(self.context.logger, "server abandoned"; "server" => %self.spec.name,
+            "connections" => state.closers.len(), "queued" => state.jobs.len());
         state.closers.values().for_each(UpstreamCloser::close);
+        let sessions: Vec<SessionKey> =
+            state.jobs.values().map(|job| job.request.session).collect();
+        let mut actions = Vec::new();
+        for session in sessions {
+            let (cancelled, _) = state.admission.cancel(&session);
+            actions.extend(cancelled.into_iter().map(|action| self.as_replaced(action)));
+        }
+        self.carry_out(state, actions);
+    }
+
+    /// Refuses a request because the server was replaced, so that it is tried elsewhere.
+    fn as_replaced(&self, action: Action) -> Action {
+        let ServerAction::Refuse(id, _) = action else { return action };
+        let message = format!("server {} was replaced as the primary", self.spec.name);
+        ServerAction::Refuse(id, Failure::not_run(FailureKind::NotPrimary, message))
     }
 
     /// Notes how a connection can be closed, or that it is closed.
--- a/lib/postgres/src/upstream.rs
+++ b/lib/postgres/src/upstream.rs
@@ -378,7 +378,13 @@
     fn fill_buffer(&mut self) -> Result<usize, UpstreamError> {
         let length = self.buffer.len();
         self.buffer.resize(length + READ_BYTES, 0);
-        let result = self.stream.read(&mut self.buffer[length..]);
+        // A process that was stopped and continued is interrupted in its wait.
+        let result = loop {
+            match self.stream.read(&mut self.buffer[length..]) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                result => break result,
+            }
+        };
         let received = *result.as_ref().unwrap_or(&0);
         self.buffer.truncate(length + received);
         result.map_err(UpstreamError::AfterSend)
--- a/testutils/src/pg_client.rs
+++ b/testutils/src/pg_client.rs
@@ -250,7 +250,10 @@
             if let Some(message) = PgWireBackendMessage::decode(&mut self.input, &self.context)? {
                 return Ok(message);
             }
-            let count = self.stream.read(&mut chunk)?;
+            let count = match self.stream.read(&mut chunk) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                result => result?,
+            };
             if count == 0 {
                 return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
             }
