--- a/testutils/src/bin/masticreel-failover-gap.rs
+++ b/testutils/src/bin/masticreel-failover-gap.rs
@@ -22,7 +22,7 @@
 /// The fault comes after a random part of this time.
 const MAX_QUIET_MS: u64 = 500;
 /// How long callers go on after the fault.
-const OBSERVED: Duration = Duration::from_secs(6);
+const OBSERVED: Duration = Duration::from_secs(3);
 
 /// How the primary fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, FromStr)]
@@ -101,6 +101,13 @@
     Ok(())
 }
 
+/// When a fault was caused.
+#[derive(Debug, Clone, Copy)]
+struct FaultTimes {
+    began_at: Instant,
+    done_at: Instant,
+}
+
 struct RunOutcome {
     /// Time from the fault until every caller had a write acknowledged that it
     /// began after the fault.
@@ -127,7 +134,7 @@
     for instance in 0..INSTANCES {
         clients.push(deployment.client(instance, &[]).map_err(io::Error::other)?);
     }
-    let (failed_at, writes) = thread::scope(|scope| {
+    let (fault, writes) = thread::scope(|scope| {
         let is_done = &is_done;
         let writers: Vec<_> = clients
             .into_iter()
@@ -135,15 +142,16 @@
             .map(|(number, client)| scope.spawn(move || write_until(client, number, is_done)))
             .collect();
         thread::sleep(quiet);
-        let failed_at = Instant::now();
+        let began_at = Instant::now();
         let failed = fail(&mut deployment, arguments.fault);
+        let fault = FaultTimes { began_at, done_at: Instant::now() };
         thread::sleep(OBSERVED);
         is_done.store(true, Ordering::Relaxed);
         let writes: Vec<Vec<Acknowledged>> =
             writers.into_iter().map(|writer| writer.join().unwrap_or_default()).collect();
-        failed.map(|()| (failed_at, writes))
+        failed.map(|()| (fault, writes))
     })?;
-    let gap = writes.iter().map(|writes| gap(writes, failed_at)).max().unwrap_or(OBSERVED);
+    let gap = writes.iter().map(|writes| gap(writes, fault)).max().unwrap_or(OBSERVED);
     let lost = count_lost(&deployment, &writes)?;
     Ok(RunOutcome { gap_ms: gap.as_millis(), lost })
 }
@@ -177,11 +185,11 @@
     acknowledged
 }
 
-fn gap(writes: &[Acknowledged], failed_at: Instant) -> Duration {
+fn gap(writes: &[Acknowledged], fault: FaultTimes) -> Duration {
     writes
         .iter()
-        .filter(|write| write.started_at >= failed_at)
-        .map(|write| write.acknowledged_at - failed_at)
+        .filter(|write| write.started_at >= fault.done_at)
+        .map(|write| write.acknowledged_at - fault.began_at)
         .min()
         .unwrap_or(OBSERVED)
 }
