daemon: test a promotion with one replica dead and one far behind

Cause: the furthest server must be promoted also when only one holds the newest writes, and a primary without a majority must acknowledge nothing. Change: two more tests against processes.

--- a/daemon/tests/test_failover.rs
+++ b/daemon/tests/test_failover.rs
@@ -13,6 +13,7 @@
     let settings = DeploymentSettings {
         instances: 3,
         server_arguments: server_arguments.iter().map(|word| word.to_string()).collect(),
+        instance_settings: "\n[limits]\nrequest_timeout_ms = 5000\n".to_owned(),
         has_links: true,
         ..DeploymentSettings::default()
     };
@@ -94,3 +95,38 @@
     assert_eq!(count(&mut client, "before"), "1");
     assert_eq!(count(&mut client, &after), "1");
 }
+
+#[test]
+fn test_replica_that_was_away_is_not_promoted_over_acknowledged_writes() {
+    let mut deployment = start("far-behind", &[]);
+    let mut client = deployment.client(1, &[]).expect("the instance accepts");
+    insert(&mut client, "early");
+    deployment.kill_server(1).expect("the server runs");
+    for number in 0..10 {
+        insert(&mut client, &format!("late-{number}"));
+    }
+    deployment.kill_server(0).expect("the server runs");
+    deployment.restart_server(1).expect("the server starts");
+    let after = insert_eventually(&mut client, "after");
+    deployment.wait_for_role(2, "primary", FAILOVER_TIMEOUT).expect("the furthest is promoted");
+    for number in 0..10 {
+        assert_eq!(count(&mut client, &format!("late-{number}")), "1");
+    }
+    assert_eq!(count(&mut client, &after), "1");
+}
+
+#[test]
+fn test_primary_without_a_majority_acknowledges_nothing() {
+    let mut deployment = start("no-majority", &[]);
+    let mut client = deployment.client(0, &[]).expect("the instance accepts");
+    insert(&mut client, "before");
+    deployment.order_link(1, "cut").expect("the link obeys");
+    deployment.kill_server(2).expect("the server runs");
+    let answer = client.query("INSERT INTO notes VALUES ('alone', 1)").expect("an answer");
+    let detail = answer.error.and_then(|error| error.detail).unwrap_or_default();
+    assert!(detail.starts_with("verdict="), "acknowledged without a majority: {detail}");
+    deployment.order_link(1, "heal").expect("the link obeys");
+    let after = insert_eventually(&mut client, "after");
+    assert_eq!(count(&mut client, "before"), "1");
+    assert_eq!(count(&mut client, &after), "1");
+}
