--- a/daemon/src/entry/dispatch.rs
+++ b/daemon/src/entry/dispatch.rs
@@ -1,7 +1,6 @@
 //! Sending a request to the owner of its server, here or elsewhere.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -102,12 +101,4 @@
             OwnerLocation::Remote(peer) => self.links.release(peer, session),
         }
     }
-
-    /// Returns the address of a remote owner.
-    pub fn peer_of(owner: OwnerLocation) -> Option<SocketAddr> {
-        match owner {
-            OwnerLocation::Local => None,
-            OwnerLocation::Remote(peer) => Some(peer),
-        }
-    }
 }
--- a/daemon/src/owner/server.rs
+++ b/daemon/src/owner/server.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{Sender, unbounded};
+use crossbeam_channel::{Receiver, Sender, unbounded};
 use masticreel_admission::connection_pool::{ConnectionId, Ownership};
 use masticreel_admission::expected_times::Fingerprint;
 use masticreel_admission::request::{CallerBase, ConnectionAfter, ConnectionNeed};
@@ -16,7 +16,7 @@
 use masticreel_document::class::Class;
 use masticreel_document::groups::ServerSpec;
 use masticreel_postgres::startup::CancelKey;
-use masticreel_postgres::upstream::{UpstreamAddress, send_cancel};
+use masticreel_postgres::upstream::{UpstreamAddress, UpstreamCloser, send_cancel};
 use masticreel_wire::message::{Pinning, SessionKey, UpstreamRequest, WireClass};
 use slog::{info, warn};
 
@@ -24,6 +24,7 @@
 use crate::owner::OwnerContext;
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::{Job, Outcome, Reply};
+use crate::owner::pending::{ADMISSION_PATIENCE, Pending, Settler, settle_all};
 use crate::owner::worker::Worker;
 
 /// Stack of a connection's thread, in bytes.
@@ -52,6 +53,7 @@
     state: Mutex<State>,
     /// Requests that were taken in and not answered yet.
     unanswered: AtomicUsize,
+    pending: Sender<Pending>,
 }
 
 struct State {
@@ -59,6 +61,7 @@
     jobs: HashMap<RequestId, Job>,
     workers: HashMap<ConnectionId, Sender<Command>>,
     cancel_keys: HashMap<ConnectionId, CancelKey>,
+    closers: HashMap<ConnectionId, UpstreamCloser>,
     is_leaving: bool,
     is_draining: bool,
 }
@@ -78,10 +81,26 @@
             jobs: HashMap::new(),
             workers: HashMap::new(),
             cancel_keys: HashMap::new(),
+            closers: HashMap::new(),
             is_leaving: false,
             is_draining: false,
         });
-        Arc::new(Self { spec, context, state, unanswered: AtomicUsize::new(0) })
+        let (pending, receiver) = unbounded();
+        let unanswered = AtomicUsize::new(0);
+        let server = Arc::new(Self { spec, context, state, unanswered, pending });
+        server.clone().spawn_settler(receiver);
+        server
+    }
+
+    fn spawn_settler(self: Arc<Self>, receiver: Receiver<Pending>) {
+        thread::Builder::new()
+            .name(format!("{}-pending", self.spec.name))
+            .stack_size(WORKER_STACK_BYTES)
+            .spawn(move || {
+                let context = &self.context;
+                settle_all(&context.guard, &receiver, &context.cancellation, &Submitter(&self));
+            })
+            .expect("the system has room for the thread");
     }
 
     pub(super) fn spec(&self) -> &ServerSpec {
@@ -97,23 +116,63 @@
         &self.context
     }
 
-    /// Queues a job, or refuses it.
+    /// Queues a job once the server meets its demands, or refuses it.
     pub(super) fn submit(self: &Arc<Self>, job: Job) {
         let now = Instant::now();
-        let mut state = self.lock();
+        let state = self.lock();
         if state.is_draining && job.request.pinning != Pinning::Pinned {
             drop(state);
             let message = "the instance hands its servers over";
             job.reply.send(Err(Failure::not_run(FailureKind::NotOwner, message)));
             return;
         }
+        drop(state);
         self.unanswered.fetch_add(1, Ordering::AcqRel);
+        if job.request.pinning == Pinning::Pinned {
+            self.enqueue(job);
+            return;
+        }
+        match self.context.guard.check_request(&job.request) {
+            Some(Ok(_)) => self.enqueue(job),
+            Some(Err(failure)) => self.answer(job.reply, Err(failure)),
+            None => {
+                let give_up_at = job.deadline.min(now + ADMISSION_PATIENCE);
+                self.settle_later(Pending::Admission { job, give_up_at });
+            }
+        }
+    }
+
+    /// Lets a request wait for something other than a slot.
+    pub(super) fn settle_later(&self, pending: Pending) {
+        // The receiver ends only with the whole instance.
+        let _ = self.pending.send(pending);
+    }
+
+    fn enqueue(self: &Arc<Self>, job: Job) {
+        let mut state = self.lock();
         let submission = self.submission(&job);
-        let (id, actions) = state.admission.submit(submission, now);
+        let (id, actions) = state.admission.submit(submission, Instant::now());
         state.jobs.insert(id, job);
         self.carry_out(state, actions);
     }
 
+    /// Closes all connections, so that nobody waits for a server that lost its role.
+    pub(super) fn abandon(&self) {
+        let state = self.lock();
+        info!(self.context.logger, "server abandoned";
+            "server" => %self.spec.name, "connections" => state.closers.len());
+        state.closers.values().for_each(UpstreamCloser::close);
+    }
+
+    /// Notes how a connection can be closed, or that it is closed.
+    pub(super) fn note_closer(&self, id: ConnectionId, closer: Option<UpstreamCloser>) {
+        let mut state = self.lock();
+        match closer {
+            Some(closer) => state.closers.insert(id, closer),
+            None => state.closers.remove(&id),
+        };
+    }
+
     /// Cancels what a session is running or has queued.
     pub(super) fn cancel(self: &Arc<Self>, session: SessionKey) {
         let mut state = self.lock();
@@ -331,6 +390,22 @@
     }
 }
 
+/// Passes on what no longer has to wait.
+struct Submitter<'server, Guard>(&'server Arc<OwnedServer<Guard>>);
+
+impl<Guard> Settler for Submitter<'_, Guard>
+where
+    Guard: ServerGuard,
+{
+    fn admit(&self, job: Job) {
+        self.0.enqueue(job);
+    }
+
+    fn answer(&self, job: Job, outcome: Outcome) {
+        self.0.answer(job.reply, outcome);
+    }
+}
+
 impl State {
     /// Hands a request to the thread of its connection.
     fn start(&mut self, id: RequestId, connection: ConnectionId) {
