--- a/lib/platform/tests/test_racing_edits.rs
+++ b/lib/platform/tests/test_racing_edits.rs
@@ -1,6 +1,7 @@
 //! Tests of several operators' edits, interleaved at random on a failing store.
 
 #[path = "support/faulty_store.rs"]
+#[allow(dead_code, reason = "other tests use more of the faults")]
 mod faulty_store;
 
 use faulty_store::{Fault, FaultyStore};
