daemon: find owners and documents through the membership

Cause: owners came from a list in the settings, so nobody took over what a dead instance owned, and every instance polled the store for the document. Change: a UDP socket and a few threads around lib/fleet; owners are those of the live instances; three instances read the store, the others fetch from peers by a link; an instance accepts callers only once it has joined; SIGTERM, the document and the list mark it as leaving. Links to a dead instance are closed. Ruled out: fetching over the pooled links, whose end would release the sessions of the fetching instance at its peer. Left: a request waiting at a frozen owner ends when the owner is dead (4 s); silence on links is not yet evidence; the store is polled, not watched.

--- a/daemon/src/documents.rs
+++ b/daemon/src/documents.rs
@@ -1,13 +1,9 @@
 //! Keeping the operators' document up to date.
 
 use std::fmt::Display;
-use std::io;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::thread;
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use masticreel_base::cancellation::CancellationToken;
 use masticreel_base::ids::Revision;
 use masticreel_document::document::Document;
 use masticreel_platform::document_store::{ReadError, read_document, read_head};
@@ -161,28 +157,6 @@
     fn health(&self) -> MutexGuard<'_, Health> {
         self.health.lock().expect("no holder of the document's health panics")
     }
-
-    /// Reads the document again and again on a thread of its own.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the system has no room for the thread.
-    pub fn follow<Store>(
-        self,
-        store: Store,
-        interval: Duration,
-        cancellation: CancellationToken,
-    ) -> io::Result<()>
-    where
-        Store: PlatformStore,
-    {
-        thread::Builder::new().name("document".to_owned()).spawn(move || {
-            while !cancellation.wait_timeout(interval) {
-                self.refresh(&store);
-            }
-        })?;
-        Ok(())
-    }
 }
 
 fn join_lines<Line>(lines: &[Line]) -> String
--- /dev/null
+++ b/daemon/src/fleet/driver.rs
@@ -0,0 +1,143 @@
+//! The thread that takes the fleet's decisions and carries them out.
+
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use crossbeam_channel::{Receiver, Sender};
+use masticreel_base::cancellation::CancellationToken;
+use masticreel_base::ids::InstanceId;
+use masticreel_fleet::dissemination;
+use masticreel_fleet::fleet::{Action, Event, Fleet};
+use masticreel_fleet::member::{Member, MemberState};
+use masticreel_fleet::membership::{self, TICK_INTERVAL};
+use slog::{Logger, info, warn};
+
+use crate::documents::Documents;
+use crate::fleet::fetch::DocumentJob;
+use crate::fleet::metrics::FleetMetrics;
+use crate::fleet::offer;
+use crate::fleet::snapshot::FleetSnapshot;
+use crate::fleet::socket::Transmitter;
+use crate::link::client::LinkPool;
+
+/// How old the snapshot of what does not affect routing may become.
+const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
+
+pub(super) struct Driver {
+    pub(super) fleet: Fleet,
+    pub(super) transmitter: Transmitter,
+    pub(super) events: Receiver<Event>,
+    pub(super) fetches: Sender<DocumentJob>,
+    pub(super) reads: Sender<DocumentJob>,
+    pub(super) documents: Documents,
+    pub(super) links: LinkPool,
+    pub(super) snapshot: Arc<ArcSwap<FleetSnapshot>>,
+    pub(super) metrics: FleetMetrics,
+    pub(super) logger: Logger,
+}
+
+impl Driver {
+    /// Decides on a thread of its own.
+    pub(super) fn start(mut self, cancellation: CancellationToken) -> io::Result<()> {
+        thread::Builder::new().name("fleet".to_owned()).spawn(move || {
+            let mut next_tick = Instant::now();
+            let mut published = Instant::now();
+            while !cancellation.is_cancelled() {
+                self.step(&mut next_tick);
+                self.publish(&mut published);
+            }
+        })?;
+        Ok(())
+    }
+
+    fn step(&mut self, next_tick: &mut Instant) {
+        if Instant::now() < *next_tick {
+            if let Ok(event) = self.events.recv_deadline(*next_tick) {
+                self.handle(event);
+            }
+            return;
+        }
+        *next_tick = Instant::now() + TICK_INTERVAL;
+        let revision = self.documents.current().revision();
+        if revision > self.fleet.dissemination().applied() {
+            self.handle(Event::Applied(revision));
+        }
+        self.handle(Event::Membership(membership::Event::Tick));
+    }
+
+    fn handle(&mut self, event: Event) {
+        let actions = self.fleet.handle(event, Instant::now(), &mut rand::rng());
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send(send) => self.transmitter.send(&send),
+            Action::Document(dissemination::Action::ReadStore) => {
+                offer(&self.reads, DocumentJob::ReadStore);
+            }
+            Action::Document(dissemination::Action::Fetch { from, address }) => {
+                self.metrics.fetches.inc();
+                offer(&self.fetches, DocumentJob::Fetch { from, address });
+            }
+            Action::ViewChanged(view) => {
+                info!(self.logger, "primary changed";
+                    "group" => %view.group, "term" => %view.term, "primary" => %view.primary);
+            }
+        }
+    }
+
+    fn publish(&mut self, published: &mut Instant) {
+        let before = self.snapshot.load();
+        let membership = self.fleet.membership();
+        let is_changed = before.routing_version != membership.roster().routing_version()
+            || before.own.leaving != membership.own().leaving
+            || before.is_joined != membership.is_joined();
+        if !is_changed && published.elapsed() < SNAPSHOT_INTERVAL {
+            return;
+        }
+        *published = Instant::now();
+        let after = FleetSnapshot::of(&self.fleet);
+        if is_changed {
+            self.note_changes(&before, &after);
+        }
+        self.metrics.show(&after);
+        self.snapshot.store(Arc::new(after));
+    }
+
+    fn note_changes(&self, before: &FleetSnapshot, after: &FleetSnapshot) {
+        let previous: BTreeSet<(&InstanceId, MemberState)> =
+            before.others.iter().map(|member| (&member.id, member.state)).collect();
+        for member in &after.others {
+            if !previous.contains(&(&member.id, member.state)) {
+                self.note_change(member);
+            }
+        }
+    }
+
+    fn note_change(&self, member: &Member) {
+        match member.state {
+            MemberState::Alive | MemberState::Left => {
+                info!(self.logger, "member changed"; "member" => %member.id, "state" => %member.state);
+            }
+            MemberState::Suspect | MemberState::Dead => {
+                warn!(self.logger, "member changed"; "member" => %member.id, "state" => %member.state);
+            }
+        }
+        if member.state == MemberState::Dead {
+            self.close_links(member.address);
+        }
+    }
+
+    /// Ends requests that wait for an answer of an instance that is dead.
+    fn close_links(&self, address: SocketAddr) {
+        self.links.close(address);
+    }
+}
--- /dev/null
+++ b/daemon/src/fleet/socket.rs
@@ -0,0 +1,99 @@
+//! Datagrams between instances.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::Sender;
+use masticreel_base::cancellation::CancellationToken;
+use masticreel_fleet::codec::{self, SharedKey};
+use masticreel_fleet::fleet::Event;
+use masticreel_fleet::membership;
+use masticreel_fleet::message::{MAX_DATAGRAM_BYTES, Send};
+use masticreel_fleet::replay::{ReplayGuard, Stamp};
+
+use crate::fleet::metrics::FleetMetrics;
+
+/// Time between two looks at the cancellation token.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// The pause after the socket failed.
+const ERROR_PAUSE: Duration = Duration::from_millis(10);
+
+/// Passes authentic datagrams on and drops all others.
+pub(super) struct Receiver {
+    pub(super) socket: UdpSocket,
+    pub(super) address: SocketAddr,
+    pub(super) key: SharedKey,
+    pub(super) events: Sender<Event>,
+    pub(super) metrics: FleetMetrics,
+}
+
+impl Receiver {
+    /// Receives on a thread of its own.
+    pub(super) fn start(self, cancellation: CancellationToken) -> io::Result<()> {
+        self.socket.set_read_timeout(Some(CHECK_INTERVAL))?;
+        thread::Builder::new().name("fleet-receive".to_owned()).spawn(move || {
+            let mut guard = ReplayGuard::default();
+            while !cancellation.is_cancelled() {
+                self.receive(&mut guard, &cancellation);
+            }
+        })?;
+        Ok(())
+    }
+
+    fn receive(&self, guard: &mut ReplayGuard, cancellation: &CancellationToken) {
+        // One byte more, so that a datagram that is too long is not cut to fit.
+        let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+        let length = match self.socket.recv_from(&mut buffer) {
+            Ok((length, _)) => length,
+            Err(error) if is_timeout(&error) => return,
+            Err(_) => {
+                // The system reports here that a peer's port is closed.
+                cancellation.wait_timeout(ERROR_PAUSE);
+                return;
+            }
+        };
+        self.metrics.received_bytes.inc_by(length as u64);
+        match codec::decode(&buffer[..length], self.address, &self.key) {
+            Ok((message, stamp)) if guard.accept(&message.sender.id, stamp) => {
+                let event = Event::Membership(membership::Event::Received(message));
+                // A full queue drops datagrams, as the network does.
+                let _ = self.events.try_send(event);
+            }
+            Ok(_) => self.metrics.refused("replayed"),
+            Err(_) => self.metrics.refused("not_authentic"),
+        }
+    }
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
+}
+
+/// Stamps, encodes and sends messages.
+pub(super) struct Transmitter {
+    socket: UdpSocket,
+    key: SharedKey,
+    last: Stamp,
+    metrics: FleetMetrics,
+}
+
+impl Transmitter {
+    pub(super) fn new(socket: UdpSocket, key: SharedKey, life: u64, metrics: FleetMetrics) -> Self {
+        Self { socket, key, last: Stamp { life, counter: 0 }, metrics }
+    }
+
+    pub(super) fn send(&mut self, send: &Send) {
+        self.last.counter += 1;
+        let encoded = codec::encode(&send.message, self.last, send.to, &self.key);
+        let Ok(datagram) = encoded else {
+            self.metrics.refused("too_large");
+            return;
+        };
+        // What can't be sent is lost, which the probes will notice.
+        if self.socket.send_to(&datagram, send.to).is_ok() {
+            self.metrics.sent_bytes.inc_by(datagram.len() as u64);
+        }
+    }
+}
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -16,21 +16,22 @@
 
 use crate::burn::{BurnAccount, BurnWatch};
 use crate::caller::server::{CallerServer, CallerServerParts};
-use crate::directory::{Candidate, OwnerLocation, StaticDirectory};
 use crate::documents::Documents;
 use crate::entry::dispatch::Dispatcher;
 use crate::entry::router::Router;
+use crate::fleet::directory::FleetDirectory;
+use crate::fleet::{self, FleetHandle, FleetParts};
 use crate::groups::Groups;
 use crate::link::client::LinkPool;
 use crate::link::server::LinkServer;
 use crate::metrics::Metrics;
 use crate::operator::OperatorServer;
 use crate::operator::pages::Pages;
-use crate::operator::view::SettingsView;
+use crate::operator::view::SnapshotView;
 use crate::owner::guard::Unguarded;
 use crate::owner::{Owner, OwnerContext};
 use crate::reporter::Reporter;
-use crate::settings::{PeerSettings, Settings};
+use crate::settings::Settings;
 
 /// Why an instance can't start.
 #[derive(Debug, Display)]
@@ -59,8 +60,9 @@
 
 /// One running instance.
 pub struct Instance {
-    callers: Arc<CallerServer<Unguarded, StaticDirectory>>,
+    callers: Arc<CallerServer<Unguarded, FleetDirectory>>,
     owner: Arc<Owner<Unguarded>>,
+    fleet: FleetHandle,
     caller_address: SocketAddr,
     shutdown_timeout: Duration,
     logger: Logger,
@@ -84,8 +86,12 @@
         let peer_listener = listen(own.peer_address)?;
         let operator_listener = listen(own.operator_address)?;
         let caller_address = caller_listener.local_addr()?;
+        let operator_address = operator_listener.local_addr()?;
 
-        let documents = start_documents(settings, &metrics, logger, &cancellation)?;
+        let peer_address = peer_listener.local_addr()?;
+
+        let documents = Documents::new(metrics.clone(), logger.clone());
+        documents.refresh(&store(settings));
         let groups = Groups::new(documents.cell());
         let context = OwnerContext {
             guard: Unguarded,
@@ -95,25 +101,49 @@
             cancellation: cancellation.clone(),
         };
         let owner = Arc::new(Owner::new(context, groups.clone()));
-        let directory = directory(settings);
-        owner.start_ticker(directory.clone())?;
         let key = SharedKey::from_text(&own.shared_key);
-        LinkServer::new(owner.clone(), key.clone(), logger.clone(), cancellation.clone())
-            .start(peer_listener)?;
+        LinkServer::new(
+            owner.clone(),
+            documents.clone(),
+            key.clone(),
+            logger.clone(),
+            cancellation.clone(),
+        )
+        .start(peer_listener)?;
+        let hello = Hello { instance: own.name.clone(), incarnation };
+        let links = LinkPool::new(hello, key.clone());
+        let fleet_parts = FleetParts {
+            clock: SystemClock,
+            address: peer_address,
+            documents: documents.clone(),
+            links: links.clone(),
+            key: key.clone(),
+            metrics: metrics.clone(),
+            logger: logger.clone(),
+            cancellation: cancellation.clone(),
+        };
+        let fleet = fleet::start(settings, fleet_parts)?;
+        // Who has not joined believes to be alone and to own all servers.
+        fleet.wait_until_joined(&cancellation);
+        let directory = FleetDirectory::new(fleet.clone());
+        owner.start_ticker(directory.clone())?;
         let burn = BurnAccount::new(SystemClock);
         let pages = Pages {
             name: own.name.clone(),
             failure_domain: own.failure_domain.clone(),
             documents: documents.clone(),
-            view: SettingsView::new(settings, documents.clone(), groups.clone()),
+            view: SnapshotView::new(
+                fleet.clone(),
+                operator_address,
+                documents.clone(),
+                groups.clone(),
+            ),
             burn: burn.clone(),
             key: key.clone(),
             stopping: stopping.clone(),
         };
         start_reports(settings, pages, operator_listener, &metrics, logger, &cancellation)?;
 
-        let hello = Hello { instance: own.name.clone(), incarnation };
-        let links = LinkPool::new(hello, key);
         let dispatcher = Dispatcher::new(owner.clone(), links, directory);
         let router = Router::new(dispatcher, groups, settings.limits.clone());
         let parts = CallerServerParts {
@@ -130,6 +160,7 @@
         Ok(Self {
             callers,
             owner,
+            fleet,
             caller_address,
             shutdown_timeout: settings.limits.shutdown_timeout(),
             logger: logger.clone(),
@@ -151,6 +182,7 @@
     pub fn stop(self) {
         info!(self.logger, "instance stopping");
         self.stopping.cancel();
+        self.fleet.set_leaving(true);
         let deadline = Instant::now() + self.shutdown_timeout;
         if !self.callers.drain(self.shutdown_timeout) {
             warn!(self.logger, "instance stopped with callers left"; "reason" => "timeout");
@@ -160,6 +192,7 @@
             warn!(self.logger, "instance stopped with requests left"; "reason" => "timeout");
         }
         self.cancellation.wait_timeout(HANDOVER_NOTICE);
+        self.fleet.say_farewell(&self.cancellation);
         self.cancellation.cancel();
         info!(self.logger, "instance stopped");
     }
@@ -186,7 +219,7 @@
 /// Starts all that tells operators how the instance is.
 fn start_reports(
     settings: &Settings,
-    pages: Pages<SettingsView, SystemClock>,
+    pages: Pages<SnapshotView, SystemClock>,
     listener: TcpListener,
     metrics: &Metrics,
     logger: &Logger,
@@ -199,37 +232,3 @@
         .start(cancellation.clone())?;
     OperatorServer::new(metrics.clone(), pages).start(listener, cancellation.clone())
 }
-
-fn start_documents(
-    settings: &Settings,
-    metrics: &Metrics,
-    logger: &Logger,
-    cancellation: &CancellationToken,
-) -> io::Result<Documents> {
-    let store = store(settings);
-    let documents = Documents::new(metrics.clone(), logger.clone());
-    documents.refresh(&store);
-    let interval = Duration::from_millis(settings.platform.document_poll_ms);
-    documents.clone().follow(store, interval, cancellation.clone())?;
-    Ok(documents)
-}
-
-fn directory(settings: &Settings) -> StaticDirectory {
-    let own = &settings.instance;
-    let mut candidates: Vec<Candidate> =
-        settings.peers.iter().filter(|peer| peer.name != own.name).map(peer_candidate).collect();
-    candidates.push(Candidate {
-        name: own.name.clone(),
-        failure_domain: own.failure_domain.clone(),
-        location: OwnerLocation::Local,
-    });
-    StaticDirectory::new(candidates)
-}
-
-fn peer_candidate(peer: &PeerSettings) -> Candidate {
-    Candidate {
-        name: peer.name.clone(),
-        failure_domain: peer.failure_domain.clone(),
-        location: OwnerLocation::Remote(peer.peer_address),
-    }
-}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod documents;
 pub mod embedded;
 pub mod entry;
+pub mod fleet;
 pub mod groups;
 pub mod instance;
 pub mod link;
--- a/daemon/src/link.rs
+++ b/daemon/src/link.rs
@@ -3,6 +3,7 @@
 //! See `docs/design/01-threads-and-links.md`.
 
 pub mod client;
+pub mod document;
 pub mod sender;
 pub mod server;
 
--- a/daemon/src/link/client.rs
+++ b/daemon/src/link/client.rs
@@ -104,6 +104,13 @@
         self.notify(peer, &LinkMessage::Cancel(session));
     }
 
+    /// Closes the links to a peer; requests that wait there fail.
+    pub fn close(&self, peer: SocketAddr) {
+        let links = self.inner.links.lock().expect("no holder of the links panics");
+        let closed = links.iter().filter(|((address, _), _)| *address == peer);
+        closed.for_each(|(_, link)| link.sender.close());
+    }
+
     fn notify(&self, peer: SocketAddr, message: &LinkMessage) {
         if let Ok(link) = self.link(peer, Lane::Urgent) {
             // A peer that is gone has ended everything by itself.
--- a/daemon/src/link/server.rs
+++ b/daemon/src/link/server.rs
@@ -8,10 +8,12 @@
 
 use masticreel_base::cancellation::CancellationToken;
 use masticreel_base::ids::Incarnation;
+use masticreel_document::wire::WireDocument;
 use masticreel_wire::frame::{FrameError, FrameReader, SharedKey, Side, handshake};
 use masticreel_wire::message::LinkMessage;
 use slog::{Logger, info, warn};
 
+use crate::documents::Documents;
 use crate::link::configure;
 use crate::link::sender::LinkSender;
 use crate::owner::Owner;
@@ -28,6 +30,7 @@
 /// Accepts links and passes their requests to the owner.
 pub struct LinkServer<Guard> {
     owner: Arc<Owner<Guard>>,
+    documents: Documents,
     key: SharedKey,
     logger: Logger,
     cancellation: CancellationToken,
@@ -40,11 +43,12 @@
     /// Creates a server of links.
     pub fn new(
         owner: Arc<Owner<Guard>>,
+        documents: Documents,
         key: SharedKey,
         logger: Logger,
         cancellation: CancellationToken,
     ) -> Self {
-        Self { owner, key, logger, cancellation }
+        Self { owner, documents, key, logger, cancellation }
     }
 
     /// Accepts links on a thread of its own.
@@ -93,6 +97,12 @@
         }
     }
 
+    fn document(&self) -> LinkMessage {
+        let document = WireDocument::from(&*self.documents.current());
+        let body = serde_json::to_vec(&document).expect("a document has string keys only");
+        LinkMessage::Document(body)
+    }
+
     fn read_link(
         &self,
         mut stream: TcpStream,
@@ -117,7 +127,8 @@
                 }
                 LinkMessage::Cancel(session) => self.owner.cancel(session),
                 LinkMessage::Release(session) => self.owner.release(session),
-                LinkMessage::Response(_) => {}
+                LinkMessage::FetchDocument => sender.send(&self.document())?,
+                LinkMessage::Response(_) | LinkMessage::Document(_) => {}
             }
         }
     }
--- a/daemon/src/operator/view.rs
+++ b/daemon/src/operator/view.rs
@@ -1,13 +1,18 @@
 //! What an instance can tell operators about the fleet and the groups.
 
+use std::net::SocketAddr;
+
 use masticreel_base::ids::Term;
 use masticreel_document::groups::{GroupSpec, ServerSpec};
+use masticreel_fleet::member::{Member, MemberState};
+use masticreel_fleet::ownership::owners;
 use masticreel_report::groups::{GroupReport, ServerReport};
 use masticreel_report::instances::{MemberHealth, MemberReport};
 
 use crate::documents::Documents;
+use crate::fleet::FleetHandle;
+use crate::fleet::snapshot::FleetSnapshot;
 use crate::groups::Groups;
-use crate::settings::{InstanceSettings, PeerSettings, Settings};
 
 /// Tells what this instance knows of the fleet and of the database groups.
 pub trait FleetView: Clone + Send + Sync + 'static {
@@ -22,26 +27,31 @@
     fn reporter_rank(&self) -> Option<usize>;
 }
 
-/// The fleet as the settings list it.
+/// The fleet as this instance's membership sees it.
 #[derive(Clone)]
-pub struct SettingsView {
-    own: InstanceSettings,
-    peers: Vec<PeerSettings>,
+pub struct SnapshotView {
+    fleet: FleetHandle,
+    operator_address: SocketAddr,
     documents: Documents,
     groups: Groups,
 }
 
-impl SettingsView {
-    /// Creates a view of the instance and its peers in the settings.
-    pub fn new(settings: &Settings, documents: Documents, groups: Groups) -> Self {
-        let own = settings.instance.clone();
-        let peers = settings.peers.iter().filter(|peer| peer.name != own.name).cloned().collect();
-        Self { own, peers, documents, groups }
+impl SnapshotView {
+    /// Creates a view that follows the fleet.
+    pub fn new(
+        fleet: FleetHandle,
+        operator_address: SocketAddr,
+        documents: Documents,
+        groups: Groups,
+    ) -> Self {
+        Self { fleet, operator_address, documents, groups }
     }
 
     fn group_report(&self, group: &GroupSpec) -> GroupReport {
         let primary = self.groups.primary(group).map(|server| server.name.clone());
-        let servers = group.servers.iter().map(|server| server_report(group, server)).collect();
+        let snapshot = self.fleet.snapshot();
+        let servers =
+            group.servers.iter().map(|server| server_report(&snapshot, group, server)).collect();
         GroupReport {
             name: group.name.clone(),
             database: group.database.clone(),
@@ -51,21 +61,22 @@
         }
     }
 
-    fn own_report(&self) -> MemberReport {
+    fn own_report(&self, own: &Member) -> MemberReport {
         MemberReport {
-            name: self.own.name.clone(),
-            address: self.own.peer_address,
-            operators: Some(self.own.operator_address),
-            failure_domain: self.own.failure_domain.clone(),
-            health: MemberHealth::Alive,
+            operators: Some(self.operator_address),
             revision: self.documents.current().revision(),
+            ..member_report(own)
         }
     }
 }
 
-impl FleetView for SettingsView {
+impl FleetView for SnapshotView {
     fn members(&self) -> Vec<MemberReport> {
-        vec![self.own_report()]
+        let snapshot = self.fleet.snapshot();
+        let mut members = vec![self.own_report(&snapshot.own)];
+        members.extend(snapshot.others.iter().map(member_report));
+        members.sort_by(|first, second| first.name.cmp(&second.name));
+        members
     }
 
     fn groups(&self) -> Vec<GroupReport> {
@@ -74,20 +85,41 @@
     }
 
     fn reporter_rank(&self) -> Option<usize> {
-        let is_first = self.peers.iter().all(|peer| self.own.name < peer.name);
-        is_first.then_some(0)
+        let snapshot = self.fleet.snapshot();
+        snapshot.watchers.iter().position(|watcher| *watcher == snapshot.own.id)
+    }
+}
+
+fn member_report(member: &Member) -> MemberReport {
+    MemberReport {
+        name: member.id.clone(),
+        address: member.address,
+        operators: None,
+        failure_domain: member.failure_domain.clone(),
+        health: health(member),
+        revision: member.revision,
+    }
+}
+
+fn health(member: &Member) -> MemberHealth {
+    match member.state {
+        MemberState::Alive if member.leaving => MemberHealth::Leaving,
+        MemberState::Alive => MemberHealth::Alive,
+        MemberState::Suspect => MemberHealth::Suspect,
+        MemberState::Dead | MemberState::Left => MemberHealth::Dead,
     }
 }
 
-fn server_report(group: &GroupSpec, server: &ServerSpec) -> ServerReport {
+fn server_report(snapshot: &FleetSnapshot, group: &GroupSpec, server: &ServerSpec) -> ServerReport {
     let is_first = group.servers.first().is_some_and(|first| first.name == server.name);
+    let owners = owners(&server.name, &server.failure_domain, snapshot.routable());
     ServerReport {
         name: server.name.clone(),
         address: server.address,
         failure_domain: server.failure_domain.clone(),
         role: if is_first { "primary".into() } else { "unknown".into() },
         leaving: server.leaving,
-        owner: None,
+        owner: owners.into_iter().next(),
         applied: None,
     }
 }
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -55,9 +55,13 @@
     /// Longest wait for an answer of the store, in milliseconds.
     #[serde(default = "default_store_timeout_ms")]
     pub store_timeout_ms: u64,
-    /// Time between two reads of the document, in milliseconds.
+    /// Time between two reads by an instance that watches the store for the
+    /// others, in milliseconds.
     #[serde(default = "default_document_poll_ms")]
     pub document_poll_ms: u64,
+    /// The platform's list of instances, such as `http://127.0.0.1:8500/instances`.
+    #[serde(default)]
+    pub instance_list_url: Option<Arc<str>>,
 }
 
 /// An instance to contact first.
@@ -116,7 +120,7 @@
 }
 
 const DEFAULT_STORE_TIMEOUT_MS: u64 = 1_000;
-const DEFAULT_DOCUMENT_POLL_MS: u64 = 1_000;
+const DEFAULT_DOCUMENT_POLL_MS: u64 = 500;
 
 fn default_store_timeout_ms() -> u64 {
     DEFAULT_STORE_TIMEOUT_MS
@@ -133,6 +137,7 @@
             store_endpoint: store_endpoint.into(),
             store_timeout_ms: DEFAULT_STORE_TIMEOUT_MS,
             document_poll_ms: DEFAULT_DOCUMENT_POLL_MS,
+            instance_list_url: None,
         }
     }
 }
--- a/lib/wire/src/message.rs
+++ b/lib/wire/src/message.rs
@@ -154,4 +154,8 @@
     Cancel(SessionKey),
     /// Tells the owner that a session ended, with whatever it held open.
     Release(SessionKey),
+    /// Asks for the document in force at the receiver.
+    FetchDocument,
+    /// Carries the document, as JSON.
+    Document(Vec<u8>),
 }
