testutils: measure what control costs by the fleet's size

Cause: docs/CAPACITY.md needs slopes from runs. Change: a tool that starts fleets of processes, samples /proc and the metrics, and fits a line through each cost.

--- /dev/null
+++ b/testutils/src/bin/masticreel-fleet-slope.rs
@@ -0,0 +1,84 @@
+//! Measures what the control of a fleet costs an instance, by the fleet's size.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use masticreel_testutils::fleet_cost::{Cost, Sample, fit};
+use masticreel_testutils::processes::deployment::{Deployment, DeploymentSettings};
+
+/// How long a fleet may take to form.
+const FORM_TIMEOUT: Duration = Duration::from_secs(60);
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Measure idle fleets of some sizes and fit a line through each cost.
+#[derive(FromArgs)]
+struct Arguments {
+    /// numbers of instances
+    #[argh(positional)]
+    sizes: Vec<usize>,
+
+    /// seconds to let a formed fleet settle
+    #[argh(option, default = "20")]
+    settle_s: u64,
+
+    /// seconds to measure
+    #[argh(option, default = "30")]
+    measure_s: u64,
+
+    /// the size that the lines are read at
+    #[argh(option, default = "530")]
+    target: usize,
+}
+
+fn main() -> io::Result<()> {
+    let arguments: Arguments = argh::from_env();
+    let mut costs = Vec::new();
+    println!("instances,cpu_percent,rss_mb,threads,sent_b_s,received_b_s,store_reads_s,fetches_s");
+    for size in &arguments.sizes {
+        let cost = measure(*size, &arguments)?;
+        println!("{size},{cost}");
+        costs.push((*size, cost));
+    }
+    println!("cost,intercept,slope_per_instance,at_{}", arguments.target);
+    for (name, read) in Cost::FIELDS {
+        let points: Vec<(f64, f64)> =
+            costs.iter().map(|(size, cost)| (*size as f64, read(cost))).collect();
+        let (intercept, slope) = fit(&points);
+        let at_target = intercept + slope * arguments.target as f64;
+        println!("{name},{intercept:.3},{slope:.5},{at_target:.2}");
+    }
+    Ok(())
+}
+
+fn measure(size: usize, arguments: &Arguments) -> io::Result<Cost> {
+    let settings = DeploymentSettings { instances: size, ..DeploymentSettings::default() };
+    let deployment = Deployment::start(&format!("slope-{size}"), settings)?;
+    wait_until_formed(&deployment, size)?;
+    std::thread::sleep(Duration::from_secs(arguments.settle_s));
+    let before = samples(&deployment)?;
+    let started = Instant::now();
+    std::thread::sleep(Duration::from_secs(arguments.measure_s));
+    let after = samples(&deployment)?;
+    Ok(Cost::mean(&before, &after, started.elapsed()))
+}
+
+fn samples(deployment: &Deployment) -> io::Result<Vec<Sample>> {
+    let processes = deployment.instances.iter().zip(&deployment.addresses);
+    processes.map(|(process, addresses)| Sample::take(process.id(), addresses.operators)).collect()
+}
+
+fn wait_until_formed(deployment: &Deployment, size: usize) -> io::Result<()> {
+    let deadline = Instant::now() + FORM_TIMEOUT;
+    let addresses: Vec<SocketAddr> = deployment.addresses.iter().map(|it| it.operators).collect();
+    for address in addresses {
+        while Sample::members_alive(address)? < size {
+            if Instant::now() > deadline {
+                return Err(io::Error::other(format!("{size} instances did not find each other")));
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/testutils/src/fleet_cost.rs
@@ -0,0 +1,158 @@
+//! What a running instance costs, from the system and its metrics.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+
+/// Clock ticks a second in `/proc`, fixed on Linux.
+const TICKS_PER_SECOND: f64 = 100.0;
+const KIBIBYTE: f64 = 1_024.0;
+const MEGABYTE: f64 = 1e6;
+/// Fields of `/proc/PID/stat` after the name: user and system time.
+const USER_TICKS_FIELD: usize = 11;
+const SYSTEM_TICKS_FIELD: usize = 12;
+
+/// Counters of one instance at one moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Sample {
+    cpu_s: f64,
+    rss_mb: f64,
+    threads: f64,
+    sent_bytes: f64,
+    received_bytes: f64,
+    store_reads: f64,
+    fetches: f64,
+}
+
+/// What an instance costs on average.
+#[derive(Debug, Clone, Copy, PartialEq, Display)]
+#[display(
+    "{cpu_percent:.3},{rss_mb:.2},{threads:.1},{sent_b_s:.0},{received_b_s:.0},\
+     {store_reads_s:.3},{fetches_s:.3}"
+)]
+pub struct Cost {
+    /// Processor time, in percent of a core.
+    pub cpu_percent: f64,
+    /// Resident memory.
+    pub rss_mb: f64,
+    /// Threads.
+    pub threads: f64,
+    /// Bytes of datagrams sent a second.
+    pub sent_b_s: f64,
+    /// Bytes of datagrams received a second.
+    pub received_b_s: f64,
+    /// Reads of the store a second.
+    pub store_reads_s: f64,
+    /// Documents asked of peers a second.
+    pub fetches_s: f64,
+}
+
+/// Reads one field of a cost.
+pub type CostField = fn(&Cost) -> f64;
+
+impl Cost {
+    /// The costs by name.
+    pub const FIELDS: [(&'static str, CostField); 7] = [
+        ("cpu_percent", |cost| cost.cpu_percent),
+        ("rss_mb", |cost| cost.rss_mb),
+        ("threads", |cost| cost.threads),
+        ("sent_b_s", |cost| cost.sent_b_s),
+        ("received_b_s", |cost| cost.received_b_s),
+        ("store_reads_s", |cost| cost.store_reads_s),
+        ("fetches_s", |cost| cost.fetches_s),
+    ];
+
+    /// Averages over instances what happened between two samples of each.
+    pub fn mean(before: &[Sample], after: &[Sample], elapsed: Duration) -> Self {
+        let rate = |read: fn(&Sample) -> f64| {
+            (total(after, read) - total(before, read)) / after.len() as f64 / elapsed.as_secs_f64()
+        };
+        let level = |read: fn(&Sample) -> f64| total(after, read) / after.len() as f64;
+        Self {
+            cpu_percent: 100.0 * rate(|sample| sample.cpu_s),
+            rss_mb: level(|sample| sample.rss_mb),
+            threads: level(|sample| sample.threads),
+            sent_b_s: rate(|sample| sample.sent_bytes),
+            received_b_s: rate(|sample| sample.received_bytes),
+            store_reads_s: rate(|sample| sample.store_reads),
+            fetches_s: rate(|sample| sample.fetches),
+        }
+    }
+}
+
+fn total(samples: &[Sample], read: fn(&Sample) -> f64) -> f64 {
+    samples.iter().map(read).sum()
+}
+
+impl Sample {
+    /// Reads the counters of a process and of its operators' port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process is gone or does not answer.
+    pub fn take(process: u32, operators: SocketAddr) -> io::Result<Self> {
+        let text = metrics(operators)?;
+        let status = fs::read_to_string(format!("/proc/{process}/status"))?;
+        Ok(Self {
+            cpu_s: cpu_seconds(&fs::read_to_string(format!("/proc/{process}/stat"))?),
+            rss_mb: status_field(&status, "VmRSS:") * KIBIBYTE / MEGABYTE,
+            threads: status_field(&status, "Threads:"),
+            sent_bytes: metric(&text, "masticreel_control_sent_bytes_total"),
+            received_bytes: metric(&text, "masticreel_control_received_bytes_total"),
+            store_reads: metric(&text, "masticreel_store_reads_total"),
+            fetches: metric(&text, "masticreel_document_fetches_total"),
+        })
+    }
+
+    /// Returns how many members an instance holds for alive.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance does not answer.
+    pub fn members_alive(operators: SocketAddr) -> io::Result<usize> {
+        let text = metrics(operators)?;
+        Ok(metric(&text, "masticreel_members{state=\"alive\"}") as usize)
+    }
+}
+
+fn metrics(operators: SocketAddr) -> io::Result<String> {
+    let answer = ureq::get(&format!("http://{operators}/metrics")).call();
+    let mut response = answer.map_err(io::Error::other)?;
+    response.body_mut().read_to_string().map_err(io::Error::other)
+}
+
+fn metric(text: &str, name: &str) -> f64 {
+    let prefix = format!("{name} ");
+    let line = text.lines().find_map(|line| line.strip_prefix(&prefix));
+    line.and_then(|value| value.trim().parse().ok()).unwrap_or_default()
+}
+
+fn status_field(status: &str, name: &str) -> f64 {
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
+    let value = line.and_then(|line| line.split_whitespace().next());
+    value.and_then(|value| value.parse().ok()).unwrap_or_default()
+}
+
+fn cpu_seconds(stat: &str) -> f64 {
+    // The name may hold blanks, so fields are counted from its bracket.
+    let fields: Vec<&str> =
+        stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |field: usize| fields.get(field).and_then(|it| it.parse::<f64>().ok());
+    let all =
+        ticks(USER_TICKS_FIELD).unwrap_or_default() + ticks(SYSTEM_TICKS_FIELD).unwrap_or_default();
+    all / TICKS_PER_SECOND
+}
+
+/// Fits a line by least squares; returns its value at zero and its slope.
+pub fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let spread: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let common: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let slope = if spread == 0.0 { 0.0 } else { common / spread };
+    (mean_y - slope * mean_x, slope)
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -2,6 +2,7 @@
 //! tool and the comparison of admission policies.
 
 pub mod experiment;
+pub mod fleet_cost;
 pub mod load;
 pub mod pg_client;
 pub mod processes;
