--- a/lib/wire/src/message.rs
+++ b/lib/wire/src/message.rs
@@ -175,4 +175,8 @@
     PositionRequest(PositionRequest),
     /// Answers with a group's position.
     PositionResponse(PositionResponse),
+    /// Asks for the document in force at the receiver.
+    FetchDocument,
+    /// Carries the document, as JSON.
+    Document(Vec<u8>),
 }
