testutils: put distances between failure domains where they are

Change: relays delay what passes between instances of different failure domains, and between entries and the server in the direct baseline.

--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -126,6 +126,9 @@
     /// where to listen for one-line commands
     #[argh(option, default = "any_port()")]
     control: SocketAddr,
+    /// how long each byte is under way, in milliseconds
+    #[argh(option, default = "0.0")]
+    delay_ms: f64,
 }
 
 fn main() -> io::Result<()> {
@@ -188,6 +191,7 @@
 
 fn run_relay(arguments: &RelayArguments) -> io::Result<()> {
     let relay = Relay::start(arguments.listen, arguments.target)?;
+    relay.set_delay(Duration::from_secs_f64(arguments.delay_ms / 1000.0));
     let control = TcpListener::bind(arguments.control)?;
     let (address, control_address) = (relay.address(), control.local_addr()?);
     announce(&format!("listening address={address} control={control_address}"))?;
--- a/testutils/src/bin/masticreel-replay.rs
+++ b/testutils/src/bin/masticreel-replay.rs
@@ -8,7 +8,9 @@
 use argh::FromArgs;
 use hdrhistogram::Histogram;
 use masticreel_testutils::experiment::settings::{ExperimentSettings, Phase};
-use masticreel_testutils::processes::deployment::{Deployment, DeploymentSettings};
+use masticreel_testutils::processes::deployment::{
+    Deployment, DeploymentSettings, FAILURE_DOMAINS, start_relay,
+};
 use masticreel_testutils::replay::{Played, Route, kinds, play};
 
 /// Play an experiment's arrivals to processes: a store, one server and as many
@@ -19,9 +21,9 @@
     #[argh(positional)]
     settings: PathBuf,
 
-    /// the distance between entries and the server, one way, in milliseconds
+    /// the distance between failure domains, one way, in milliseconds
     #[argh(option, default = "1.5")]
-    one_way_ms: f64,
+    distance_ms: f64,
 
     /// the only phase to play (default: all)
     #[argh(option)]
@@ -50,12 +52,18 @@
     let wanted = arguments.phase.as_deref();
     for phase in settings.phases.iter().filter(|phase| wanted.is_none_or(|w| w == &*phase.name)) {
         for route in ["direct", "masticreel"] {
-            let deployment = deployment(&settings, arguments.one_way_ms)?;
+            let deployment = deployment(&settings, arguments.distance_ms)?;
             std::thread::sleep(HANDOVER);
+            let server = deployment.servers[0].address("address");
+            let server = server.ok_or("the server has no address")?;
+            let far = start_relay(server, arguments.distance_ms)?;
+            let far_server = far.address("address").ok_or("the relay has no address")?;
             let target = match route {
                 "direct" => {
-                    let server = deployment.servers[0].address("address");
-                    Route::Direct(server.ok_or("the server has no address")?)
+                    // The server is in the first failure domain.
+                    let is_near = |entry| entry % FAILURE_DOMAINS.len() == 0;
+                    let address = |entry| if is_near(entry) { server } else { far_server };
+                    Route::Direct((0..settings.entries as usize).map(address).collect())
                 }
                 _ => Route::Instances(
                     deployment.addresses.iter().map(|addresses| addresses.callers).collect(),
@@ -68,18 +76,17 @@
     Ok(())
 }
 
-fn deployment(settings: &ExperimentSettings, one_way_ms: f64) -> std::io::Result<Deployment> {
+fn deployment(settings: &ExperimentSettings, distance_ms: f64) -> std::io::Result<Deployment> {
+    let slots = settings.slots;
     let max_connections = settings.connections + CONTROL_CONNECTIONS;
-    let text = format!(
-        "--slots {} --max-connections {max_connections} --one-way-ms {one_way_ms}",
-        settings.slots
-    );
+    let arguments = format!("--slots {slots} --max-connections {max_connections}");
     let deployment = DeploymentSettings {
         servers: 1,
         instances: settings.entries as usize,
-        server_arguments: text.split(' ').map(str::to_owned).collect(),
-        instance_settings: "\n[limits]\nhandover_timeout_ms = 0\nrequest_timeout_ms = 30000\n"
-            .into(),
+        server_arguments: arguments.split(' ').map(str::to_owned).collect(),
+        server_document: format!("slots = {slots}\nmax_connections = {max_connections}\n"),
+        instance_settings: "\n[limits]\nhandover_timeout_ms = 0\n".into(),
+        distance_ms,
         ..DeploymentSettings::default()
     };
     Deployment::start("replay", deployment)
--- a/testutils/src/processes/deployment.rs
+++ b/testutils/src/processes/deployment.rs
@@ -27,7 +27,7 @@
 const SECTION: &str = "test";
 
 /// What a deployment is made of.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct DeploymentSettings {
     /// How many servers the group has.
     pub servers: usize,
@@ -39,6 +39,8 @@
     pub server_document: String,
     /// Text appended to each instance's settings.
     pub instance_settings: String,
+    /// The distance between failure domains, one way, in milliseconds.
+    pub distance_ms: f64,
     /// Text appended to the document's only section.
     pub document: String,
 }
@@ -51,6 +53,7 @@
             server_arguments: Vec::new(),
             server_document: String::new(),
             instance_settings: String::new(),
+            distance_ms: 0.0,
             document: String::new(),
         }
     }
@@ -78,6 +81,8 @@
     /// The instances' addresses, in the same order.
     pub addresses: Vec<InstanceAddresses>,
     settings: DeploymentSettings,
+    /// Relays in front of the instances, for those in other failure domains.
+    peer_relays: Vec<Process>,
     folder: PathBuf,
     revision: Revision,
 }
@@ -93,11 +98,13 @@
         std::fs::create_dir_all(&folder)?;
         let store = Process::start("masticreel-standin", &words("store"), None)?;
         let servers = start_servers(&settings)?;
-        let addresses = (0..settings.instances).map(|_| InstanceAddresses::choose()).collect();
+        let addresses: Vec<_> =
+            (0..settings.instances).map(|_| InstanceAddresses::choose()).collect();
         let mut deployment = Self {
             store,
             servers,
             instances: Vec::new(),
+            peer_relays: start_peer_relays(&settings, &addresses)?,
             addresses,
             settings,
             folder,
@@ -163,11 +170,13 @@
             self.store_endpoint()?,
         );
         for (peer, addresses) in self.addresses.iter().enumerate() {
-            let domain = FAILURE_DOMAINS[peer % FAILURE_DOMAINS.len()];
+            let peer_domain = FAILURE_DOMAINS[peer % FAILURE_DOMAINS.len()];
+            let relay = self.peer_relays.get(peer).filter(|_| peer_domain != domain);
+            let address = relay.and_then(|relay| relay.address("address"));
             text.push_str(&format!(
-                "\n[[peers]]\nname = \"instance-{peer}\"\nfailure_domain = \"{domain}\"\n\
+                "\n[[peers]]\nname = \"instance-{peer}\"\nfailure_domain = \"{peer_domain}\"\n\
                  peer_address = \"{}\"\n",
-                addresses.peers
+                address.unwrap_or(addresses.peers)
             ));
         }
         text.push_str(&self.settings.instance_settings);
@@ -225,6 +234,27 @@
     }
 }
 
+/// Starts a relay that delays what passes.
+///
+/// # Errors
+///
+/// Fails when the relay does not start.
+pub fn start_relay(target: SocketAddr, delay_ms: f64) -> io::Result<Process> {
+    let arguments = words(&format!("relay --target {target} --delay-ms {delay_ms}"));
+    Process::start("masticreel-standin", &arguments, None)
+}
+
+fn start_peer_relays(
+    settings: &DeploymentSettings,
+    addresses: &[InstanceAddresses],
+) -> io::Result<Vec<Process>> {
+    if settings.distance_ms == 0.0 {
+        return Ok(Vec::new());
+    }
+    let relays = addresses.iter().map(|own| start_relay(own.peers, settings.distance_ms));
+    relays.collect()
+}
+
 fn start_servers(settings: &DeploymentSettings) -> io::Result<Vec<Process>> {
     let mut servers: Vec<Process> = Vec::new();
     for number in 0..settings.servers {
--- a/testutils/src/replay.rs
+++ b/testutils/src/replay.rs
@@ -23,8 +23,9 @@
 pub enum Route {
     /// To the instances, one for each entry; each caller has a connection.
     Instances(Vec<SocketAddr>),
-    /// To the server, from entries with an equal share of its connections.
-    Direct(SocketAddr),
+    /// To the server, from entries with an equal share of its connections; one
+    /// address for each entry, since some are far from the server.
+    Direct(Vec<SocketAddr>),
 }
 
 /// What became of one arrival.
@@ -90,10 +91,10 @@
                 (vec![class], start_callers(targets[entry % targets.len()], callers, results))
             })
             .collect(),
-        Route::Direct(server) => {
+        Route::Direct(targets) => {
             let share = (settings.connections / settings.entries).max(1) as usize;
             let classes = CALLERS.map(|(class, _)| class).to_vec();
-            vec![(classes, start_callers(*server, share, results))]
+            vec![(classes, start_callers(targets[entry % targets.len()], share, results))]
         }
     }
 }
