owner: free the slot before the answer, the connection after it

Cause: the pool gave a connection to the next request while its thread still confirmed and sent the last answer, so a slot stood idle for that time. Change: a request that ends frees its slot; its connection rests until the answer is on its way and the reset is done. Two connections a slot are kept open. Measured: the tests of the admission pass, and those of the daemon. Two runs of test_protocol failed to start instances while 27,000 and 30,000 threads ran on the machine (pid_max 32,768); the next, at 3,000, passed. Left: the load of the slots at a crest, to be measured on a quiet machine.

--- a/daemon/src/owner/server.rs
+++ b/daemon/src/owner/server.rs
@@ -223,6 +223,20 @@
         self.carry_out(state, actions);
     }
 
+    /// Returns the connection of a request that was answered.
+    pub(super) fn connection_rested(
+        self: &Arc<Self>,
+        connection: ConnectionId,
+        after: ConnectionAfter,
+    ) {
+        let mut state = self.lock();
+        if after == ConnectionAfter::Closed {
+            state.workers.remove(&connection);
+        }
+        let actions = state.admission.connection_rested(connection, after, Instant::now());
+        self.carry_out(state, actions);
+    }
+
     /// Returns the connection of a transaction that ended without a request.
     pub(super) fn transaction_ended(
         self: &Arc<Self>,
--- a/daemon/src/owner/worker.rs
+++ b/daemon/src/owner/worker.rs
@@ -98,12 +98,14 @@
         };
         let is_open = matches!(&outcome, Ok(answer) if answer.state != WireState::Idle);
         self.holder = is_open.then(|| Holder { session, idle_since: Instant::now() });
-        if !is_open {
-            self.reset();
-        }
-        self.server.request_finished(request, self.id, self.connection_after(), took);
+        let after = self.connection_after();
+        self.server.request_finished(request, self.id, after, took);
         let outcome = self.confirm(&job, outcome);
         self.server.answer(job.reply, outcome);
+        if after == ConnectionAfter::Idle {
+            self.reset();
+            self.server.connection_rested(self.id, self.connection_after());
+        }
     }
 
     /// Makes the connection fit for another session.
--- a/lib/admission/src/server_admission.rs
+++ b/lib/admission/src/server_admission.rs
@@ -136,7 +136,9 @@
 
     /// Notes that a started request ended.
     ///
-    /// `took` is the execution time if the request executed.
+    /// `took` is the execution time if the request executed. The slot is free at
+    /// once; a connection that is to be idle has to be reported by
+    /// [`Self::connection_rested`], when its answer is on its way.
     pub fn finished(
         &mut self,
         id: RequestId,
@@ -157,8 +159,32 @@
         } else {
             self.holders.remove(&submission.session);
         }
+        // The queue counts a connection that rests as closed and then opened.
+        let known_after = match after {
+            ConnectionAfter::Idle => ConnectionAfter::Closed,
+            ConnectionAfter::Pinned => after,
+            ConnectionAfter::Closed => {
+                self.settle(connection, after, now);
+                after
+            }
+        };
+        let actions = self.queue.finished(id, known_after, now);
+        self.carry_out(actions, now)
+    }
+
+    /// Notes that a connection whose request finished can serve another one, or
+    /// that it had to be closed.
+    pub fn connection_rested(
+        &mut self,
+        connection: ConnectionId,
+        after: ConnectionAfter,
+        now: Instant,
+    ) -> Vec<ServerAction<Identity>> {
         self.settle(connection, after, now);
-        let actions = self.queue.finished(id, after, now);
+        let actions = match after {
+            ConnectionAfter::Idle => self.queue.connection_opened(now),
+            ConnectionAfter::Pinned | ConnectionAfter::Closed => self.queue.expire(now),
+        };
         self.carry_out(actions, now)
     }
 
@@ -247,6 +273,11 @@
         (self.refusals(actions), connection)
     }
 
+    /// Returns the connection on which a request executes.
+    pub fn connection_of(&self, id: RequestId) -> Option<ConnectionId> {
+        self.running.get(&id).copied()
+    }
+
     /// Returns the connection that a session's open transaction holds.
     pub fn holder(&self, session: &Session) -> Option<ConnectionId> {
         self.holders.get(session).copied()
--- a/lib/admission/src/server_queue.rs
+++ b/lib/admission/src/server_queue.rs
@@ -223,9 +223,10 @@
     }
 
     /// Returns how many connections are wanted now: one for each transaction,
-    /// one for each slot, and a spare one.
+    /// two for each slot, since one answers while the next executes, and a
+    /// spare one.
     pub fn wanted_connections(&self) -> u32 {
-        let wanted = self.transactions + self.settings.slots.total + SPARE_CONNECTIONS;
+        let wanted = self.transactions + 2 * self.settings.slots.total + SPARE_CONNECTIONS;
         wanted.min(self.settings.connections)
     }
 
--- a/lib/admission/tests/test_server_admission.rs
+++ b/lib/admission/tests/test_server_admission.rs
@@ -43,10 +43,17 @@
             actions.extend(admission.connection_opened(connection, identity, now));
         }
     }
-    admission.finished(RequestId(0), ConnectionAfter::Idle, None, now);
+    finish(&mut admission, RequestId(0), None, now);
     admission
 }
 
+/// Finishes a request and lets its connection serve another.
+fn finish(admission: &mut Admission, id: RequestId, took: Option<Duration>, now: Instant) {
+    let connection = admission.connection_of(id).expect("the request executes");
+    admission.finished(id, ConnectionAfter::Idle, took, now);
+    admission.connection_rested(connection, ConnectionAfter::Idle, now);
+}
+
 fn started_on(actions: &Actions) -> Option<ConnectionId> {
     actions.iter().find_map(|action| match action {
         ServerAction::Start(_, connection) => Some(*connection),
@@ -67,10 +74,10 @@
     let (other, actions) =
         admission.submit(submission(2, ConnectionNeed::Statement, deadline), now);
     assert_ne!(started_on(&actions), connection);
-    admission.finished(other, ConnectionAfter::Idle, None, now);
+    finish(&mut admission, other, None, now);
     let (commit, actions) = admission.submit(submission(1, ConnectionNeed::Held, deadline), now);
     assert_eq!(started_on(&actions), connection);
-    admission.finished(commit, ConnectionAfter::Idle, None, now);
+    finish(&mut admission, commit, None, now);
     assert_eq!(admission.holder(&1), None);
     assert!(admission.is_quiet());
 }
@@ -113,7 +120,7 @@
     let mut admission = opened_admission(now);
     let statement = |session| submission(session, ConnectionNeed::Statement, deadline);
     let (id, _) = admission.submit(statement(1), now);
-    admission.finished(id, ConnectionAfter::Idle, Some(Duration::from_millis(300)), now);
+    finish(&mut admission, id, Some(Duration::from_millis(300)), now);
     let (_, actions) = admission.submit(statement(1), now);
     assert!(started_on(&actions).is_some());
     let (_, actions) = admission.submit(statement(2), now);
@@ -124,6 +131,7 @@
 enum Step {
     Submit { session: u8, begins: bool, patience_ms: u64 },
     Finish { index: usize, outcome: u8 },
+    Rest { index: usize, closes: bool },
     End { session: u8 },
     Cancel { session: u8 },
     Connect { index: usize, succeeds: bool },
@@ -137,6 +145,8 @@
             Step::Submit { session, begins, patience_ms }
         }),
         5 => (0..4usize, 0..5u8).prop_map(|(index, outcome)| Step::Finish { index, outcome }),
+        4 => (0..4usize, prop::bool::weighted(0.1))
+            .prop_map(|(index, closes)| Step::Rest { index, closes }),
         1 => (0..24u8).prop_map(|session| Step::End { session }),
         1 => (0..24u8).prop_map(|session| Step::Cancel { session }),
         4 => (0..3usize, prop::bool::weighted(0.9))
@@ -151,6 +161,7 @@
     now: Instant,
     opening: Vec<(ConnectionId, u8)>,
     open: BTreeSet<ConnectionId>,
+    resting: BTreeSet<ConnectionId>,
     waiting: BTreeMap<RequestId, (u8, ConnectionNeed)>,
     running: BTreeMap<RequestId, (u8, ConnectionNeed, ConnectionId)>,
     holders: BTreeMap<u8, ConnectionId>,
@@ -163,6 +174,7 @@
             now: Instant::now(),
             opening: Vec::new(),
             open: BTreeSet::new(),
+            resting: BTreeSet::new(),
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
             holders: BTreeMap::new(),
@@ -178,6 +190,7 @@
                 self.submit(session, begins, Duration::from_millis(patience_ms))
             }
             Step::Finish { index, outcome } => self.finish(index, outcome),
+            Step::Rest { index, closes } => self.rest(index, closes),
             Step::End { session } => {
                 let is_running = self.running.values().any(|(other, ..)| *other == session);
                 if is_running {
@@ -240,11 +253,23 @@
             ConnectionAfter::Closed => {
                 self.open.remove(&connection);
             }
-            ConnectionAfter::Idle => {}
+            ConnectionAfter::Idle => {
+                self.resting.insert(connection);
+            }
         }
         self.admission.finished(id, after, Some(Duration::from_millis(5)), self.now)
     }
 
+    fn rest(&mut self, index: usize, closes: bool) -> Actions {
+        let Some(connection) = self.resting.iter().nth(index).copied() else { return Vec::new() };
+        self.resting.remove(&connection);
+        if closes {
+            self.open.remove(&connection);
+        }
+        let after = if closes { ConnectionAfter::Closed } else { ConnectionAfter::Idle };
+        self.admission.connection_rested(connection, after, self.now)
+    }
+
     fn connect(&mut self, index: usize, succeeds: bool) -> Actions {
         if index >= self.opening.len() {
             return Vec::new();
@@ -289,7 +314,8 @@
     }
 
     fn is_busy(&self, connection: ConnectionId) -> bool {
-        self.holders.values().any(|held| *held == connection)
+        self.resting.contains(&connection)
+            || self.holders.values().any(|held| *held == connection)
             || self.running.values().any(|(.., used)| *used == connection)
     }
 
@@ -302,6 +328,9 @@
             while !self.running.is_empty() {
                 self.apply(Step::Finish { index: 0, outcome: 3 });
             }
+            while !self.resting.is_empty() {
+                self.apply(Step::Rest { index: 0, closes: false });
+            }
             for session in self.holders.keys().copied().collect::<Vec<_>>() {
                 self.apply(Step::End { session });
             }
--- a/testutils/src/bin/masticreel-queue-slope.rs
+++ b/testutils/src/bin/masticreel-queue-slope.rs
@@ -75,7 +75,10 @@
         running.extend(started(&actions));
         let Some(id) = running.pop_front() else { continue };
         let took = Some(Duration::from_millis(5));
+        let connection = admission.connection_of(id).expect("the request executes");
         running.extend(started(&admission.finished(id, ConnectionAfter::Idle, took, now)));
+        let rested = admission.connection_rested(connection, ConnectionAfter::Idle, now);
+        running.extend(started(&rested));
     }
     begin.elapsed().as_nanos() / u128::from(CYCLES)
 }
