--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -2,6 +2,9 @@
 //!
 //! See `docs/design/05-read-your-writes.md` and `docs/design/06-verdicts.md`.
 
+mod demands;
 pub mod dispatch;
 pub mod gate;
+pub mod identity;
+mod reads;
 pub mod router;
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -3,12 +3,14 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
+use crossbeam_channel::{Receiver, unbounded};
 use displaydoc::Display;
 use masticreel_base::cancellation::CancellationToken;
 use masticreel_base::clock::{Clock, SystemClock};
-use masticreel_base::ids::Incarnation;
+use masticreel_base::ids::{Incarnation, ServerId};
 use masticreel_platform::etcd::EtcdStore;
 use masticreel_wire::frame::SharedKey;
 use masticreel_wire::message::Hello;
@@ -27,10 +29,13 @@
 use crate::operator::OperatorServer;
 use crate::operator::pages::Pages;
 use crate::operator::view::SettingsView;
-use crate::owner::guard::Unguarded;
+use crate::owner::guard::ServerGuard;
 use crate::owner::{Owner, OwnerContext};
 use crate::reporter::Reporter;
 use crate::settings::{PeerSettings, Settings};
+use crate::views::Views;
+use crate::watch::guard::WatchGuard;
+use crate::watch::{ObserverIdentity, Watch};
 
 /// Why an instance can't start.
 #[derive(Debug, Display)]
@@ -57,10 +62,12 @@
 /// How long entries that did not hear of a shutdown are still told of it.
 const HANDOVER_NOTICE: Duration = Duration::from_millis(500);
 
+type Guard = WatchGuard<StaticDirectory>;
+
 /// One running instance.
 pub struct Instance {
-    callers: Arc<CallerServer<Unguarded, StaticDirectory>>,
-    owner: Arc<Owner<Unguarded>>,
+    callers: Arc<CallerServer<Guard, StaticDirectory>>,
+    owner: Arc<Owner<Guard>>,
     caller_address: SocketAddr,
     shutdown_timeout: Duration,
     logger: Logger,
@@ -87,19 +94,40 @@
 
         let documents = start_documents(settings, &metrics, logger, &cancellation)?;
         let groups = Groups::new(documents.cell());
+        let directory = directory(settings);
+        let identity = ObserverIdentity {
+            instance: own.name.clone(),
+            failure_domain: own.failure_domain.clone(),
+            incarnation,
+        };
+        let (demoted, demotions) = unbounded();
+        let watch = Watch::start(
+            identity,
+            groups.clone(),
+            directory.clone(),
+            demoted,
+            logger.clone(),
+            cancellation.clone(),
+        )?;
         let context = OwnerContext {
-            guard: Unguarded,
+            guard: WatchGuard::new(watch.clone()),
             limits: settings.limits.clone(),
             metrics: metrics.clone(),
             logger: logger.clone(),
             cancellation: cancellation.clone(),
         };
         let owner = Arc::new(Owner::new(context, groups.clone()));
-        let directory = directory(settings);
+        abandon_demoted(owner.clone(), demotions)?;
         owner.start_ticker(directory.clone())?;
         let key = SharedKey::from_text(&own.shared_key);
-        LinkServer::new(owner.clone(), key.clone(), logger.clone(), cancellation.clone())
-            .start(peer_listener)?;
+        let link_server = LinkServer::new(
+            owner.clone(),
+            watch.clone(),
+            key.clone(),
+            logger.clone(),
+            cancellation.clone(),
+        );
+        link_server.start(peer_listener)?;
         let burn = BurnAccount::new(SystemClock);
         let pages = Pages {
             name: own.name.clone(),
@@ -114,8 +142,23 @@
 
         let hello = Hello { instance: own.name.clone(), incarnation };
         let links = LinkPool::new(hello, key);
+        let views = Views::start(
+            watch,
+            directory.clone(),
+            groups.clone(),
+            links.clone(),
+            cancellation.clone(),
+        )?;
         let dispatcher = Dispatcher::new(owner.clone(), links, directory);
-        let router = Router::new(dispatcher, groups, settings.limits.clone());
+        let domain = own.failure_domain.clone();
+        let router = Router::new(
+            dispatcher,
+            groups,
+            views,
+            domain,
+            settings.limits.clone(),
+            metrics.clone(),
+        );
         let parts = CallerServerParts {
             router,
             incarnation,
@@ -214,6 +257,19 @@
     Ok(documents)
 }
 
+/// Closes connections to replaced primaries, on a thread of its own.
+fn abandon_demoted<Guard>(owner: Arc<Owner<Guard>>, demotions: Receiver<ServerId>) -> io::Result<()>
+where
+    Guard: ServerGuard,
+{
+    thread::Builder::new().name("demotions".to_owned()).spawn(move || {
+        for server in demotions {
+            owner.abandon(&server);
+        }
+    })?;
+    Ok(())
+}
+
 fn directory(settings: &Settings) -> StaticDirectory {
     let own = &settings.instance;
     let mut candidates: Vec<Candidate> =
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -18,3 +18,5 @@
 pub mod owner;
 pub mod reporter;
 pub mod settings;
+pub mod views;
+pub mod watch;
--- a/daemon/src/owner/worker.rs
+++ b/daemon/src/owner/worker.rs
@@ -8,17 +8,22 @@
 use masticreel_admission::request::ConnectionAfter;
 use masticreel_base::failure::{Failure, FailureKind};
 use masticreel_base::ids::RequestId;
+use masticreel_base::position::TermPosition;
 use masticreel_postgres::upstream::{
     Answer, Needed, Preparation, TransactionState, UpstreamAddress, UpstreamConnection,
     UpstreamError,
 };
+use masticreel_session::request_key::KeyedRequest;
 use masticreel_wire::message::{
-    Pinning, SessionKey, Target, TransactionState as WireState, UpstreamAnswer, UpstreamRequest,
+    Pinning, RequestKey, SessionKey, Target, TransactionState as WireState, UpstreamAnswer,
+    UpstreamRequest,
 };
 use slog::warn;
 
-use crate::owner::guard::ServerGuard;
+use crate::owner::guard::{Admission, ServerGuard};
 use crate::owner::job::{Job, Outcome};
+use crate::owner::keyed::KeyedRun;
+use crate::owner::pending::{Pending, not_ready};
 use crate::owner::server::{Command, OwnedServer, address};
 
 /// Time between two looks at the cancellation token of an idle worker.
@@ -92,16 +97,16 @@
     /// Runs one request and reports the outcome.
     fn serve(&mut self, request: RequestId, job: Job) {
         let session = job.request.session;
+        let position_before = self.position();
         let (outcome, took) = match self.prepare(&job) {
-            Ok(()) => self.execute(&job),
+            Ok(admission) => self.execute(&job, admission),
             Err(failure) => (Err(failure), None),
         };
         let is_open = matches!(&outcome, Ok(answer) if answer.state != WireState::Idle);
         self.holder = is_open.then(|| Holder { session, idle_since: Instant::now() });
         let after = self.connection_after();
         self.server.request_finished(request, self.id, after, took);
-        let outcome = self.confirm(&job, outcome);
-        self.server.answer(job.reply, outcome);
+        self.reply(job, outcome, position_before);
         if after == ConnectionAfter::Idle {
             self.reset();
             self.server.connection_rested(self.id, self.connection_after());
@@ -146,7 +151,9 @@
     }
 
     /// Makes sure that the request may run on the connection.
-    fn prepare(&mut self, job: &Job) -> Result<(), Failure> {
+    ///
+    /// Returns under what condition, unless its transaction is open already.
+    fn prepare(&mut self, job: &Job) -> Result<Option<Admission>, Failure> {
         let request = &job.request;
         if job.deadline <= Instant::now() {
             return Err(Failure::not_run(
@@ -155,10 +162,17 @@
             ));
         }
         if request.pinning == Pinning::Pinned {
-            return self.check_holder(request.session);
+            return self.check_holder(request.session).map(|()| None);
         }
-        self.server.context().guard.admit(request, job.deadline)?;
-        self.connect(request)
+        let admission = self.admit(request)?;
+        self.connect(request)?;
+        Ok(Some(admission))
+    }
+
+    /// Checks again, since the request may have been queued for long.
+    fn admit(&self, request: &UpstreamRequest) -> Result<Admission, Failure> {
+        let guard = &self.server.context().guard;
+        guard.check_request(request).unwrap_or_else(|| Err(not_ready(request)))
     }
 
     /// The transaction may have ended while the request was on its way here.
@@ -170,12 +184,17 @@
     }
 
     /// Runs the request and measures how long it took.
-    fn execute(&mut self, job: &Job) -> (Outcome, Option<Duration>) {
+    fn execute(&mut self, job: &Job, admission: Option<Admission>) -> (Outcome, Option<Duration>) {
         let begin = Instant::now();
         let outcome = self.run_on_connection(&job.request, job.deadline);
         if outcome.is_err() {
             self.drop_connection();
         }
+        let outcome = outcome.and_then(|answer| {
+            let verified =
+                admission.map(|admission| admission.verify(&job.request, answer.position));
+            verified.unwrap_or(Ok(())).map(|()| answer)
+        });
         (outcome, Some(begin.elapsed()))
     }
 
@@ -193,7 +212,7 @@
             upstream.adopt_settings(settings).map_err(|error| settings_failure(&error))?;
         }
         self.server.request_started(self.id, upstream.cancel_key());
-        let answer = run_request(upstream, request).map_err(|error| run_failure(&error))?;
+        let answer = run_request(upstream, request)?;
         if request.leaves_state {
             upstream.mark_leaves_state();
         }
@@ -220,6 +239,7 @@
         let timeout = self.server.context().limits.connect_timeout();
         let upstream = UpstreamConnection::connect(address, timeout)
             .map_err(|error| self.connect_failure(&error))?;
+        self.server.note_closer(self.id, upstream.closer().ok());
         self.connection = Some(OpenConnection { address: address.clone(), upstream });
         Ok(())
     }
@@ -230,13 +250,25 @@
         Failure::not_run(FailureKind::Unavailable, format!("server {server}: {error}"))
     }
 
-    fn confirm(&self, job: &Job, outcome: Outcome) -> Outcome {
-        let answer = outcome?;
-        let wrote = job.request.target == Target::Primary && answer.state == WireState::Idle;
-        if let Some(position) = answer.position.filter(|_| wrote) {
-            self.server.context().guard.confirm(&job.request, position, job.deadline)?;
+    /// Replies at once, or once the majority holds what the request committed.
+    fn reply(&self, job: Job, outcome: Outcome, position_before: Option<TermPosition>) {
+        let committed = outcome.as_ref().ok().and_then(|answer| {
+            let has_ended = answer.state == WireState::Idle;
+            let may_write = job.request.target == Target::Primary;
+            answer
+                .position
+                .filter(|position| may_write && has_ended && Some(*position) != position_before)
+        });
+        match (outcome, committed) {
+            (Ok(answer), Some(position)) => {
+                self.server.settle_later(Pending::Commit { job, answer, position });
+            }
+            (outcome, _) => self.server.answer(job.reply, outcome),
         }
-        Ok(answer)
+    }
+
+    fn position(&self) -> Option<TermPosition> {
+        self.connection.as_ref().and_then(|open| open.upstream.position())
     }
 
     fn roll_back(&mut self) {
@@ -251,21 +283,27 @@
     }
 
     fn drop_connection(&mut self) {
-        self.connection = None;
+        if self.connection.take().is_some() {
+            self.server.note_closer(self.id, None);
+        }
     }
 }
 
 fn run_request(
     upstream: &mut UpstreamConnection,
     request: &UpstreamRequest,
-) -> Result<Answer, UpstreamError> {
+) -> Result<Answer, Failure> {
     let needed: Vec<_> = request
         .prepared
         .iter()
         .map(|statement| Needed { name: &statement.name, message: &statement.message })
         .collect();
+    if let Some(RequestKey { key, fingerprint }) = &request.request_key {
+        let key = KeyedRequest { key: key.clone(), fingerprint: *fingerprint };
+        return KeyedRun { upstream, request, key, needed: &needed }.run();
+    }
     let preparation = Preparation { needed: &needed, prepares: &request.prepares };
-    upstream.run(preparation, &request.payload)
+    upstream.run(preparation, &request.payload).map_err(|error| run_failure(&error))
 }
 
 fn transaction_lost() -> Failure {
--- a/testutils/src/processes.rs
+++ b/testutils/src/processes.rs
@@ -4,6 +4,7 @@
 
 pub mod deployment;
 pub(crate) mod document;
+mod faults;
 
 use std::io::{self, BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr};
