--- a/daemon/src/owner/worker.rs
+++ b/daemon/src/owner/worker.rs
@@ -104,11 +104,13 @@
         };
         let is_open = matches!(&outcome, Ok(answer) if answer.state != WireState::Idle);
         self.holder = is_open.then(|| Holder { session, idle_since: Instant::now() });
-        if !is_open {
+        let after = self.connection_after();
+        self.server.request_finished(request, self.id, after, took);
+        self.reply(job, outcome, position_before);
+        if after == ConnectionAfter::Idle {
             self.reset();
+            self.server.connection_rested(self.id, self.connection_after());
         }
-        self.server.request_finished(request, self.id, self.connection_after(), took);
-        self.reply(job, outcome, position_before);
     }
 
     /// Makes the connection fit for another session.
