platform: resolve IP addresses without a thread for each call

A run of masticreel-time-to-force panicked while the machine had no room for threads (28,840 in use by tests of others): the HTTP library's default resolver starts a thread for each call and panics when that is refused. In the daemon this would have ended the thread that reads the store. IP addresses, which the settings use, are now taken as they are.

cli: report asks the operators' ports in the settings as well, since members don't know each other's.

--- a/cli/src/commands/views.rs
+++ b/cli/src/commands/views.rs
@@ -1,6 +1,8 @@
 //! Shows what instances answer on their operators' ports.
 
+use std::collections::BTreeSet;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::path::Path;
 
 use masticreel_burn::page::render_page;
@@ -70,9 +72,13 @@
     Out: Write,
 {
     let members: Vec<MemberReport> = context.operators.get(INSTANCES_PATH)?;
+    // Members know each other's ports for instances, not those for operators.
+    let known = members.iter().filter_map(|member| member.operators);
+    let addresses: BTreeSet<SocketAddr> =
+        known.chain(context.settings.instances.iter().copied()).collect();
     let mut answered = 0;
     let mut all: Vec<LevelReport> = Vec::new();
-    for address in members.iter().filter_map(|member| member.operators) {
+    for address in addresses {
         if let Ok(levels) = context.operators.get_from::<Vec<LevelReport>>(address, REPORT_PATH) {
             answered += 1;
             all.extend(levels);
@@ -84,8 +90,9 @@
         std::fs::write(file, render_page(&title, &levels))
             .map_err(|error| CliError::File(Path::new(file).to_owned(), error))?;
     }
+    let counted = members.iter().filter(|member| member.is_counted()).count();
     context.print(&levels, |levels| {
-        format!("{}from {answered} of {} instances\n", render_table(levels), members.len())
+        format!("{}from {answered} of {counted} instances\n", render_table(levels))
     })?;
     Ok(Exit::Done)
 }
--- a/cli/src/operators.rs
+++ b/cli/src/operators.rs
@@ -6,6 +6,7 @@
 use displaydoc::Display;
 use masticreel_document::document::Document;
 use masticreel_document::wire::WireDocument;
+use masticreel_platform::http::agent;
 use masticreel_report::operators::{DOCUMENT_PATH, SIGNATURE_HEADER};
 use masticreel_wire::frame::SharedKey;
 use masticreel_wire::signature::sign;
@@ -31,8 +32,7 @@
 impl Operators {
     /// Creates a client that asks the first instance that answers.
     pub fn new(addresses: &[SocketAddr], timeout: Duration) -> Self {
-        let config = ureq::Agent::config_builder().timeout_global(Some(timeout)).build();
-        Self { agent: config.into(), addresses: addresses.to_vec() }
+        Self { agent: agent(timeout), addresses: addresses.to_vec() }
     }
 
     /// Asks for what a path answers.
--- a/cli/tests/test_processes.rs
+++ b/cli/tests/test_processes.rs
@@ -325,6 +325,8 @@
     let levels: serde_json::Value = serde_json::from_str(&ended.out).unwrap();
     assert_eq!(levels[0]["name"], "reads");
     assert_eq!(levels[0]["long"]["total"], 7);
+    let ended = bench.run(&["report"]);
+    assert!(ended.out.ends_with("from 2 of 2 instances\n"), "{}", ended.out);
     let page = std::fs::read_to_string(bench.folder.join("report.html")).unwrap();
     assert!(page.contains("<svg"), "{page}");
 
--- a/lib/platform/src/etcd.rs
+++ b/lib/platform/src/etcd.rs
@@ -8,6 +8,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde::{Deserialize, Serialize};
 
+use crate::http::agent;
 use crate::store::{CommitOutcome, Compare, KeyValue, PlatformStore, Put, Snapshot, StoreError};
 
 /// A client of an etcd v3 JSON gateway.
@@ -20,8 +21,7 @@
 impl EtcdStore {
     /// Creates a client of the gateway at an endpoint such as `http://127.0.0.1:2379`.
     pub fn new(endpoint: &str, timeout: Duration) -> Self {
-        let config = ureq::Agent::config_builder().timeout_global(Some(timeout)).build();
-        Self { agent: config.into(), endpoint: endpoint.trim_end_matches('/').into() }
+        Self { agent: agent(timeout), endpoint: endpoint.trim_end_matches('/').into() }
     }
 
     fn call<Request, Response>(&self, path: &str, request: &Request) -> Result<Response, StoreError>
--- a/lib/platform/src/instance_list.rs
+++ b/lib/platform/src/instance_list.rs
@@ -11,6 +11,8 @@
 use masticreel_base::ids::{FailureDomain, InstanceId};
 use serde::Deserialize;
 
+use crate::http::agent;
+
 /// What the platform intends for an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -66,8 +68,7 @@
 impl HttpInstanceList {
     /// Creates a client of the list at a URL such as `http://127.0.0.1:8500/instances`.
     pub fn new(url: &str, timeout: Duration) -> Self {
-        let config = ureq::Agent::config_builder().timeout_global(Some(timeout)).build();
-        Self { agent: config.into(), url: url.into() }
+        Self { agent: agent(timeout), url: url.into() }
     }
 }
 
--- a/lib/platform/src/lib.rs
+++ b/lib/platform/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod document_store;
 pub mod editor;
 pub mod etcd;
+pub mod http;
 pub mod instance_list;
 pub mod store;
--- a/lib/platform/tests/test_etcd.rs
+++ b/lib/platform/tests/test_etcd.rs
@@ -1,7 +1,7 @@
 //! Tests of the etcd adapter against canned answers.
 
 use std::io::{Read as _, Write as _};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::Duration;
 
@@ -21,6 +21,11 @@
 
 /// Serves one request and returns a client of the server.
 fn serve(body: &str, ending: Ending) -> EtcdStore {
+    serve_at(body, ending).1
+}
+
+/// Serves one request and returns the server's address and a client of it.
+fn serve_at(body: &str, ending: Ending) -> (SocketAddr, EtcdStore) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let body = body.to_owned();
@@ -35,7 +40,7 @@
             stream.read_exact(&mut [0; 1]).ok();
         }
     });
-    EtcdStore::new(&format!("http://{address}/"), Duration::from_secs(10))
+    (address, EtcdStore::new(&format!("http://{address}/"), Duration::from_secs(10)))
 }
 
 /// Reads to the end of the JSON body.
@@ -67,6 +72,15 @@
     assert_eq!(snapshot.entries[0].mod_revision, 8);
 }
 
+#[test]
+fn test_an_endpoint_may_be_a_name() {
+    let body = r#"{"header":{"revision":"9"}}"#;
+    let (address, _) = serve_at(body, Ending::Close);
+    let endpoint = format!("http://localhost:{}", address.port());
+    let store = EtcdStore::new(&endpoint, Duration::from_secs(10));
+    assert_eq!(store.read_prefix("a/").unwrap().revision, 9);
+}
+
 #[test]
 fn test_a_transaction_is_committed_or_in_conflict() {
     let compare = [Compare { key: "k".to_owned(), mod_revision: 3 }];
--- a/testutils/src/bin/masticreel-time-to-force.rs
+++ b/testutils/src/bin/masticreel-time-to-force.rs
@@ -96,8 +96,8 @@
         DeploymentSettings { instances: arguments.instances, ..DeploymentSettings::default() };
     let deployment = Deployment::start("time-to-force", settings)?;
     let store = EtcdStore::new(&deployment.store_endpoint()?, CALL_TIMEOUT);
-    let config = ureq::Agent::config_builder().timeout_global(Some(CALL_TIMEOUT)).build();
-    let mut bench = Bench { deployment, store, agent: config.into(), fault: arguments.fault };
+    let agent = masticreel_platform::http::agent(CALL_TIMEOUT);
+    let mut bench = Bench { deployment, store, agent, fault: arguments.fault };
     // Membership settles before the first edit.
     thread::sleep(Duration::from_secs(2));
     bench.order_store("counts/reset")?;
@@ -243,7 +243,7 @@
 
     fn control(&self, order: &str) -> Result<serde_json::Value, Box<dyn Error>> {
         let control = self.deployment.store.address("control").ok_or("no control address")?;
-        let mut response = ureq::get(format!("http://{control}/{order}")).call()?;
+        let mut response = self.agent.get(format!("http://{control}/{order}")).call()?;
         Ok(response.body_mut().read_json()?)
     }
 }
