--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -142,7 +142,6 @@
         owner.start_ticker(directory.clone())?;
         let link_server = LinkServer::new(
             owner.clone(),
-            documents.clone(),
             watch.clone(),
             documents.clone(),
             key.clone(),
