--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -18,21 +18,22 @@
 
 use crate::burn::{BurnAccount, BurnWatch};
 use crate::caller::server::{CallerServer, CallerServerParts};
-use crate::directory::{Candidate, OwnerLocation, StaticDirectory};
 use crate::documents::Documents;
 use crate::entry::dispatch::Dispatcher;
 use crate::entry::router::Router;
+use crate::fleet::directory::FleetDirectory;
+use crate::fleet::{self, FleetHandle, FleetParts};
 use crate::groups::Groups;
 use crate::link::client::LinkPool;
 use crate::link::server::LinkServer;
 use crate::metrics::Metrics;
 use crate::operator::OperatorServer;
 use crate::operator::pages::Pages;
-use crate::operator::view::SettingsView;
+use crate::operator::view::SnapshotView;
 use crate::owner::guard::ServerGuard;
 use crate::owner::{Owner, OwnerContext};
 use crate::reporter::Reporter;
-use crate::settings::{PeerSettings, Settings};
+use crate::settings::Settings;
 use crate::views::Views;
 use crate::watch::guard::WatchGuard;
 use crate::watch::{ObserverIdentity, Watch};
@@ -62,12 +63,13 @@
 /// How long entries that did not hear of a shutdown are still told of it.
 const HANDOVER_NOTICE: Duration = Duration::from_millis(500);
 
-type Guard = WatchGuard<StaticDirectory>;
+type Guard = WatchGuard<FleetDirectory>;
 
 /// One running instance.
 pub struct Instance {
-    callers: Arc<CallerServer<Guard, StaticDirectory>>,
+    callers: Arc<CallerServer<Guard, FleetDirectory>>,
     owner: Arc<Owner<Guard>>,
+    fleet: FleetHandle,
     caller_address: SocketAddr,
     shutdown_timeout: Duration,
     logger: Logger,
@@ -91,10 +93,29 @@
         let peer_listener = listen(own.peer_address)?;
         let operator_listener = listen(own.operator_address)?;
         let caller_address = caller_listener.local_addr()?;
+        let operator_address = operator_listener.local_addr()?;
+        let peer_address = peer_listener.local_addr()?;
 
-        let documents = start_documents(settings, &metrics, logger, &cancellation)?;
+        let documents = Documents::new(metrics.clone(), logger.clone());
+        documents.refresh(&store(settings));
         let groups = Groups::new(documents.cell());
-        let directory = directory(settings);
+        let key = SharedKey::from_text(&own.shared_key);
+        let hello = Hello { instance: own.name.clone(), incarnation };
+        let links = LinkPool::new(hello, key.clone());
+        let fleet_parts = FleetParts {
+            clock: SystemClock,
+            address: peer_address,
+            documents: documents.clone(),
+            links: links.clone(),
+            key: key.clone(),
+            metrics: metrics.clone(),
+            logger: logger.clone(),
+            cancellation: cancellation.clone(),
+        };
+        let fleet = fleet::start(settings, fleet_parts)?;
+        // Who has not joined believes to be alone and to own all servers.
+        fleet.wait_until_joined(&cancellation);
+        let directory = FleetDirectory::new(fleet.clone());
         let identity = ObserverIdentity {
             instance: own.name.clone(),
             failure_domain: own.failure_domain.clone(),
@@ -119,10 +140,10 @@
         let owner = Arc::new(Owner::new(context, groups.clone()));
         abandon_demoted(owner.clone(), demotions)?;
         owner.start_ticker(directory.clone())?;
-        let key = SharedKey::from_text(&own.shared_key);
         let link_server = LinkServer::new(
             owner.clone(),
             watch.clone(),
+            documents.clone(),
             key.clone(),
             logger.clone(),
             cancellation.clone(),
@@ -133,15 +154,18 @@
             name: own.name.clone(),
             failure_domain: own.failure_domain.clone(),
             documents: documents.clone(),
-            view: SettingsView::new(settings, documents.clone(), groups.clone()),
+            view: SnapshotView::new(
+                fleet.clone(),
+                operator_address,
+                documents.clone(),
+                groups.clone(),
+            ),
             burn: burn.clone(),
             key: key.clone(),
             stopping: stopping.clone(),
         };
         start_reports(settings, pages, operator_listener, &metrics, logger, &cancellation)?;
 
-        let hello = Hello { instance: own.name.clone(), incarnation };
-        let links = LinkPool::new(hello, key);
         let views = Views::start(
             watch,
             directory.clone(),
@@ -173,6 +197,7 @@
         Ok(Self {
             callers,
             owner,
+            fleet,
             caller_address,
             shutdown_timeout: settings.limits.shutdown_timeout(),
             logger: logger.clone(),
@@ -194,6 +219,7 @@
     pub fn stop(self) {
         info!(self.logger, "instance stopping");
         self.stopping.cancel();
+        self.fleet.set_leaving(true);
         let deadline = Instant::now() + self.shutdown_timeout;
         if !self.callers.drain(self.shutdown_timeout) {
             warn!(self.logger, "instance stopped with callers left"; "reason" => "timeout");
@@ -203,6 +229,7 @@
             warn!(self.logger, "instance stopped with requests left"; "reason" => "timeout");
         }
         self.cancellation.wait_timeout(HANDOVER_NOTICE);
+        self.fleet.say_farewell(&self.cancellation);
         self.cancellation.cancel();
         info!(self.logger, "instance stopped");
     }
@@ -229,7 +256,7 @@
 /// Starts all that tells operators how the instance is.
 fn start_reports(
     settings: &Settings,
-    pages: Pages<SettingsView, SystemClock>,
+    pages: Pages<SnapshotView, SystemClock>,
     listener: TcpListener,
     metrics: &Metrics,
     logger: &Logger,
@@ -243,20 +270,6 @@
     OperatorServer::new(metrics.clone(), pages).start(listener, cancellation.clone())
 }
 
-fn start_documents(
-    settings: &Settings,
-    metrics: &Metrics,
-    logger: &Logger,
-    cancellation: &CancellationToken,
-) -> io::Result<Documents> {
-    let store = store(settings);
-    let documents = Documents::new(metrics.clone(), logger.clone());
-    documents.refresh(&store);
-    let interval = Duration::from_millis(settings.platform.document_poll_ms);
-    documents.clone().follow(store, interval, cancellation.clone())?;
-    Ok(documents)
-}
-
 /// Closes connections to replaced primaries, on a thread of its own.
 fn abandon_demoted<Guard>(owner: Arc<Owner<Guard>>, demotions: Receiver<ServerId>) -> io::Result<()>
 where
@@ -269,23 +282,3 @@
     })?;
     Ok(())
 }
-
-fn directory(settings: &Settings) -> StaticDirectory {
-    let own = &settings.instance;
-    let mut candidates: Vec<Candidate> =
-        settings.peers.iter().filter(|peer| peer.name != own.name).map(peer_candidate).collect();
-    candidates.push(Candidate {
-        name: own.name.clone(),
-        failure_domain: own.failure_domain.clone(),
-        location: OwnerLocation::Local,
-    });
-    StaticDirectory::new(candidates)
-}
-
-fn peer_candidate(peer: &PeerSettings) -> Candidate {
-    Candidate {
-        name: peer.name.clone(),
-        failure_domain: peer.failure_domain.clone(),
-        location: OwnerLocation::Remote(peer.peer_address),
-    }
-}
