--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -2,6 +2,7 @@
 //!
 //! See `docs/design/05-read-your-writes.md` and `docs/design/06-verdicts.md`.
 
+mod attempts;
 mod demands;
 pub mod dispatch;
 pub mod gate;
--- a/daemon/src/entry/reads.rs
+++ b/daemon/src/entry/reads.rs
@@ -12,7 +12,8 @@
 use masticreel_wire::message::Target;
 
 use crate::directory::OwnerDirectory;
-use crate::entry::router::{Attempts, Destination, Router, SessionRoute};
+use crate::entry::attempts::Attempts;
+use crate::entry::router::{Destination, Router, SessionRoute};
 use crate::owner::guard::ServerGuard;
 
 /// How long a read may wait for a replica before the primary serves it.
--- a/daemon/src/entry/router.rs
+++ b/daemon/src/entry/router.rs
@@ -4,19 +4,20 @@
 use std::time::Instant;
 
 use masticreel_admission::retry_budget::RetryBudget;
-use masticreel_base::failure::{Failure, FailureKind, Verdict};
+use masticreel_base::failure::{Failure, FailureKind};
 use masticreel_base::ids::{FailureDomain, GroupId, RequestId};
 use masticreel_document::class::Class;
 use masticreel_document::groups::{GroupSpec, ServerSpec};
 use masticreel_postgres::request::{NeededStatement, RequestPlan};
 use masticreel_postgres::statement::StatementKind;
-use masticreel_session::retry::{FailedAttempt, RetryDecision, decide};
+use masticreel_session::retry::RetryDecision;
 use masticreel_wire::message::{
     Pinning, PreparedStatement, SessionKey, Target, TransactionState, UpstreamAnswer,
     UpstreamRequest, WireClass,
 };
 
 use crate::directory::{OwnerDirectory, OwnerLocation};
+use crate::entry::attempts::{Attempts, loads_server, refusal_as_failure, transaction_failure};
 use crate::entry::demands::Demands;
 use crate::entry::dispatch::Dispatcher;
 use crate::entry::gate::{Gate, Treatment};
@@ -29,9 +30,6 @@
 use crate::views::Views;
 use crate::views::positions::Positions;
 
-/// SQLSTATE of a write that a server refused because it is not the primary.
-const SQLSTATE_READ_ONLY: &str = "25006";
-
 /// What routing must know about a caller's session.
 #[derive(Debug)]
 pub struct SessionRoute {
@@ -77,19 +75,6 @@
     pub(super) target: Target,
 }
 
-/// A request under way, with what its failed attempts have taught.
-pub(super) struct Attempts<'request> {
-    plan: &'request RequestPlan,
-    pub(super) treatment: Treatment,
-    pub(super) demands: Demands,
-    pub(super) deadline: Instant,
-    failed: u32,
-    /// A replica could not serve the request, so the primary must.
-    pub(super) avoids_replicas: bool,
-    /// The request writes, or a server said so.
-    is_write: bool,
-}
-
 /// Sends requests to the right servers.
 pub struct Router<Guard, Directory> {
     dispatcher: Dispatcher<Guard, Directory>,
@@ -349,55 +334,6 @@
     }
 }
 
-/// Says what is known of a statement that failed with its transaction.
-///
-/// Whatever ran before is rolled back, so only a request that commits may have
-/// an effect.
-fn transaction_failure(plan: &RequestPlan, failure: Failure) -> Failure {
-    let commits = plan.statements.iter().any(|statement| {
-        statement.kind == StatementKind::Commit || prepares_transaction(&statement.text)
-    });
-    if commits || failure.verdict != Verdict::MayHaveRun {
-        return failure;
-    }
-    Failure::not_run(FailureKind::TransactionLost, failure.message)
-}
-
-/// Turns a server's refusal to write into a failure that can be retried.
-fn refusal_as_failure(plan: &RequestPlan, outcome: Outcome) -> Outcome {
-    let answer = outcome?;
-    let is_alone = plan.statements.len() == 1 && answer.state == TransactionState::Idle;
-    if is_alone && is_read_only_refusal(&answer) {
-        let message = "the server is not the primary";
-        return Err(Failure::not_run(FailureKind::NotPrimary, message));
-    }
-    Ok(answer)
-}
-
-fn is_read_only_refusal(answer: &UpstreamAnswer) -> bool {
-    answer.sqlstate.as_deref() == Some(SQLSTATE_READ_ONLY)
-}
-
-impl Attempts<'_> {
-    fn decide(&self, failure: &Failure) -> RetryDecision {
-        let failed = FailedAttempt {
-            earlier_attempts: self.failed,
-            idempotent: self.demands.is_idempotent(),
-            deadline: self.deadline,
-        };
-        decide(&failed, failure, rand::random(), Instant::now())
-    }
-
-    fn learn_from(&mut self, failure: &Failure) {
-        self.failed += 1;
-        match failure.kind {
-            FailureKind::BehindFloor => self.avoids_replicas = true,
-            FailureKind::NotPrimary if !self.is_write => self.is_write = true,
-            _ => {}
-        }
-    }
-}
-
 /// Raises the session's floor to what it has now written or seen.
 fn note_answer(
     identity: &mut SessionIdentity,
@@ -415,18 +351,6 @@
     }
 }
 
-/// Returns whether a statement may be `PREPARE TRANSACTION`.
-fn prepares_transaction(text: &str) -> bool {
-    let text = text.to_ascii_lowercase();
-    text.contains("prepare") && text.contains("transaction")
-}
-
-/// Returns whether the failed attempt reached a server, so that trying again
-/// adds load.
-fn loads_server(failure: &Failure) -> bool {
-    failure.kind == FailureKind::NotPrimary
-}
-
 fn wire_class(class: Class) -> WireClass {
     match class {
         Class::Urgent => WireClass::Urgent,
