--- a/daemon/src/entry/router.rs
+++ b/daemon/src/entry/router.rs
@@ -1,32 +1,34 @@
 //! Choosing the server for a request and trying again where that is safe.
 
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use masticreel_admission::retry_budget::RetryBudget;
 use masticreel_base::failure::{Failure, FailureKind, Verdict};
-use masticreel_base::ids::{GroupId, RequestId};
+use masticreel_base::ids::{FailureDomain, GroupId, RequestId};
 use masticreel_document::class::Class;
 use masticreel_document::groups::{GroupSpec, ServerSpec};
 use masticreel_postgres::request::{NeededStatement, RequestPlan};
 use masticreel_postgres::statement::StatementKind;
+use masticreel_session::retry::{FailedAttempt, RetryDecision, decide};
 use masticreel_wire::message::{
     Pinning, PreparedStatement, SessionKey, Target, TransactionState, UpstreamAnswer,
     UpstreamRequest, WireClass,
 };
 
 use crate::directory::{OwnerDirectory, OwnerLocation};
+use crate::entry::demands::Demands;
 use crate::entry::dispatch::Dispatcher;
 use crate::entry::gate::{Gate, Treatment};
+use crate::entry::identity::SessionIdentity;
 use crate::groups::Groups;
+use crate::metrics::Metrics;
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::Outcome;
 use crate::settings::LimitSettings;
+use crate::views::Views;
+use crate::views::positions::Positions;
 
-/// Wait before the first repeated attempt.
-const FIRST_RETRY_DELAY: Duration = Duration::from_millis(5);
-/// Longest wait between two attempts.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// SQLSTATE of a write that a server refused because it is not the primary.
 const SQLSTATE_READ_ONLY: &str = "25006";
 
@@ -43,6 +45,8 @@
     pub settings: Vec<Arc<str>>,
     /// The owner and server that hold the session's open transaction.
     pub pinned: Option<PinnedServer>,
+    /// What the session must see.
+    pub identity: SessionIdentity,
     /// How the session's latest request competed with others.
     pub class: Class,
     /// What the session may try again.
@@ -67,19 +71,34 @@
     pub is_urgent: bool,
 }
 
-/// Where one attempt goes.
-#[derive(Debug, Clone, Copy)]
-struct Destination<'spec> {
-    group: &'spec GroupSpec,
-    server: &'spec ServerSpec,
-    pinning: Pinning,
+/// Where an attempt goes.
+pub(super) struct Destination {
+    pub(super) server: ServerSpec,
+    pub(super) target: Target,
+}
+
+/// A request under way, with what its failed attempts have taught.
+pub(super) struct Attempts<'request> {
+    plan: &'request RequestPlan,
+    pub(super) treatment: Treatment,
+    pub(super) demands: Demands,
+    pub(super) deadline: Instant,
+    failed: u32,
+    /// A replica could not serve the request, so the primary must.
+    pub(super) avoids_replicas: bool,
+    /// The request writes, or a server said so.
+    is_write: bool,
 }
 
 /// Sends requests to the right servers.
 pub struct Router<Guard, Directory> {
     dispatcher: Dispatcher<Guard, Directory>,
     groups: Groups,
+    pub(super) views: Arc<Views<Directory>>,
+    pub(super) positions: Positions,
+    pub(super) failure_domain: FailureDomain,
     limits: LimitSettings,
+    metrics: Metrics,
     gate: Gate,
 }
 
@@ -92,10 +111,14 @@
     pub fn new(
         dispatcher: Dispatcher<Guard, Directory>,
         groups: Groups,
+        views: Arc<Views<Directory>>,
+        failure_domain: FailureDomain,
         limits: LimitSettings,
+        metrics: Metrics,
     ) -> Self {
         let gate = Gate::new(limits.max_concurrent_requests);
-        Self { dispatcher, groups, limits, gate }
+        let positions = Positions::default();
+        Self { dispatcher, groups, views, positions, failure_domain, limits, metrics, gate }
     }
 
     /// Returns whether a database is in the document.
@@ -110,12 +133,32 @@
     /// Fails with a verdict that says whether the request may have run.
     pub fn run(&self, session: &mut SessionRoute, plan: &RequestPlan) -> Outcome {
         let deadline = Instant::now() + self.limits.request_timeout();
-        let treatment = Treatment::of(&self.groups.document(), plan)?;
+        let document = self.groups.document();
+        let treatment = Treatment::of(&document, plan)?;
+        let demands = Demands::new(plan, document.policy())?;
+        if let Some(token) = &demands.tags.token {
+            session.identity.merge_token(token)?;
+        }
         session.class = treatment.class;
         let Some(pinned) = session.pinned.clone() else {
             let _pass = self.gate.enter(treatment.class)?;
-            return self.run_free(session, plan, treatment, deadline);
+            let is_write = !demands.is_read || demands.request_key.is_some();
+            let avoids_replicas = false;
+            let attempts = Attempts {
+                plan,
+                treatment,
+                demands,
+                deadline,
+                failed: 0,
+                avoids_replicas,
+                is_write,
+            };
+            return self.run_free(session, attempts);
         };
+        if demands.request_key.is_some() {
+            let message = "a request key can't be used in an open transaction";
+            return Err(Failure::not_run(FailureKind::Unsupported, message));
+        }
         // The server's connections bound the open transactions, so they pass
         // the door freely; a refusal would only keep their locks longer.
         self.run_pinned(session, plan, treatment, pinned, deadline)
@@ -144,12 +187,13 @@
         pinned.is_urgent |= treatment.class == Class::Urgent;
         let class = if pinned.is_urgent { Class::Urgent } else { treatment.class };
         let treatment = Treatment { class, ..treatment };
-        let destination =
-            Destination { group: &pinned.group, server: &pinned.server, pinning: Pinning::Pinned };
-        let request = self.request(session, plan, treatment, destination, deadline);
+        let mut request =
+            self.request(session, plan, treatment, &pinned.group, &pinned.server, deadline);
+        request.pinning = Pinning::Pinned;
         session.pinned = None;
         match self.run_at(pinned.owner, session, request, deadline) {
             Ok(answer) => {
+                note_answer(&mut session.identity, &pinned.group.name, &answer, true);
                 let is_open = answer.state != TransactionState::Idle;
                 session.pinned = is_open.then_some(pinned);
                 Ok(answer)
@@ -162,49 +206,39 @@
         }
     }
 
-    fn run_free(
-        &self,
-        session: &mut SessionRoute,
-        plan: &RequestPlan,
-        treatment: Treatment,
-        deadline: Instant,
-    ) -> Outcome {
+    fn run_free(&self, session: &mut SessionRoute, mut attempts: Attempts<'_>) -> Outcome {
         let group = self.group(session)?;
         self.gate.attempted(&mut session.retry_budget, &group.name);
-        let mut delay = FIRST_RETRY_DELAY;
         let mut has_paid = false;
         loop {
-            let outcome = self.attempt(session, plan, treatment, deadline);
-            let outcome = refusal_as_failure(plan, outcome);
+            let outcome = self.attempt(session, &group, &attempts);
+            let outcome = refusal_as_failure(attempts.plan, outcome);
             if has_paid && outcome.is_ok() {
                 self.gate.retry_succeeded(&mut session.retry_budget, &group.name);
             }
             let Err(failure) = outcome else { return outcome };
-            if !is_worth_retrying(&failure) {
-                return Err(failure);
-            }
             has_paid = loads_server(&failure);
-            if !self.wait_to_retry(session, &group.name, has_paid, &mut delay, deadline) {
+            if !self.wait_to_retry(session, &group.name, &mut attempts, &failure) {
                 return Err(failure);
             }
         }
     }
 
-    /// Waits until another attempt may be made; returns whether there is time.
+    /// Waits until another attempt may be made; returns whether one may.
     fn wait_to_retry(
         &self,
         session: &mut SessionRoute,
         group: &GroupId,
-        must_pay: bool,
-        delay: &mut Duration,
-        deadline: Instant,
+        attempts: &mut Attempts<'_>,
+        failure: &Failure,
     ) -> bool {
         loop {
-            if Instant::now() + *delay >= deadline {
+            let RetryDecision::RetryAfter(delay) = attempts.decide(failure) else {
                 return false;
-            }
-            std::thread::sleep(*delay);
-            *delay = MAX_RETRY_DELAY.min(*delay * 2);
+            };
+            std::thread::sleep(delay);
+            attempts.learn_from(failure);
+            let must_pay = loads_server(failure);
             let now = Instant::now();
             if !must_pay || self.gate.may_retry(&mut session.retry_budget, group, now) {
                 return true;
@@ -222,33 +256,51 @@
     fn attempt(
         &self,
         session: &mut SessionRoute,
-        plan: &RequestPlan,
-        treatment: Treatment,
-        deadline: Instant,
+        group: &GroupSpec,
+        attempts: &Attempts<'_>,
     ) -> Outcome {
-        let group = self.group(session)?;
-        let server = self
-            .groups
-            .primary(&group)
-            .ok_or_else(|| Failure::not_run(FailureKind::Unavailable, "the group has no server"))?;
-        let owner = self.dispatcher.owners(server).first().copied().ok_or_else(|| {
+        let Attempts { plan, treatment, deadline, is_write, .. } = *attempts;
+        let destination = if is_write {
+            self.primary(group)?
+        } else {
+            self.read_destination(session, group, attempts)?
+        };
+        let server = destination.server;
+        let owner = self.dispatcher.owners(&server).first().copied().ok_or_else(|| {
             Failure::not_run(FailureKind::Unavailable, "no instance owns the server")
         })?;
-        let pinning = if treatment.begins { Pinning::Begins } else { Pinning::Free };
-        let destination = Destination { group: &group, server, pinning };
-        let request = self.request(session, plan, treatment, destination, deadline);
+        let mut request = self.request(session, plan, treatment, group, &server, deadline);
+        request.target = destination.target;
+        request.request_key = attempts.demands.request_key.clone();
         let answer = self.run_at(owner, session, request, deadline)?;
+        note_answer(&mut session.identity, &group.name, &answer, is_write);
+        if !is_write {
+            self.count_read(group, &server);
+        }
         if answer.state != TransactionState::Idle {
-            session.pinned = Some(PinnedServer {
-                owner,
-                server: server.clone(),
-                group: group.clone(),
-                is_urgent: treatment.class == Class::Urgent,
-            });
+            let is_urgent = treatment.class == Class::Urgent;
+            let group = group.clone();
+            session.pinned = Some(PinnedServer { owner, server, group, is_urgent });
         }
         Ok(answer)
     }
 
+    fn count_read(&self, group: &GroupSpec, server: &ServerSpec) {
+        let is_primary = self.views.view(&group.name).primary.as_ref() == Some(&server.name);
+        let served_by = if is_primary { "primary" } else { "replica" };
+        self.metrics.reads.with_label_values(&[served_by]).inc();
+    }
+
+    pub(super) fn primary(&self, group: &GroupSpec) -> Result<Destination, Failure> {
+        let view = self.views.view(&group.name);
+        let is_primary = |server: &&ServerSpec| view.primary.as_ref() == Some(&server.name);
+        let server = group.servers.iter().find(is_primary).cloned().ok_or_else(|| {
+            let message = format!("group {} has no primary at the moment", group.name);
+            Failure::not_run(FailureKind::Unavailable, message)
+        })?;
+        Ok(Destination { server, target: Target::Primary })
+    }
+
     fn run_at(
         &self,
         owner: OwnerLocation,
@@ -270,17 +322,18 @@
         session: &SessionRoute,
         plan: &RequestPlan,
         treatment: Treatment,
-        destination: Destination<'_>,
+        group: &GroupSpec,
+        server: &ServerSpec,
         deadline: Instant,
     ) -> UpstreamRequest {
         let remaining = deadline.saturating_duration_since(Instant::now());
         UpstreamRequest {
             id: RequestId::default(),
             session: session.key,
-            group: destination.group.name.clone(),
-            server: destination.server.name.clone(),
+            group: group.name.clone(),
+            server: server.name.clone(),
             target: Target::Primary,
-            pinning: destination.pinning,
+            pinning: if treatment.begins { Pinning::Begins } else { Pinning::Free },
             class: wire_class(treatment.class),
             user: session.user.clone(),
             database: session.database.clone(),
@@ -291,6 +344,7 @@
             payload: plan.payload.clone(),
             prepared: plan.needed.iter().map(prepared_statement).collect(),
             prepares: plan.prepares.clone(),
+            request_key: None,
         }
     }
 }
@@ -300,7 +354,9 @@
 /// Whatever ran before is rolled back, so only a request that commits may have
 /// an effect.
 fn transaction_failure(plan: &RequestPlan, failure: Failure) -> Failure {
-    let commits = plan.statements.iter().any(|statement| statement.kind == StatementKind::Commit);
+    let commits = plan.statements.iter().any(|statement| {
+        statement.kind == StatementKind::Commit || prepares_transaction(&statement.text)
+    });
     if commits || failure.verdict != Verdict::MayHaveRun {
         return failure;
     }
@@ -322,17 +378,47 @@
     answer.sqlstate.as_deref() == Some(SQLSTATE_READ_ONLY)
 }
 
-fn is_worth_retrying(failure: &Failure) -> bool {
-    if failure.verdict != Verdict::NotRun {
-        return false;
+impl Attempts<'_> {
+    fn decide(&self, failure: &Failure) -> RetryDecision {
+        let failed = FailedAttempt {
+            earlier_attempts: self.failed,
+            idempotent: self.demands.is_idempotent(),
+            deadline: self.deadline,
+        };
+        decide(&failed, failure, rand::random(), Instant::now())
     }
-    matches!(
-        failure.kind,
-        FailureKind::Unavailable
-            | FailureKind::NotPrimary
-            | FailureKind::NotOwner
-            | FailureKind::BehindFloor
-    )
+
+    fn learn_from(&mut self, failure: &Failure) {
+        self.failed += 1;
+        match failure.kind {
+            FailureKind::BehindFloor => self.avoids_replicas = true,
+            FailureKind::NotPrimary if !self.is_write => self.is_write = true,
+            _ => {}
+        }
+    }
+}
+
+/// Raises the session's floor to what it has now written or seen.
+fn note_answer(
+    identity: &mut SessionIdentity,
+    group: &GroupId,
+    answer: &UpstreamAnswer,
+    may_write: bool,
+) {
+    let Some(position) = answer.position else {
+        return;
+    };
+    if may_write && answer.state == TransactionState::Idle {
+        identity.note_write(group, position);
+    } else {
+        identity.note_read(group, position);
+    }
+}
+
+/// Returns whether a statement may be `PREPARE TRANSACTION`.
+fn prepares_transaction(text: &str) -> bool {
+    let text = text.to_ascii_lowercase();
+    text.contains("prepare") && text.contains("transaction")
 }
 
 /// Returns whether the failed attempt reached a server, so that trying again
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -3,12 +3,14 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
+use crossbeam_channel::{Receiver, unbounded};
 use displaydoc::Display;
 use masticreel_base::cancellation::CancellationToken;
 use masticreel_base::clock::{Clock, SystemClock};
-use masticreel_base::ids::Incarnation;
+use masticreel_base::ids::{Incarnation, ServerId};
 use masticreel_platform::etcd::EtcdStore;
 use masticreel_wire::frame::SharedKey;
 use masticreel_wire::message::Hello;
@@ -28,10 +30,13 @@
 use crate::operator::OperatorServer;
 use crate::operator::pages::Pages;
 use crate::operator::view::SnapshotView;
-use crate::owner::guard::Unguarded;
+use crate::owner::guard::ServerGuard;
 use crate::owner::{Owner, OwnerContext};
 use crate::reporter::Reporter;
 use crate::settings::Settings;
+use crate::views::Views;
+use crate::watch::guard::WatchGuard;
+use crate::watch::{ObserverIdentity, Watch};
 
 /// Why an instance can't start.
 #[derive(Debug, Display)]
@@ -58,10 +63,12 @@
 /// How long entries that did not hear of a shutdown are still told of it.
 const HANDOVER_NOTICE: Duration = Duration::from_millis(500);
 
+type Guard = WatchGuard<FleetDirectory>;
+
 /// One running instance.
 pub struct Instance {
-    callers: Arc<CallerServer<Unguarded, FleetDirectory>>,
-    owner: Arc<Owner<Unguarded>>,
+    callers: Arc<CallerServer<Guard, FleetDirectory>>,
+    owner: Arc<Owner<Guard>>,
     fleet: FleetHandle,
     caller_address: SocketAddr,
     shutdown_timeout: Duration,
@@ -87,29 +94,12 @@
         let operator_listener = listen(own.operator_address)?;
         let caller_address = caller_listener.local_addr()?;
         let operator_address = operator_listener.local_addr()?;
-
         let peer_address = peer_listener.local_addr()?;
 
         let documents = Documents::new(metrics.clone(), logger.clone());
         documents.refresh(&store(settings));
         let groups = Groups::new(documents.cell());
-        let context = OwnerContext {
-            guard: Unguarded,
-            limits: settings.limits.clone(),
-            metrics: metrics.clone(),
-            logger: logger.clone(),
-            cancellation: cancellation.clone(),
-        };
-        let owner = Arc::new(Owner::new(context, groups.clone()));
         let key = SharedKey::from_text(&own.shared_key);
-        LinkServer::new(
-            owner.clone(),
-            documents.clone(),
-            key.clone(),
-            logger.clone(),
-            cancellation.clone(),
-        )
-        .start(peer_listener)?;
         let hello = Hello { instance: own.name.clone(), incarnation };
         let links = LinkPool::new(hello, key.clone());
         let fleet_parts = FleetParts {
@@ -126,7 +116,39 @@
         // Who has not joined believes to be alone and to own all servers.
         fleet.wait_until_joined(&cancellation);
         let directory = FleetDirectory::new(fleet.clone());
+        let identity = ObserverIdentity {
+            instance: own.name.clone(),
+            failure_domain: own.failure_domain.clone(),
+            incarnation,
+        };
+        let (demoted, demotions) = unbounded();
+        let watch = Watch::start(
+            identity,
+            groups.clone(),
+            directory.clone(),
+            demoted,
+            logger.clone(),
+            cancellation.clone(),
+        )?;
+        let context = OwnerContext {
+            guard: WatchGuard::new(watch.clone()),
+            limits: settings.limits.clone(),
+            metrics: metrics.clone(),
+            logger: logger.clone(),
+            cancellation: cancellation.clone(),
+        };
+        let owner = Arc::new(Owner::new(context, groups.clone()));
+        abandon_demoted(owner.clone(), demotions)?;
         owner.start_ticker(directory.clone())?;
+        let link_server = LinkServer::new(
+            owner.clone(),
+            watch.clone(),
+            documents.clone(),
+            key.clone(),
+            logger.clone(),
+            cancellation.clone(),
+        );
+        link_server.start(peer_listener)?;
         let burn = BurnAccount::new(SystemClock);
         let pages = Pages {
             name: own.name.clone(),
@@ -144,8 +166,23 @@
         };
         start_reports(settings, pages, operator_listener, &metrics, logger, &cancellation)?;
 
+        let views = Views::start(
+            watch,
+            directory.clone(),
+            groups.clone(),
+            links.clone(),
+            cancellation.clone(),
+        )?;
         let dispatcher = Dispatcher::new(owner.clone(), links, directory);
-        let router = Router::new(dispatcher, groups, settings.limits.clone());
+        let domain = own.failure_domain.clone();
+        let router = Router::new(
+            dispatcher,
+            groups,
+            views,
+            domain,
+            settings.limits.clone(),
+            metrics.clone(),
+        );
         let parts = CallerServerParts {
             router,
             incarnation,
@@ -232,3 +269,16 @@
         .start(cancellation.clone())?;
     OperatorServer::new(metrics.clone(), pages).start(listener, cancellation.clone())
 }
+
+/// Closes connections to replaced primaries, on a thread of its own.
+fn abandon_demoted<Guard>(owner: Arc<Owner<Guard>>, demotions: Receiver<ServerId>) -> io::Result<()>
+where
+    Guard: ServerGuard,
+{
+    thread::Builder::new().name("demotions".to_owned()).spawn(move || {
+        for server in demotions {
+            owner.abandon(&server);
+        }
+    })?;
+    Ok(())
+}
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -18,6 +18,8 @@
     pub callers: IntGauge,
     /// Requests by outcome.
     pub requests: IntCounterVec,
+    /// Reads outside transactions, by the role of the server that answered.
+    pub reads: IntCounterVec,
     /// Time from a caller's request to its answer, by class.
     pub request_seconds: HistogramVec,
     /// Requests queued for a server, by class.
@@ -46,6 +48,11 @@
         let metrics = Self {
             registry: Registry::new(),
             callers: gauge("masticreel_callers", "Connections of callers."),
+            reads: counters(
+                "masticreel_reads_total",
+                "Reads by the role of the server that answered.",
+                &["served_by"],
+            ),
             requests: counters("masticreel_requests_total", "Requests by outcome.", &["outcome"]),
             request_seconds: histograms(
                 "masticreel_request_seconds",
@@ -92,6 +99,7 @@
         let results = [
             registry.register(Box::new(self.callers.clone())),
             registry.register(Box::new(self.requests.clone())),
+            registry.register(Box::new(self.reads.clone())),
             registry.register(Box::new(self.request_seconds.clone())),
             registry.register(Box::new(self.queued.clone())),
             registry.register(Box::new(self.queue_wait_seconds.clone())),
--- a/lib/session/src/retry.rs
+++ b/lib/session/src/retry.rs
@@ -55,15 +55,15 @@
 /// Returns whether the cause of a failure may be gone at the next attempt.
 fn may_pass(kind: FailureKind) -> bool {
     match kind {
-        FailureKind::Overloaded
-        | FailureKind::Unavailable
+        FailureKind::Unavailable
         | FailureKind::Lost
+        | FailureKind::Unconfirmed
         | FailureKind::NotPrimary
         | FailureKind::BehindFloor
         | FailureKind::NotOwner
         | FailureKind::ShuttingDown => true,
         FailureKind::UnknownDatabase
-        | FailureKind::Unconfirmed
+        | FailureKind::Overloaded
         | FailureKind::Cancelled
         | FailureKind::TransactionLost
         | FailureKind::Unsupported
