operator: show who leads each group by what is observed

'masticreel groups' named the first server of the document as primary and term 0. It now shows the view that routing uses: term, primary, and for each server whether it is a replica, diverged or silent, with the position it has applied. A test with processes kills the primary and waits for the new one.

--- a/cli/tests/test_processes.rs
+++ b/cli/tests/test_processes.rs
@@ -17,6 +17,7 @@
 use masticreel_report::instances::{InstanceReport, StoreState};
 use masticreel_report::operators::{DOCUMENT_PATH, SIGNATURE_HEADER, STATUS_PATH};
 use masticreel_testutils::pg_client::PgClient;
+use masticreel_testutils::processes::Signal;
 use masticreel_testutils::processes::deployment::{DATABASE, Deployment, DeploymentSettings};
 use masticreel_wire::frame::SharedKey;
 
@@ -103,6 +104,36 @@
     }
 }
 
+/// Who leads the deployment's group.
+#[derive(Debug)]
+struct Leader {
+    primary: String,
+    term: u64,
+}
+
+impl Bench {
+    fn leader(&self) -> Option<Leader> {
+        let ended = self.run(&["--json", "groups"]);
+        let groups: serde_json::Value = serde_json::from_str(&ended.out).unwrap();
+        let primary = groups[0]["primary"].as_str()?.to_owned();
+        Some(Leader { primary, term: groups[0]["term"].as_u64()? })
+    }
+
+    fn wait_for_leader<Check>(&self, check: Check) -> Leader
+    where
+        Check: Fn(&Leader) -> bool,
+    {
+        let deadline = Instant::now() + 2 * TIMEOUT;
+        loop {
+            match self.leader() {
+                Some(leader) if check(&leader) => return leader,
+                other => assert!(Instant::now() < deadline, "{other:?}"),
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
 struct Ended {
     code: i32,
     out: String,
@@ -306,6 +337,18 @@
     drop(stalled);
 }
 
+#[test]
+fn test_groups_tell_the_primary_after_a_failover() {
+    let mut bench = Bench::start("groups");
+    let first = format!("{DATABASE}-0");
+    let before = bench.wait_for_leader(|leader| leader.primary == first);
+    bench.deployment.servers[0].signal(Signal::Kill).unwrap();
+    let after = bench.wait_for_leader(|leader| leader.primary != first);
+    assert!(after.term > before.term, "{after:?} after {before:?}");
+    let ended = bench.run(&["groups"]);
+    assert!(ended.out.contains("silent"), "{}", ended.out);
+}
+
 #[test]
 fn test_reports_tell_levels_instances_and_groups() {
     let bench = Bench::start("reports");
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -149,6 +149,13 @@
             cancellation.clone(),
         );
         link_server.start(peer_listener)?;
+        let views = Views::start(
+            watch,
+            directory.clone(),
+            groups.clone(),
+            links.clone(),
+            cancellation.clone(),
+        )?;
         let burn = BurnAccount::new(SystemClock);
         let pages = Pages {
             name: own.name.clone(),
@@ -159,6 +166,7 @@
                 operator_address,
                 documents.clone(),
                 groups.clone(),
+                views.clone(),
             ),
             burn: burn.clone(),
             key: key.clone(),
@@ -166,13 +174,6 @@
         };
         start_reports(settings, pages, operator_listener, &metrics, logger, &cancellation)?;
 
-        let views = Views::start(
-            watch,
-            directory.clone(),
-            groups.clone(),
-            links.clone(),
-            cancellation.clone(),
-        )?;
         let dispatcher = Dispatcher::new(owner.clone(), links, directory);
         let domain = own.failure_domain.clone();
         let router = Router::new(
--- a/daemon/src/operator/view.rs
+++ b/daemon/src/operator/view.rs
@@ -1,18 +1,21 @@
 //! What an instance can tell operators about the fleet and the groups.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
-use masticreel_base::ids::Term;
 use masticreel_document::groups::{GroupSpec, ServerSpec};
 use masticreel_fleet::member::{Member, MemberState};
 use masticreel_fleet::ownership::owners;
+use masticreel_group::view::{GroupView, ServerView};
 use masticreel_report::groups::{GroupReport, ServerReport};
 use masticreel_report::instances::{MemberHealth, MemberReport};
 
 use crate::documents::Documents;
 use crate::fleet::FleetHandle;
+use crate::fleet::directory::FleetDirectory;
 use crate::fleet::snapshot::FleetSnapshot;
 use crate::groups::Groups;
+use crate::views::Views;
 
 /// Tells what this instance knows of the fleet and of the database groups.
 pub trait FleetView: Clone + Send + Sync + 'static {
@@ -34,6 +37,7 @@
     operator_address: SocketAddr,
     documents: Documents,
     groups: Groups,
+    views: Arc<Views<FleetDirectory>>,
 }
 
 impl SnapshotView {
@@ -43,20 +47,21 @@
         operator_address: SocketAddr,
         documents: Documents,
         groups: Groups,
+        views: Arc<Views<FleetDirectory>>,
     ) -> Self {
-        Self { fleet, operator_address, documents, groups }
+        Self { fleet, operator_address, documents, groups, views }
     }
 
     fn group_report(&self, group: &GroupSpec) -> GroupReport {
-        let primary = self.groups.primary(group).map(|server| server.name.clone());
+        let view = self.views.view(&group.name);
         let snapshot = self.fleet.snapshot();
         let servers =
-            group.servers.iter().map(|server| server_report(&snapshot, group, server)).collect();
+            group.servers.iter().map(|server| server_report(&snapshot, &view, server)).collect();
         GroupReport {
             name: group.name.clone(),
             database: group.database.clone(),
-            term: Term::default(),
-            primary,
+            term: view.term,
+            primary: view.primary,
             servers,
         }
     }
@@ -110,16 +115,27 @@
     }
 }
 
-fn server_report(snapshot: &FleetSnapshot, group: &GroupSpec, server: &ServerSpec) -> ServerReport {
-    let is_first = group.servers.first().is_some_and(|first| first.name == server.name);
+fn server_report(snapshot: &FleetSnapshot, view: &GroupView, server: &ServerSpec) -> ServerReport {
     let owners = owners(&server.name, &server.failure_domain, snapshot.routable());
+    let known = view.server(&server.name);
+    let readable = known.and_then(|known| known.readable);
     ServerReport {
         name: server.name.clone(),
         address: server.address,
         failure_domain: server.failure_domain.clone(),
-        role: if is_first { "primary".into() } else { "unknown".into() },
+        role: role(view, server, known).into(),
         leaving: server.leaving,
         owner: owners.into_iter().next(),
-        applied: None,
+        applied: readable.map(|position| position.to_string().into()),
+    }
+}
+
+fn role(view: &GroupView, server: &ServerSpec, known: Option<&ServerView>) -> &'static str {
+    match known {
+        _ if view.primary.as_ref() == Some(&server.name) => "primary",
+        None => "unknown",
+        Some(known) if !known.reachable => "silent",
+        Some(known) if known.readable.is_none() => "diverged",
+        Some(_) => "replica",
     }
 }
--- a/lib/report/src/groups.rs
+++ b/lib/report/src/groups.rs
@@ -30,7 +30,8 @@
     pub address: SocketAddr,
     /// Where it runs.
     pub failure_domain: FailureDomain,
-    /// What it does, as `primary`, `replica`, `fenced` or `unknown`.
+    /// What it does: `primary`, `replica`, `diverged` (its log does not agree
+    /// with the primary's yet), `silent` (did not answer) or `unknown`.
     pub role: Arc<str>,
     /// Whether it gets no new work.
     pub leaving: bool,
