--- a/testutils/src/bin/masticreel-replica-share.rs
+++ b/testutils/src/bin/masticreel-replica-share.rs
@@ -66,6 +66,8 @@
     for row in 0..ROWS {
         first.query(&format!("INSERT INTO notes VALUES ('{row}', 0)")).map_err(io::Error::other)?;
     }
+    // Reads that may be stale need data that is old enough to have the table.
+    thread::sleep(Duration::from_millis(arguments.max_staleness_ms + arguments.apply_lag_ms));
     let before = reads(&deployment)?;
     let until = Instant::now() + Duration::from_secs(arguments.seconds);
     let mut latencies_ms: Vec<Latencies> = Vec::new();
@@ -129,7 +131,10 @@
         match answer {
             Ok(answer) if answer.error.is_none() && is_write => latencies.writes.push(took_ms),
             Ok(answer) if answer.error.is_none() => latencies.reads.push(took_ms),
-            _ => latencies.errors += 1,
+            other => {
+                eprintln!("failed={other:?}");
+                latencies.errors += 1;
+            }
         }
         thread::sleep(Duration::from_millis(arguments.pause_ms));
     }
