watch: let another observer serve when no server answers this one

Cause: a frozen instance keeps its control connections; the instance that owns its servers next gets 53300 on all of them, knows nothing, and made every request wait and fail. Change: an owner that no server answers refuses as "not the owner", so entries try the next in order, usually one that polls already. Ruled out for now: polling as an ordinary user (the contract reserves control for one user); connecting anew for each poll (12 ms each).

--- a/daemon/src/watch/guard.rs
+++ b/daemon/src/watch/guard.rs
@@ -53,6 +53,12 @@
             let message = format!("this instance does not watch group {}", request.group);
             return Some(Err(Failure::not_run(FailureKind::NotOwner, message)));
         };
+        if group.with_observer(GroupObserver::is_blind) {
+            // Servers reserve few connections for control, and an instance that
+            // is frozen keeps its own; another observer can do the work.
+            let message = format!("no server of group {} answers this instance", request.group);
+            return Some(Err(Failure::not_run(FailureKind::NotOwner, message)));
+        }
         let view = group.view();
         let now = Instant::now();
         match &request.target {
--- a/lib/group/src/observer.rs
+++ b/lib/group/src/observer.rs
@@ -114,6 +114,11 @@
         self.records.iter().any(|record| record.server == *server && record.reachable)
     }
 
+    /// Returns whether no server answers this observer.
+    pub fn is_blind(&self) -> bool {
+        self.records.iter().all(|record| !record.reachable)
+    }
+
     /// Returns how many servers are a majority of the group.
     pub fn majority(&self) -> usize {
         self.records.len() / 2 + 1
