--- a/lib/admission/src/server_queue.rs
+++ b/lib/admission/src/server_queue.rs
@@ -36,6 +36,10 @@
     slots: SlotUse,
     idle_connections: u32,
     transactions: u32,
+    /// Whether long work got the last slot that was free for all.
+    ///
+    /// Then normal work goes first even if more long work is overdue.
+    long_had_turn: bool,
     closed_at: Option<Instant>,
 }
 
@@ -69,6 +73,7 @@
             slots: SlotUse::default(),
             idle_connections: 0,
             transactions: 0,
+            long_had_turn: false,
             closed_at: None,
         }
     }
@@ -202,11 +207,6 @@
         self.class(class).len()
     }
 
-    /// Returns how long the oldest waiting request of a class has waited.
-    pub fn longest_wait(&self, class: Class, now: Instant) -> Duration {
-        self.class(class).longest_wait(now)
-    }
-
     /// Returns how many requests execute.
     pub fn running(&self) -> usize {
         self.running.len()
@@ -285,6 +285,11 @@
 
     fn start(&mut self, request: &AdmissionRequest, seat: Seat) {
         self.slots.enter(seat);
+        match seat {
+            Seat::Long => self.long_had_turn = true,
+            Seat::Normal => self.long_had_turn = false,
+            Seat::Urgent | Seat::Lent => {}
+        }
         if request.need != ConnectionNeed::Held {
             self.idle_connections -= 1;
         }
@@ -301,7 +306,9 @@
         if let Some(start) = self.next_of(Class::Urgent, now) {
             return Some(start);
         }
-        if self.long.longest_wait(now) >= self.settings.long_waiting_bound
+        let is_long_overdue = self.long.longest_wait(now) >= self.settings.long_waiting_bound;
+        if is_long_overdue
+            && !self.long_had_turn
             && let Some(start) = self.next_of(Class::Long, now)
         {
             return Some(start);
--- a/lib/admission/tests/test_server_queue.rs
+++ b/lib/admission/tests/test_server_queue.rs
@@ -126,6 +126,22 @@
     assert_eq!(started(&queue.finished(RequestId(1), ConnectionAfter::Idle, later)), [3]);
 }
 
+#[test]
+fn test_normal_work_that_is_not_short_has_its_turn_between_overdue_long_work() {
+    for slots in [1, 2] {
+        let mut queue = queue(slots, 8);
+        for id in 1..5 {
+            queue.submit(request(id, Class::Long, 5000), start());
+        }
+        queue.submit(request(10, Class::Normal, 300), start());
+        let later = start() + Duration::from_secs(3);
+        let next = queue.finished(RequestId(1), ConnectionAfter::Idle, later);
+        assert_eq!(started(&next), [10], "{slots} slots");
+        let next = queue.finished(RequestId(10), ConnectionAfter::Idle, later);
+        assert_eq!(started(&next), [2], "{slots} slots");
+    }
+}
+
 #[test]
 fn test_shortest_goes_first_until_another_has_waited_too_long() {
     let mut queue = queue(1, 4);
