--- a/daemon/src/link/server.rs
+++ b/daemon/src/link/server.rs
@@ -8,12 +8,14 @@
 
 use masticreel_base::cancellation::CancellationToken;
 use masticreel_base::ids::Incarnation;
+use masticreel_document::wire::WireDocument;
 use masticreel_wire::frame::{FrameError, FrameReader, SharedKey, Side, handshake};
 use masticreel_wire::group::PositionRequest;
 use masticreel_wire::message::LinkMessage;
 use slog::{Logger, info, warn};
 
 use crate::directory::OwnerDirectory;
+use crate::documents::Documents;
 use crate::link::configure;
 use crate::link::sender::LinkSender;
 use crate::owner::Owner;
@@ -36,6 +38,7 @@
 pub struct LinkServer<Guard, Directory> {
     owner: Arc<Owner<Guard>>,
     watch: Arc<Watch<Directory>>,
+    documents: Documents,
     key: SharedKey,
     logger: Logger,
     cancellation: CancellationToken,
@@ -50,11 +53,12 @@
     pub fn new(
         owner: Arc<Owner<Guard>>,
         watch: Arc<Watch<Directory>>,
+        documents: Documents,
         key: SharedKey,
         logger: Logger,
         cancellation: CancellationToken,
     ) -> Self {
-        Self { owner, watch, key, logger, cancellation }
+        Self { owner, watch, documents, key, logger, cancellation }
     }
 
     /// Accepts links on a thread of its own.
@@ -120,6 +124,12 @@
         }
     }
 
+    fn document(&self) -> LinkMessage {
+        let document = WireDocument::from(&*self.documents.current());
+        let body = serde_json::to_vec(&document).expect("a document has string keys only");
+        LinkMessage::Document(body)
+    }
+
     fn read_link(
         &self,
         mut stream: TcpStream,
@@ -149,7 +159,9 @@
                     sender.send(&LinkMessage::ViewResponse(response))?;
                 }
                 LinkMessage::PositionRequest(request) => self.answer_position(request, &sender),
+                LinkMessage::FetchDocument => sender.send(&self.document())?,
                 LinkMessage::Response(_)
+                | LinkMessage::Document(_)
                 | LinkMessage::ViewResponse(_)
                 | LinkMessage::PositionResponse(_) => {}
             }
