--- a/testutils/src/bin/masticreel-fleet-slope.rs
+++ b/testutils/src/bin/masticreel-fleet-slope.rs
@@ -6,12 +6,17 @@
 
 use argh::FromArgs;
 use masticreel_testutils::fleet_cost::{Cost, Sample, fit};
-use masticreel_testutils::processes::deployment::{Deployment, DeploymentSettings};
+use masticreel_testutils::processes::deployment::{
+    Deployment, DeploymentSettings, FAILURE_DOMAINS,
+};
 
 /// How long a fleet may take to form.
 const FORM_TIMEOUT: Duration = Duration::from_secs(60);
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Idle worker threads would only use up the machine's process numbers.
+const FEW_WORKERS: &str = "\n[limits]\nmax_concurrent_requests = 16\n";
+
 /// Measure idle fleets of some sizes and fit a line through each cost.
 #[derive(FromArgs)]
 struct Arguments {
@@ -27,6 +32,10 @@
     #[argh(option, default = "30")]
     measure_s: u64,
 
+    /// idle groups of three servers in the document besides the first
+    #[argh(option, default = "0")]
+    groups: usize,
+
     /// the size that the lines are read at
     #[argh(option, default = "530")]
     target: usize,
@@ -53,7 +62,13 @@
 }
 
 fn measure(size: usize, arguments: &Arguments) -> io::Result<Cost> {
-    let settings = DeploymentSettings { instances: size, ..DeploymentSettings::default() };
+    let document = (0..arguments.groups).map(group_text).collect();
+    let settings = DeploymentSettings {
+        instances: size,
+        document,
+        instance_settings: FEW_WORKERS.to_owned(),
+        ..DeploymentSettings::default()
+    };
     let deployment = Deployment::start(&format!("slope-{size}"), settings)?;
     wait_until_formed(&deployment, size)?;
     std::thread::sleep(Duration::from_secs(arguments.settle_s));
@@ -64,6 +79,21 @@
     Ok(Cost::mean(&before, &after, started.elapsed()))
 }
 
+/// Describes a group whose servers refuse connections.
+fn group_text(number: usize) -> String {
+    let mut text =
+        format!("\n[[groups]]\nname = \"idle-{number}\"\ndatabase = \"idle-{number}\"\n");
+    for (server, domain) in FAILURE_DOMAINS.iter().enumerate() {
+        let index = number * FAILURE_DOMAINS.len() + server;
+        let (high, low) = (index / 250, index % 250 + 1);
+        text.push_str(&format!(
+            "\n[[groups.servers]]\nname = \"idle-{index}\"\naddress = \"127.250.{high}.{low}:1\"\n\
+             failure_domain = \"{domain}\"\n"
+        ));
+    }
+    text
+}
+
 fn samples(deployment: &Deployment) -> io::Result<Vec<Sample>> {
     let processes = deployment.instances.iter().zip(&deployment.addresses);
     processes.map(|(process, addresses)| Sample::take(process.id(), addresses.operators)).collect()
