--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -33,7 +33,7 @@
 use crate::owner::guard::ServerGuard;
 use crate::owner::{Owner, OwnerContext};
 use crate::reporter::Reporter;
-use crate::settings::Settings;
+use crate::settings::{InstanceSettings, Settings};
 use crate::views::Views;
 use crate::watch::guard::WatchGuard;
 use crate::watch::{ObserverIdentity, Watch};
@@ -64,6 +64,8 @@
 const HANDOVER_NOTICE: Duration = Duration::from_millis(500);
 
 type Guard = WatchGuard<FleetDirectory>;
+type SharedWatch = Arc<Watch<FleetDirectory>>;
+type SharedOwner = Arc<Owner<Guard>>;
 
 /// One running instance.
 pub struct Instance {
@@ -84,117 +86,53 @@
     ///
     /// Fails when an address is taken or the system has no room.
     pub fn start(settings: &Settings, logger: &Logger) -> Result<Self, StartError> {
-        let cancellation = CancellationToken::new();
-        let stopping = cancellation.child();
-        let metrics = Metrics::new();
-        let incarnation = incarnation(&SystemClock);
         let own = &settings.instance;
-        let caller_listener = listen(own.caller_address)?;
-        let peer_listener = listen(own.peer_address)?;
-        let operator_listener = listen(own.operator_address)?;
-        let caller_address = caller_listener.local_addr()?;
-        let operator_address = operator_listener.local_addr()?;
-        let peer_address = peer_listener.local_addr()?;
-
-        let documents = Documents::new(metrics.clone(), logger.clone());
+        let sockets = Sockets::open(own)?;
+        let caller_address = sockets.callers.local_addr()?;
+        let life = Life::new(settings, logger);
+        let documents = Documents::new(life.metrics.clone(), logger.clone());
         documents.refresh(&store(settings));
         let groups = Groups::new(documents.cell());
-        let key = SharedKey::from_text(&own.shared_key);
-        let hello = Hello { instance: own.name.clone(), incarnation };
-        let links = LinkPool::new(hello, key.clone());
-        let fleet_parts = FleetParts {
-            clock: SystemClock,
-            address: peer_address,
-            documents: documents.clone(),
-            links: links.clone(),
-            key: key.clone(),
-            metrics: metrics.clone(),
-            logger: logger.clone(),
-            cancellation: cancellation.clone(),
-        };
-        let fleet = fleet::start(settings, fleet_parts)?;
-        // Who has not joined believes to be alone and to own all servers.
-        fleet.wait_until_joined(&cancellation);
+        let hello = Hello { instance: own.name.clone(), incarnation: life.incarnation };
+        let links = LinkPool::new(hello, life.key.clone());
+
+        let fleet = life.join_fleet(sockets.peers.local_addr()?, &documents, &links)?;
         let directory = FleetDirectory::new(fleet.clone());
-        let identity = ObserverIdentity {
-            instance: own.name.clone(),
-            failure_domain: own.failure_domain.clone(),
-            incarnation,
-        };
-        let (demoted, demotions) = unbounded();
-        let watch = Watch::start(
-            identity,
-            groups.clone(),
-            directory.clone(),
-            demoted,
-            logger.clone(),
-            cancellation.clone(),
-        )?;
-        let context = OwnerContext {
-            guard: WatchGuard::new(watch.clone()),
-            limits: settings.limits.clone(),
-            metrics: metrics.clone(),
-            logger: logger.clone(),
-            cancellation: cancellation.clone(),
-        };
-        let owner = Arc::new(Owner::new(context, groups.clone()));
-        abandon_demoted(owner.clone(), demotions)?;
-        owner.start_ticker(directory.clone())?;
-        let link_server = LinkServer::new(
-            owner.clone(),
-            watch.clone(),
-            documents.clone(),
-            key.clone(),
-            logger.clone(),
-            cancellation.clone(),
-        );
-        link_server.start(peer_listener)?;
+        let (watch, owner) = life.start_owner(&groups, &directory)?;
+        life.serve_links(sockets.peers, &owner, &watch, &documents)?;
+
         let views = Views::start(
             watch,
             directory.clone(),
             groups.clone(),
             links.clone(),
-            cancellation.clone(),
+            life.cancellation.clone(),
         )?;
-        let burn = BurnAccount::new(SystemClock);
-        let pages = Pages {
-            name: own.name.clone(),
-            failure_domain: own.failure_domain.clone(),
-            documents: documents.clone(),
-            view: SnapshotView::new(
-                fleet.clone(),
-                operator_address,
-                documents.clone(),
-                groups.clone(),
-                views.clone(),
-            ),
-            burn: burn.clone(),
-            key: key.clone(),
-            stopping: stopping.clone(),
-        };
-        start_reports(settings, pages, operator_listener, &metrics, logger, &cancellation)?;
 
+        let burn = BurnAccount::new(SystemClock);
+        let operators = sockets.operators;
+        let operator_address = operators.local_addr()?;
+        let view = SnapshotView::new(
+            fleet.clone(),
+            operator_address,
+            documents.clone(),
+            groups.clone(),
+            views.clone(),
+        );
+        let pages = life.pages(view, &documents, &burn);
+        start_reports(settings, pages, operators, &life.metrics, logger, &life.cancellation)?;
         let dispatcher = Dispatcher::new(owner.clone(), links, directory);
-        let domain = own.failure_domain.clone();
         let router = Router::new(
             dispatcher,
             groups,
             views,
-            domain,
+            own.failure_domain.clone(),
             settings.limits.clone(),
-            metrics.clone(),
+            life.metrics.clone(),
         );
-        let parts = CallerServerParts {
-            router,
-            incarnation,
-            limits: settings.limits.clone(),
-            metrics,
-            burn,
-            logger: logger.clone(),
-            cancellation: cancellation.clone(),
-        };
-        let callers = CallerServer::start(parts, caller_listener)?;
-        info!(logger, "instance started"; "callers" => %caller_address, "incarnation" => %incarnation);
+        let callers = CallerServer::start(life.caller_parts(router, burn), sockets.callers)?;
+        info!(logger, "instance started";
+            "callers" => %caller_address, "incarnation" => %life.incarnation);
         Ok(Self {
             callers,
             owner,
@@ -202,8 +140,8 @@
             caller_address,
             shutdown_timeout: settings.limits.shutdown_timeout(),
             logger: logger.clone(),
-            stopping,
-            cancellation,
+            stopping: life.stopping,
+            cancellation: life.cancellation,
         })
     }
 
@@ -236,6 +174,157 @@
     }
 }
 
+/// The sockets at which an instance listens.
+struct Sockets {
+    callers: TcpListener,
+    peers: TcpListener,
+    operators: TcpListener,
+}
+
+impl Sockets {
+    fn open(own: &InstanceSettings) -> Result<Self, StartError> {
+        Ok(Self {
+            callers: listen(own.caller_address)?,
+            peers: listen(own.peer_address)?,
+            operators: listen(own.operator_address)?,
+        })
+    }
+}
+
+/// What all parts of one life of an instance share.
+struct Life<'process> {
+    settings: &'process Settings,
+    logger: &'process Logger,
+    metrics: Metrics,
+    incarnation: Incarnation,
+    key: SharedKey,
+    stopping: CancellationToken,
+    cancellation: CancellationToken,
+}
+
+impl<'process> Life<'process> {
+    fn new(settings: &'process Settings, logger: &'process Logger) -> Self {
+        let cancellation = CancellationToken::new();
+        Self {
+            settings,
+            logger,
+            metrics: Metrics::new(),
+            incarnation: incarnation(&SystemClock),
+            key: SharedKey::from_text(&settings.instance.shared_key),
+            stopping: cancellation.child(),
+            cancellation,
+        }
+    }
+
+    /// Joins the fleet; who has not joined believes to own all servers.
+    fn join_fleet(
+        &self,
+        address: SocketAddr,
+        documents: &Documents,
+        links: &LinkPool,
+    ) -> io::Result<FleetHandle> {
+        let parts = FleetParts {
+            clock: SystemClock,
+            address,
+            documents: documents.clone(),
+            links: links.clone(),
+            key: self.key.clone(),
+            metrics: self.metrics.clone(),
+            logger: self.logger.clone(),
+            cancellation: self.cancellation.clone(),
+        };
+        let fleet = fleet::start(self.settings, parts)?;
+        fleet.wait_until_joined(&self.cancellation);
+        Ok(fleet)
+    }
+
+    /// Starts watching groups and owning servers.
+    fn start_owner(
+        &self,
+        groups: &Groups,
+        directory: &FleetDirectory,
+    ) -> io::Result<(SharedWatch, SharedOwner)> {
+        let own = &self.settings.instance;
+        let identity = ObserverIdentity {
+            instance: own.name.clone(),
+            failure_domain: own.failure_domain.clone(),
+            incarnation: self.incarnation,
+        };
+        let (demoted, demotions) = unbounded();
+        let watch = Watch::start(
+            identity,
+            groups.clone(),
+            directory.clone(),
+            demoted,
+            self.logger.clone(),
+            self.cancellation.clone(),
+        )?;
+        let context = OwnerContext {
+            guard: WatchGuard::new(watch.clone()),
+            limits: self.settings.limits.clone(),
+            metrics: self.metrics.clone(),
+            logger: self.logger.clone(),
+            cancellation: self.cancellation.clone(),
+        };
+        let owner = Arc::new(Owner::new(context, groups.clone()));
+        abandon_demoted(owner.clone(), demotions)?;
+        owner.start_ticker(directory.clone())?;
+        Ok((watch, owner))
+    }
+
+    fn serve_links(
+        &self,
+        listener: TcpListener,
+        owner: &SharedOwner,
+        watch: &SharedWatch,
+        documents: &Documents,
+    ) -> io::Result<()> {
+        let server = LinkServer::new(
+            owner.clone(),
+            watch.clone(),
+            documents.clone(),
+            self.key.clone(),
+            self.logger.clone(),
+            self.cancellation.clone(),
+        );
+        server.start(listener)
+    }
+
+    fn pages(
+        &self,
+        view: SnapshotView,
+        documents: &Documents,
+        burn: &BurnAccount<SystemClock>,
+    ) -> Pages<SnapshotView, SystemClock> {
+        let own = &self.settings.instance;
+        Pages {
+            name: own.name.clone(),
+            failure_domain: own.failure_domain.clone(),
+            documents: documents.clone(),
+            view,
+            burn: burn.clone(),
+            key: self.key.clone(),
+            stopping: self.stopping.clone(),
+        }
+    }
+
+    fn caller_parts(
+        &self,
+        router: Router<Guard, FleetDirectory>,
+        burn: BurnAccount<SystemClock>,
+    ) -> CallerServerParts<Guard, FleetDirectory> {
+        CallerServerParts {
+            router,
+            incarnation: self.incarnation,
+            limits: self.settings.limits.clone(),
+            metrics: self.metrics.clone(),
+            burn,
+            logger: self.logger.clone(),
+            cancellation: self.cancellation.clone(),
+        }
+    }
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).map_err(|error| StartError::Listen { address, error })
 }
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -2,11 +2,13 @@
 //!
 //! See `docs/design/02-ownership.md` and `docs/design/07-admission.md`.
 
+mod counts;
 pub mod guard;
 pub mod job;
 mod keyed;
 mod pending;
 mod server;
+mod submission;
 mod ticker;
 mod worker;
 
--- /dev/null
+++ b/daemon/src/owner/counts.rs
@@ -0,0 +1,49 @@
+//! What is counted about one owned server.
+
+use masticreel_base::failure::Failure;
+use masticreel_base::ids::ServerId;
+use masticreel_document::class::Class;
+
+use crate::metrics::{Metrics, class_label};
+use crate::owner::job::Job;
+use crate::owner::submission::{OwnedAdmission, class};
+
+/// Counts for one server.
+pub(super) struct ServerCounts<'owner> {
+    /// The server, as a label.
+    pub(super) server: &'owner ServerId,
+    /// Where it is counted.
+    pub(super) metrics: &'owner Metrics,
+}
+
+impl ServerCounts<'_> {
+    /// Shows what waits and runs at the server now.
+    pub(super) fn load(&self, admission: &OwnedAdmission) {
+        let server = self.server.as_str();
+        let queue = admission.queue();
+        for class in [Class::Urgent, Class::Normal, Class::Long] {
+            let labels = [server, class_label(class)];
+            self.metrics.queued.with_label_values(&labels).set(gauge(queue.waiting(class)));
+        }
+        self.metrics.running.with_label_values(&[server]).set(gauge(queue.running()));
+        let connections = i64::from(admission.pool().len());
+        self.metrics.upstream_connections.with_label_values(&[server]).set(connections);
+    }
+
+    /// Counts how long a request that starts now has waited.
+    pub(super) fn wait(&self, job: &Job) {
+        let labels = [self.server.as_str(), class_label(class(job.request.class))];
+        let waits = self.metrics.queue_wait_seconds.with_label_values(&labels);
+        waits.observe(job.arrived_at.elapsed().as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub(super) fn refusal(&self, failure: &Failure) {
+        let labels = [self.server.as_str(), &failure.kind.to_string()];
+        self.metrics.refused.with_label_values(&labels).inc();
+    }
+}
+
+fn gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/daemon/src/owner/server.rs
+++ b/daemon/src/owner/server.rs
@@ -8,23 +8,22 @@
 
 use crossbeam_channel::{Receiver, Sender, unbounded};
 use masticreel_admission::connection_pool::{ConnectionId, Ownership};
-use masticreel_admission::expected_times::Fingerprint;
-use masticreel_admission::request::{CallerBase, ConnectionAfter, ConnectionNeed};
-use masticreel_admission::server_admission::{ServerAction, ServerAdmission, Submission};
+use masticreel_admission::request::ConnectionAfter;
+use masticreel_admission::server_admission::{ServerAction, ServerAdmission};
 use masticreel_base::failure::{Failure, FailureKind};
 use masticreel_base::ids::RequestId;
-use masticreel_document::class::Class;
 use masticreel_document::groups::ServerSpec;
 use masticreel_postgres::startup::CancelKey;
 use masticreel_postgres::upstream::{UpstreamAddress, UpstreamCloser, send_cancel};
-use masticreel_wire::message::{Pinning, SessionKey, UpstreamRequest, WireClass};
+use masticreel_wire::message::{Pinning, SessionKey};
 use slog::{info, warn};
 
-use crate::metrics::class_label;
 use crate::owner::OwnerContext;
+use crate::owner::counts::ServerCounts;
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::{Job, Outcome, Reply};
 use crate::owner::pending::{ADMISSION_PATIENCE, Pending, Settler, settle_all};
+use crate::owner::submission::{OwnedAdmission, submission};
 use crate::owner::worker::Worker;
 
 /// Stack of a connection's thread, in bytes.
@@ -33,7 +32,6 @@
 /// not heard of it yet are not refused.
 const LEAVING_GRACE: Duration = Duration::from_secs(1);
 
-type Admission = ServerAdmission<SessionKey, UpstreamAddress>;
 type Action = ServerAction<UpstreamAddress>;
 type Actions = Vec<Action>;
 
@@ -58,7 +56,7 @@
 }
 
 struct State {
-    admission: Admission,
+    admission: OwnedAdmission,
     jobs: HashMap<RequestId, Job>,
     workers: HashMap<ConnectionId, Sender<Command>>,
     cancel_keys: HashMap<ConnectionId, CancelKey>,
@@ -151,7 +149,7 @@
 
     fn enqueue(self: &Arc<Self>, job: Job) {
         let mut state = self.lock();
-        let submission = self.submission(&job);
+        let submission = submission(&self.spec, &job);
         let (id, actions) = state.admission.submit(submission, Instant::now());
         state.jobs.insert(id, job);
         self.carry_out(state, actions);
@@ -342,7 +340,9 @@
                     }
                 }
                 ServerAction::Start(id, connection) => {
-                    self.count_wait(state.jobs.get(&id));
+                    if let Some(job) = state.jobs.get(&id) {
+                        self.counts().wait(job);
+                    }
                     state.start(id, connection);
                 }
                 ServerAction::Refuse(id, failure) => {
@@ -350,10 +350,10 @@
                 }
             }
         }
-        self.count(&state);
+        self.counts().load(&state.admission);
         drop(state);
         for (job, failure) in refused {
-            self.count_refusal(&failure);
+            self.counts().refusal(&failure);
             self.answer(job.reply, Err(failure));
         }
     }
@@ -379,43 +379,8 @@
         }
     }
 
-    fn count(&self, state: &State) {
-        let server = self.spec.name.as_str();
-        let metrics = &self.context.metrics;
-        let queue = state.admission.queue();
-        for class in [Class::Urgent, Class::Normal, Class::Long] {
-            let labels = [server, class_label(class)];
-            metrics.queued.with_label_values(&labels).set(gauge(queue.waiting(class)));
-        }
-        metrics.running.with_label_values(&[server]).set(gauge(queue.running()));
-        let connections = i64::from(state.admission.pool().len());
-        metrics.upstream_connections.with_label_values(&[server]).set(connections);
-    }
-
-    fn count_wait(&self, job: Option<&Job>) {
-        let Some(job) = job else { return };
-        let labels = [self.spec.name.as_str(), class_label(class(job.request.class))];
-        let waits = self.context.metrics.queue_wait_seconds.with_label_values(&labels);
-        waits.observe(job.arrived_at.elapsed().as_secs_f64());
-    }
-
-    fn count_refusal(&self, failure: &Failure) {
-        let labels = [self.spec.name.as_str(), &failure.kind.to_string()];
-        self.context.metrics.refused.with_label_values(&labels).inc();
-    }
-
-    fn submission(&self, job: &Job) -> Submission<SessionKey, UpstreamAddress> {
-        let request = &job.request;
-        Submission {
-            session: request.session,
-            identity: address(&self.spec, request),
-            class: class(request.class),
-            fingerprint: Fingerprint::from(request.fingerprint),
-            deadline: job.deadline,
-            caller_base: CallerBase::from(format!("{}@{}", request.user, request.database)),
-            entry: request.session.entry,
-            need: connection_need(request),
-        }
+    fn counts(&self) -> ServerCounts<'_> {
+        ServerCounts { server: &self.spec.name, metrics: &self.context.metrics }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -449,32 +414,3 @@
         let _ = worker.send(Command::Run(id, job));
     }
 }
-
-/// Returns where a request's connection has to lead and for whom.
-pub(super) fn address(spec: &ServerSpec, request: &UpstreamRequest) -> UpstreamAddress {
-    UpstreamAddress {
-        address: spec.address,
-        user: request.user.clone(),
-        database: request.database.clone(),
-    }
-}
-
-fn gauge(count: usize) -> i64 {
-    i64::try_from(count).unwrap_or(i64::MAX)
-}
-
-fn class(class: WireClass) -> Class {
-    match class {
-        WireClass::Urgent => Class::Urgent,
-        WireClass::Normal => Class::Normal,
-        WireClass::Long => Class::Long,
-    }
-}
-
-fn connection_need(request: &UpstreamRequest) -> ConnectionNeed {
-    match request.pinning {
-        Pinning::Pinned => ConnectionNeed::Held,
-        Pinning::Begins => ConnectionNeed::Transaction,
-        Pinning::Free => ConnectionNeed::Statement,
-    }
-}
--- a/daemon/src/owner/worker.rs
+++ b/daemon/src/owner/worker.rs
@@ -24,7 +24,8 @@
 use crate::owner::job::{Job, Outcome};
 use crate::owner::keyed::KeyedRun;
 use crate::owner::pending::{Pending, not_ready};
-use crate::owner::server::{Command, OwnedServer, address};
+use crate::owner::server::{Command, OwnedServer};
+use crate::owner::submission::address;
 
 /// Time between two looks at the cancellation token of an idle worker.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
