link: name the failure of an unreachable peer without dyn

Cause: the closure took its error as a trait object, and a link is opened on the request path, where none may stand. Change: a generic function in its place; nothing else moves. Measured: clippy -D warnings clean for the daemon; tests not run again yet.

--- a/daemon/src/link/client.rs
+++ b/daemon/src/link/client.rs
@@ -199,20 +199,18 @@
 
 impl Link {
     fn open(peer: SocketAddr, hello: &Hello, key: &SharedKey) -> Result<Arc<Self>, Failure> {
-        let unreachable = |error: &dyn std::fmt::Display| {
-            let message = format!("instance at {peer}: {error}");
-            Failure::not_run(FailureKind::Unavailable, message)
-        };
         let mut stream = TcpStream::connect_timeout(&peer, CONNECT_TIMEOUT)
-            .map_err(|error| unreachable(&error))?;
-        configure(&stream).map_err(|error| unreachable(&error))?;
-        stream.set_read_timeout(Some(CONNECT_TIMEOUT)).map_err(|error| unreachable(&error))?;
-        let keys =
-            handshake(&mut stream, Side::Connecting, key).map_err(|error| unreachable(&error))?;
-        stream.set_read_timeout(None).map_err(|error| unreachable(&error))?;
+            .map_err(|error| unreachable(peer, error))?;
+        configure(&stream).map_err(|error| unreachable(peer, error))?;
+        stream.set_read_timeout(Some(CONNECT_TIMEOUT)).map_err(|error| unreachable(peer, error))?;
+        let keys = handshake(&mut stream, Side::Connecting, key)
+            .map_err(|error| unreachable(peer, error))?;
+        stream.set_read_timeout(None).map_err(|error| unreachable(peer, error))?;
         let sender =
-            LinkSender::new(&stream, keys.outgoing).map_err(|error| unreachable(&error))?;
-        sender.send(&LinkMessage::Hello(hello.clone())).map_err(|error| unreachable(&error))?;
+            LinkSender::new(&stream, keys.outgoing).map_err(|error| unreachable(peer, error))?;
+        sender
+            .send(&LinkMessage::Hello(hello.clone()))
+            .map_err(|error| unreachable(peer, error))?;
         let link = Arc::new(Self {
             sender,
             pending: Mutex::new(HashMap::new()),
@@ -301,3 +299,10 @@
         self.pending.lock().expect("no holder of the pending requests panics")
     }
 }
+
+fn unreachable<Error>(peer: SocketAddr, error: Error) -> Failure
+where
+    Error: std::fmt::Display,
+{
+    Failure::not_run(FailureKind::Unavailable, format!("instance at {peer}: {error}"))
+}
