--- a/lib/fleet/tests/test_membership.rs
+++ b/lib/fleet/tests/test_membership.rs
@@ -145,13 +145,13 @@
 
 #[test]
 fn test_halves_that_were_cut_for_an_hour_find_each_other() {
-    let mut network = joined(6, 0.0, 14);
+    let mut network = joined(24, 0.0, 14);
     network.is_cut = |from, to| from % 2 != to % 2;
     network.run(Duration::from_secs(60 * 60));
-    let even: Vec<usize> = (0..6).step_by(2).collect();
+    let even: Vec<usize> = (0..24).step_by(2).collect();
     assert!(network.agree(&even));
     network.is_cut = |_, _| false;
-    let everyone: Vec<usize> = (0..6).collect();
+    let everyone: Vec<usize> = (0..24).collect();
     let took = network.run_until(Duration::from_secs(60), |network| network.agree(&everyone));
     let took = took.expect("the halves merge");
     println!("healed_ms={}", took.as_millis());
