store: rename lib/platform, so that platform means the users' one

Cause: the users' platform gets an adapter of its own in platform/; two crates of one name would be confused. Change: package masticreel-platform is masticreel-store; imports reordered by rustfmt, no other code changed.

--- a/cli/src/commands/apply.rs
+++ b/cli/src/commands/apply.rs
@@ -10,11 +10,11 @@
 use masticreel_base::ids::{Revision, SectionName};
 use masticreel_document::edit::{EditOutcome, EditRequest};
 use masticreel_document::edit_id::Nonce;
-use masticreel_platform::editor::{EditTiming, Editor};
-use masticreel_platform::etcd::EtcdStore;
 use masticreel_report::fleet::Progress;
 use masticreel_report::instances::MemberReport;
 use masticreel_report::operators::INSTANCES_PATH;
+use masticreel_store::editor::{EditTiming, Editor};
+use masticreel_store::etcd::EtcdStore;
 use masticreel_wire::frame::SharedKey;
 
 use crate::arguments::{ApplyArguments, SettleArguments};
--- a/cli/src/commands/history.rs
+++ b/cli/src/commands/history.rs
@@ -6,7 +6,7 @@
 use masticreel_base::ids::Revision;
 use masticreel_document::diff::SectionDiff;
 use masticreel_document::records::{EditEntry, HistoryRecord};
-use masticreel_platform::document_store::read_history;
+use masticreel_store::document_store::read_history;
 use serde::Serialize;
 
 use crate::arguments::HistoryArguments;
--- a/cli/src/commands/show.rs
+++ b/cli/src/commands/show.rs
@@ -9,10 +9,10 @@
 use masticreel_document::records::decode;
 use masticreel_document::section::SectionText;
 use masticreel_document::wire::WireDocument;
-use masticreel_platform::document_store::ReadError;
-use masticreel_platform::store::PlatformStore as _;
 use masticreel_report::fleet::{FleetReport, instances_by_revision};
 use masticreel_report::operators::DOCUMENT_PATH;
+use masticreel_store::document_store::ReadError;
+use masticreel_store::store::PlatformStore as _;
 use serde::Serialize;
 
 use crate::arguments::ShowArguments;
@@ -63,7 +63,7 @@
 where
     Out: Write,
 {
-    let stored = masticreel_platform::document_store::read_document(&context.store)?;
+    let stored = masticreel_store::document_store::read_document(&context.store)?;
     let reports = context.store.read_prefix(REPORT_PREFIX)?;
     // A report of another version of the program is passed over.
     let reported =
--- a/cli/src/context.rs
+++ b/cli/src/context.rs
@@ -4,8 +4,8 @@
 
 use masticreel_base::ids::{Revision, SectionName};
 use masticreel_document::records::StoredDocument;
-use masticreel_platform::document_store::read_document;
-use masticreel_platform::etcd::EtcdStore;
+use masticreel_store::document_store::read_document;
+use masticreel_store::etcd::EtcdStore;
 use serde::Serialize;
 
 use crate::error::CliError;
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -6,7 +6,7 @@
 use displaydoc::Display;
 use masticreel_base::ids::{Revision, SectionName};
 use masticreel_document::edit_id::ParseEditIdError;
-use masticreel_platform::document_store::ReadError;
+use masticreel_store::document_store::ReadError;
 
 use crate::exit::Exit;
 use crate::operators::OperatorsError;
--- a/cli/tests/test_processes.rs
+++ b/cli/tests/test_processes.rs
@@ -12,10 +12,10 @@
 use masticreel_document::document::Document;
 use masticreel_document::records::StoredDocument;
 use masticreel_document::wire::WireDocument;
-use masticreel_platform::document_store::read_document;
-use masticreel_platform::etcd::EtcdStore;
 use masticreel_report::instances::{InstanceReport, StoreState};
 use masticreel_report::operators::{DOCUMENT_PATH, SIGNATURE_HEADER, STATUS_PATH};
+use masticreel_store::document_store::read_document;
+use masticreel_store::etcd::EtcdStore;
 use masticreel_testutils::pg_client::PgClient;
 use masticreel_testutils::processes::Signal;
 use masticreel_testutils::processes::deployment::{DATABASE, Deployment, DeploymentSettings};
@@ -268,7 +268,7 @@
 
 #[test]
 fn test_a_faulty_document_in_the_store_stays_out_of_force() {
-    use masticreel_platform::store::{PlatformStore as _, Put};
+    use masticreel_store::store::{PlatformStore as _, Put};
 
     let bench = Bench::start("faulty");
     let mut stored = bench.stored();
--- a/daemon/src/documents.rs
+++ b/daemon/src/documents.rs
@@ -6,9 +6,9 @@
 use arc_swap::ArcSwap;
 use masticreel_base::ids::Revision;
 use masticreel_document::document::Document;
-use masticreel_platform::document_store::{ReadError, read_document, read_head};
-use masticreel_platform::store::PlatformStore;
 use masticreel_report::instances::StoreState;
+use masticreel_store::document_store::{ReadError, read_document, read_head};
+use masticreel_store::store::PlatformStore;
 use slog::{Logger, info, warn};
 
 use crate::metrics::Metrics;
--- a/daemon/src/embedded.rs
+++ b/daemon/src/embedded.rs
@@ -12,10 +12,10 @@
 use masticreel_base::clock::SystemClock;
 use masticreel_base::ids::Revision;
 use masticreel_document::edit::{EditOutcome, EditRequest};
-use masticreel_platform::editor::{EditTiming, Editor};
-use masticreel_platform::etcd::EtcdStore;
 use masticreel_standins::store::{Store, StoreSettings};
 use masticreel_standins::upstream::{InitialRole, Upstream, UpstreamSettings};
+use masticreel_store::editor::{EditTiming, Editor};
+use masticreel_store::etcd::EtcdStore;
 
 use crate::settings::{InstanceSettings, LimitSettings, LogSettings, PlatformSettings, Settings};
 
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -29,7 +29,7 @@
 use masticreel_fleet::member::{Member, MemberState};
 use masticreel_fleet::membership;
 use masticreel_fleet::message::GroupView;
-use masticreel_platform::etcd::EtcdStore;
+use masticreel_store::etcd::EtcdStore;
 use masticreel_wire::frame::SharedKey;
 use slog::Logger;
 
--- a/daemon/src/fleet/fetch.rs
+++ b/daemon/src/fleet/fetch.rs
@@ -11,7 +11,7 @@
 use masticreel_document::document::Document;
 use masticreel_document::wire::WireDocument;
 use masticreel_fleet::fleet::Event;
-use masticreel_platform::store::PlatformStore;
+use masticreel_store::store::PlatformStore;
 use masticreel_wire::frame::SharedKey;
 use slog::{Logger, debug};
 
--- a/daemon/src/fleet/seeds.rs
+++ b/daemon/src/fleet/seeds.rs
@@ -11,7 +11,7 @@
 use masticreel_document::instances::InstanceIntent;
 use masticreel_fleet::fleet::{Event, Fleet};
 use masticreel_fleet::membership;
-use masticreel_platform::instance_list::{
+use masticreel_store::instance_list::{
     HttpInstanceList, InstanceList, ListedInstance, ListedState,
 };
 use rand::RngExt;
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -11,7 +11,7 @@
 use masticreel_base::cancellation::CancellationToken;
 use masticreel_base::clock::{Clock, SystemClock};
 use masticreel_base::ids::{Incarnation, ServerId};
-use masticreel_platform::etcd::EtcdStore;
+use masticreel_store::etcd::EtcdStore;
 use masticreel_wire::frame::SharedKey;
 use masticreel_wire::message::Hello;
 use slog::{Logger, info, warn};
--- a/daemon/src/reporter.rs
+++ b/daemon/src/reporter.rs
@@ -11,8 +11,8 @@
 use masticreel_base::clock::Clock;
 use masticreel_document::layout::report_key;
 use masticreel_document::records::encode;
-use masticreel_platform::store::{PlatformStore, Put, StoreError};
 use masticreel_report::fleet::FleetReport;
+use masticreel_store::store::{PlatformStore, Put, StoreError};
 use slog::debug;
 
 use crate::operator::pages::Pages;
--- a/lib/store/tests/support/faulty_store.rs
+++ b/lib/store/tests/support/faulty_store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use masticreel_base::clock::ManualClock;
-use masticreel_platform::store::{
+use masticreel_store::store::{
     CommitOutcome, Compare, KeyValue, PlatformStore, Put, Snapshot, StoreError,
 };
 
--- a/lib/store/tests/test_editor.rs
+++ b/lib/store/tests/test_editor.rs
@@ -15,9 +15,9 @@
 use masticreel_document::edit_id::Nonce;
 use masticreel_document::layout::{HEAD_KEY, history_key, section_key};
 use masticreel_document::records::{RECENT_EDITS, StoredDocument, encode};
-use masticreel_platform::document_store::{read_document, read_head, read_history};
-use masticreel_platform::editor::{EditTiming, Editor};
-use masticreel_platform::store::Put;
+use masticreel_store::document_store::{read_document, read_head, read_history};
+use masticreel_store::editor::{EditTiming, Editor};
+use masticreel_store::store::Put;
 use proptest::prelude::*;
 
 struct Bench {
--- a/lib/store/tests/test_etcd.rs
+++ b/lib/store/tests/test_etcd.rs
@@ -7,8 +7,8 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use masticreel_platform::etcd::EtcdStore;
-use masticreel_platform::store::{CommitOutcome, Compare, PlatformStore as _, Put, StoreError};
+use masticreel_store::etcd::EtcdStore;
+use masticreel_store::store::{CommitOutcome, Compare, PlatformStore as _, Put, StoreError};
 
 const CREATED: &str = r#"{"result":{"header":{"revision":"7"},"created":true}}"#;
 
--- a/lib/store/tests/test_instance_list.rs
+++ b/lib/store/tests/test_instance_list.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use masticreel_platform::instance_list::{HttpInstanceList, InstanceList as _, ListedState};
+use masticreel_store::instance_list::{HttpInstanceList, InstanceList as _, ListedState};
 
 /// Serves one request and returns a client of the server.
 fn serve(body: &'static str) -> HttpInstanceList {
--- a/lib/store/tests/test_racing_edits.rs
+++ b/lib/store/tests/test_racing_edits.rs
@@ -10,8 +10,8 @@
 use masticreel_document::edit::{Edit, EditAction, EditEvent, EditOutcome, EditRequest};
 use masticreel_document::edit_id::Nonce;
 use masticreel_document::records::StoredDocument;
-use masticreel_platform::document_store::{commit_edit, commit_fence, read_document, read_history};
-use masticreel_platform::store::{CommitOutcome, StoreError};
+use masticreel_store::document_store::{commit_edit, commit_fence, read_document, read_history};
+use masticreel_store::store::{CommitOutcome, StoreError};
 use proptest::prelude::*;
 
 const CLIENTS: usize = 4;
--- a/standins/tests/test_store.rs
+++ b/standins/tests/test_store.rs
@@ -3,9 +3,9 @@
 use std::io::{BufRead, BufReader};
 use std::time::Duration;
 
-use masticreel_platform::etcd::EtcdStore;
-use masticreel_platform::store::{CommitOutcome, Compare, PlatformStore, Put, StoreError};
 use masticreel_standins::store::{Outage, Store, StoreSettings};
+use masticreel_store::etcd::EtcdStore;
+use masticreel_store::store::{CommitOutcome, Compare, PlatformStore, Put, StoreError};
 use serde_json::{Value, json};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
--- a/testutils/src/bin/masticreel-time-to-force.rs
+++ b/testutils/src/bin/masticreel-time-to-force.rs
@@ -12,11 +12,11 @@
 use masticreel_base::ids::Revision;
 use masticreel_document::edit::{EditOutcome, EditRequest};
 use masticreel_document::wire::WireDocument;
-use masticreel_platform::document_store::read_document;
-use masticreel_platform::editor::{EditTiming, Editor};
-use masticreel_platform::etcd::EtcdStore;
 use masticreel_report::instances::InstanceReport;
 use masticreel_report::operators::{DOCUMENT_PATH, SIGNATURE_HEADER, STATUS_PATH};
+use masticreel_store::document_store::read_document;
+use masticreel_store::editor::{EditTiming, Editor};
+use masticreel_store::etcd::EtcdStore;
 use masticreel_testutils::processes::deployment::{Deployment, DeploymentSettings};
 use masticreel_testutils::processes::{Process, Signal};
 use masticreel_wire::frame::SharedKey;
@@ -96,7 +96,7 @@
         DeploymentSettings { instances: arguments.instances, ..DeploymentSettings::default() };
     let deployment = Deployment::start("time-to-force", settings)?;
     let store = EtcdStore::new(&deployment.store_endpoint()?, CALL_TIMEOUT);
-    let agent = masticreel_platform::http::agent(CALL_TIMEOUT);
+    let agent = masticreel_store::http::agent(CALL_TIMEOUT);
     let mut bench = Bench { deployment, store, agent, fault: arguments.fault };
     // Membership settles before the first edit.
     thread::sleep(Duration::from_secs(2));
--- a/testutils/src/processes/document.rs
+++ b/testutils/src/processes/document.rs
@@ -7,8 +7,8 @@
 use masticreel_base::clock::SystemClock;
 use masticreel_base::ids::Revision;
 use masticreel_document::edit::{EditOutcome, EditRequest};
-use masticreel_platform::editor::{EditTiming, Editor};
-use masticreel_platform::etcd::EtcdStore;
+use masticreel_store::editor::{EditTiming, Editor};
+use masticreel_store::etcd::EtcdStore;
 
 const TIMING: EditTiming =
     EditTiming { deadline: Duration::from_secs(5), retry_pause: Duration::from_millis(50) };
