--- /dev/null
+++ b/lib/proxy/src/coordinator.rs
@@ -0,0 +1,229 @@
+//! The instance's part in what all instances agree on.
+//!
+//! Pure: the view, answers and the time go in, [`Step`]s come out. Every
+//! instance keeps a lease and a membership; one of them, the holder of the
+//! duty, also replaces primaries. See `docs/design/10-platform.md`.
+
+mod change;
+mod duty;
+mod registration;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use masticreel_base::ids::{GroupId, InstanceId, ServerId};
+use slog::Logger;
+
+use crate::coordinator::change::Change;
+pub use crate::coordinator::change::ControlFailure;
+pub use crate::coordinator::registration::Lease;
+use crate::moment::Moment;
+use crate::protocol::{PromoterAnswer, PromotionOrder};
+use crate::records::{DoubtKind, DoubtRecord, StoreAnswer, StoreCall};
+use crate::statement::{Command, ServerStatus};
+use crate::store_view::StoreView;
+
+/// What a call of the store is for. One call of each kind is under way at most.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Purpose {
+    /// To get a lease.
+    Grant,
+    /// To renew it.
+    Renew,
+    /// To write the membership.
+    Register,
+    /// To write a doubt about a group's primary.
+    Doubt(GroupId),
+    /// To take the duty.
+    TakeDuty,
+    /// To remove an instance that is gone.
+    Dismiss(InstanceId),
+    /// To write a group's first record.
+    Introduce(GroupId),
+    /// To stop the use of a group's primary.
+    Block(GroupId),
+    /// To write down which server takes over.
+    Choose(GroupId),
+    /// To let a group's new primary be used.
+    Publish(GroupId),
+}
+
+/// What the event loop has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Call the store.
+    Store(Purpose, StoreCall),
+    /// Send one command to a server over a connection of its own.
+    Control {
+        /// The server.
+        server: ServerId,
+        /// Its address.
+        address: SocketAddr,
+        /// Its group.
+        group: GroupId,
+        /// The command.
+        command: Command,
+    },
+    /// Order a promotion.
+    Promote(PromotionOrder),
+}
+
+/// The state of an instance's part.
+#[derive(Debug)]
+pub struct Coordinator {
+    instance: InstanceId,
+    incarnation: u64,
+    log: Logger,
+    lease: Lease,
+    stopped: BTreeMap<GroupId, u64>,
+    doubts: BTreeMap<GroupId, DoubtRecord>,
+    in_flight: BTreeSet<Purpose>,
+    not_before: HashMap<Purpose, Moment>,
+    held_since: Option<Moment>,
+    vacant_since: Option<Moment>,
+    absent: HashMap<ServerId, Moment>,
+    silent_members: HashMap<InstanceId, Moment>,
+    dismissed: HashMap<InstanceId, Moment>,
+    settled_at: HashMap<GroupId, Moment>,
+    changes: BTreeMap<GroupId, Change>,
+    deposed: HashMap<ServerId, change::Deposed>,
+    steps: Vec<Step>,
+}
+
+impl Coordinator {
+    /// Creates the part of an instance that has just started.
+    pub fn new(instance: InstanceId, incarnation: u64, lease: Lease, log: Logger) -> Self {
+        Self {
+            instance,
+            incarnation,
+            log,
+            lease,
+            stopped: BTreeMap::new(),
+            doubts: BTreeMap::new(),
+            in_flight: BTreeSet::new(),
+            not_before: HashMap::new(),
+            held_since: None,
+            vacant_since: None,
+            absent: HashMap::new(),
+            silent_members: HashMap::new(),
+            dismissed: HashMap::new(),
+            settled_at: HashMap::new(),
+            changes: BTreeMap::new(),
+            deposed: HashMap::new(),
+            steps: Vec::new(),
+        }
+    }
+
+    /// Returns what has to be done since the last call.
+    pub fn take_steps(&mut self) -> Vec<Step> {
+        std::mem::take(&mut self.steps)
+    }
+
+    /// Returns whether something is under way that wants frequent ticks.
+    pub fn is_busy(&self) -> bool {
+        !self.changes.is_empty()
+    }
+
+    /// Does what the view and the time demand.
+    pub fn tick(&mut self, view: &StoreView, now: Moment) {
+        self.keep_registered(view, now);
+        self.keep_doubts(view, now);
+        self.keep_duty(view, now);
+        if self.holds_duty(view, now) {
+            self.dismiss_members(view, now);
+            self.introduce_groups(view, now);
+            self.watch_primaries(view, now);
+            self.drive_changes(view, now);
+            self.depose(view, now);
+        } else {
+            self.changes.clear();
+            self.held_since = None;
+        }
+    }
+
+    /// Notes that all work at a retiring primary has ended.
+    pub fn stopped(&mut self, group: &GroupId, epoch: u64) {
+        self.stopped.insert(group.clone(), epoch);
+    }
+
+    /// Notes a doubt about a primary.
+    pub fn doubt(
+        &mut self,
+        view: &StoreView,
+        group: &GroupId,
+        primary: &ServerId,
+        kind: DoubtKind,
+    ) {
+        let Some(record) = view.group(group) else {
+            return;
+        };
+        if record.primary != *primary {
+            return;
+        }
+        let doubt = DoubtRecord { primary: primary.clone(), epoch: record.epoch, kind };
+        self.doubts.insert(group.clone(), doubt);
+    }
+
+    /// Notes that a primary answers.
+    pub fn trust(&mut self, group: &GroupId) {
+        self.doubts.remove(group);
+    }
+
+    /// Takes the answer to a call of the store, none if it was lost.
+    pub fn store_answered(
+        &mut self,
+        now: Moment,
+        asked_at: Moment,
+        purpose: &Purpose,
+        answer: Option<&StoreAnswer>,
+    ) {
+        self.in_flight.remove(purpose);
+        match purpose {
+            Purpose::Grant | Purpose::Renew => self.lease.answered(asked_at, now, answer),
+            Purpose::Register if answer == Some(&StoreAnswer::LeaseGone) => self.lease.ended(),
+            Purpose::Choose(group) => self.chosen(asked_at, group, answer),
+            Purpose::Block(group) | Purpose::Publish(group) => {
+                self.record_written(now, group, purpose, answer);
+            }
+            _ => {}
+        }
+        let pause = match answer {
+            Some(StoreAnswer::Committed { .. } | StoreAnswer::Lease { .. }) => {
+                registration::SETTLE_PAUSE
+            }
+            _ => registration::RETRY_PAUSE,
+        };
+        self.not_before.insert(purpose.clone(), now + pause);
+    }
+
+    /// Takes what a server answered to a command.
+    pub fn control_answered(
+        &mut self,
+        now: Moment,
+        group: &GroupId,
+        server: &ServerId,
+        command: &Command,
+        result: Result<ServerStatus, ControlFailure>,
+    ) {
+        self.note_control(now, group, server, command, result);
+    }
+
+    /// Takes the answer to an order, none if it was lost.
+    pub fn promoter_answered(
+        &mut self,
+        now: Moment,
+        order: &PromotionOrder,
+        answer: Option<PromoterAnswer>,
+    ) {
+        self.note_order(now, order, answer);
+    }
+
+    /// Calls the store unless a call for the same purpose is under way or was
+    /// made a moment ago.
+    fn call(&mut self, now: Moment, purpose: Purpose, call: StoreCall) {
+        let is_due = self.not_before.get(&purpose).is_none_or(|not_before| now >= *not_before);
+        if is_due && self.in_flight.insert(purpose.clone()) {
+            self.steps.push(Step::Store(purpose, call));
+        }
+    }
+}
--- /dev/null
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -0,0 +1,177 @@
+//! An instance's lease, membership and doubts in the store.
+
+use std::time::Duration;
+
+use slog::info;
+
+use crate::coordinator::{Coordinator, Purpose};
+use crate::moment::Moment;
+use crate::records::{
+    DoubtKind, MemberRecord, StoreAnswer, StoreCall, Write, doubt_key, live_key, member_key,
+};
+use crate::store_view::StoreView;
+
+/// The pause before a call that failed is made again.
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// The time in which a watch shows what was written.
+pub(super) const SETTLE_PAUSE: Duration = Duration::from_millis(150);
+/// How long a lease lasts: three renewals may be lost.
+const LEASE_LIFETIME: Duration = Duration::from_secs(6);
+/// The part of its lifetime after which a lease is renewed.
+const RENEWALS_PER_LIFETIME: u32 = 4;
+
+/// The instance's lease.
+#[derive(Debug)]
+pub struct Lease {
+    lifetime: Duration,
+    id: Option<u64>,
+    valid_until: Moment,
+    renewed_at: Moment,
+}
+
+impl Lease {
+    /// Creates a lease that is yet to be granted.
+    pub fn new(shortest: Duration) -> Self {
+        Self {
+            lifetime: LEASE_LIFETIME.max(shortest),
+            id: None,
+            valid_until: Moment::default(),
+            renewed_at: Moment::default(),
+        }
+    }
+
+    /// Returns the lease if it surely lasts for this long.
+    pub(super) fn lasting(&self, now: Moment, duration: Duration) -> Option<u64> {
+        self.id.filter(|_| now + duration < self.valid_until)
+    }
+
+    /// Takes the answer to a grant or renewal that was asked for at a moment.
+    ///
+    /// The lease runs from the arrival of the call, which is not before.
+    pub(super) fn answered(&mut self, asked_at: Moment, now: Moment, answer: Option<&StoreAnswer>) {
+        match answer {
+            Some(StoreAnswer::Lease { lease, lifetime }) => {
+                if *lease != 0 {
+                    self.id = Some(*lease);
+                }
+                self.valid_until = asked_at + *lifetime;
+                self.renewed_at = now;
+            }
+            Some(StoreAnswer::LeaseGone) => self.ended(),
+            _ => {}
+        }
+    }
+
+    /// Forgets a lease that has ended.
+    pub(super) fn ended(&mut self) {
+        self.id = None;
+        self.valid_until = Moment::default();
+    }
+}
+
+impl Coordinator {
+    pub(super) fn keep_registered(&mut self, view: &StoreView, now: Moment) {
+        let Some(lease) = self.lease.id else {
+            let call = StoreCall::Grant { lifetime: self.lease.lifetime };
+            self.call(now, Purpose::Grant, call);
+            return;
+        };
+        let is_due =
+            now.since(self.lease.renewed_at) >= self.lease.lifetime / RENEWALS_PER_LIFETIME;
+        if is_due {
+            self.call(now, Purpose::Renew, StoreCall::Renew { lease });
+        }
+        if view.confirmed_at().is_none() {
+            return;
+        }
+        let record = self.member_record(view);
+        let is_registered = view.member(&self.instance) == Some(&record);
+        let is_live = view.live().any(|instance| *instance == self.instance);
+        if is_registered && is_live {
+            return;
+        }
+        let value = serde_json::to_vec(&record).expect("a record is made of plain values");
+        let mut writes = Vec::new();
+        if !is_live {
+            let value = Some(self.incarnation.to_string().into_bytes());
+            writes.push(Write { key: live_key(&self.instance), value, lease: Some(lease) });
+        }
+        if !is_registered {
+            let key = member_key(&self.instance);
+            writes.push(Write { key, value: Some(value), lease: None });
+        }
+        self.call(now, Purpose::Register, StoreCall::Commit { expected: Vec::new(), writes });
+    }
+
+    /// Returns the membership as it should be in the store.
+    fn member_record(&self, view: &StoreView) -> MemberRecord {
+        let is_current =
+            |group: &_, epoch: u64| view.group(group).is_some_and(|record| record.epoch == epoch);
+        let stopped = self
+            .stopped
+            .iter()
+            .filter(|(group, epoch)| is_current(group, **epoch))
+            .map(|(group, epoch)| (group.clone(), *epoch))
+            .collect();
+        let known = view.member(&self.instance);
+        // Confirmations of changes that are over need no write of their own.
+        match known {
+            Some(known) if known.incarnation == self.incarnation && covers(known, &stopped) => {
+                known.clone()
+            }
+            _ => MemberRecord { incarnation: self.incarnation, stopped },
+        }
+    }
+
+    pub(super) fn keep_doubts(&mut self, view: &StoreView, now: Moment) {
+        let Some(lease) = self.lease.id else {
+            return;
+        };
+        let mut calls = Vec::new();
+        self.doubts.retain(|group, doubt| {
+            view.group(group).is_some_and(|record| record.epoch == doubt.epoch)
+        });
+        for (group, doubt) in &self.doubts {
+            let written = view.doubts(group).find(|(instance, _)| **instance == self.instance);
+            // A refusal is the stronger sign; it is not taken back for silence.
+            let is_written = written.is_some_and(|(_, written)| {
+                written == doubt
+                    || (written.epoch == doubt.epoch && written.kind == DoubtKind::Refused)
+            });
+            if !is_written {
+                let value = serde_json::to_vec(doubt).expect("a record is made of plain values");
+                let key = doubt_key(group, &self.instance);
+                let write = Write { key, value: Some(value), lease: Some(lease) };
+                info!(self.log, "primary doubted"; "group" => %group,
+                    "primary" => %doubt.primary, "kind" => %doubt.kind, "epoch" => doubt.epoch);
+                calls.push((Purpose::Doubt(group.clone()), write));
+            }
+        }
+        let withdrawn: Vec<_> = view
+            .groups()
+            .filter(|(group, _)| !self.doubts.contains_key(*group))
+            .filter(|(group, record)| {
+                let mut doubts = view.doubts(group);
+                doubts.any(|(instance, doubt)| {
+                    *instance == self.instance && doubt.epoch == record.value.epoch
+                })
+            })
+            .map(|(group, _)| group.clone())
+            .collect();
+        for group in withdrawn {
+            let key = doubt_key(&group, &self.instance);
+            calls.push((Purpose::Doubt(group), Write { key, value: None, lease: None }));
+        }
+        for (purpose, write) in calls {
+            let call = StoreCall::Commit { expected: Vec::new(), writes: vec![write] };
+            self.call(now, purpose, call);
+        }
+    }
+}
+
+/// Returns whether a record has at least these confirmations.
+fn covers(known: &MemberRecord, stopped: &Vec<(masticreel_base::ids::GroupId, u64)>) -> bool {
+    stopped
+        .iter()
+        .all(|(group, epoch)| known.stopped.iter().any(|(known, at)| known == group && at >= epoch))
+}
--- /dev/null
+++ b/lib/proxy/src/engine/placing.rs
@@ -0,0 +1,435 @@
+//! Which server runs a request, and on which connection.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use masticreel_base::ids::{GroupId, ServerId};
+use masticreel_base::position::TermPosition;
+use slog::debug;
+
+use super::{Action, Context, Engine};
+use crate::caller::{CallerId, Need, Pending, Stage, Transaction};
+use crate::connections::{ConnectionId, Expected};
+use crate::directory::Server;
+use crate::statement::{Access, Command, Failure, FailureKind, Shape, Work};
+use crate::trust;
+
+/// Connections to a server that no instance uses, so that one that restarts
+/// finds room while the server still holds its old ones.
+const SPARE_CONNECTIONS: usize = 1;
+/// How long what a replica last said of its position is taken for its position
+/// now.
+const POSITION_MEMORY: Duration = Duration::from_millis(60);
+
+/// A server that may run a request.
+#[derive(Debug)]
+struct Candidate {
+    server: ServerId,
+    slots: usize,
+}
+
+impl Engine {
+    /// Puts a request on a connection, or lets it wait for one.
+    pub(super) fn place(&mut self, context: Context<'_>, id: CallerId, may_open: bool) {
+        let Some(caller) = self.callers.get(&id) else {
+            return;
+        };
+        if let Transaction::Open(open) = &caller.transaction
+            && let Some(connection) = open.connection
+        {
+            self.assign(id, connection);
+            self.send_main(context, connection);
+            return;
+        }
+        let Some(pending) = &caller.pending else {
+            return;
+        };
+        let candidates = self.candidates(context, pending);
+        let values = caller.values.clone();
+        for candidate in &candidates {
+            let running = self.connections.known_health(&candidate.server).map_or(0, |h| h.running);
+            if running >= candidate.slots {
+                continue;
+            }
+            if let Some(connection) = self.connections.best_idle(&candidate.server, &values) {
+                self.dispatch(context, id, connection);
+                return;
+            }
+        }
+        self.enqueue(id);
+        if may_open {
+            let group = self.group_of(id);
+            if let Some(group) = group {
+                self.open_for(context, &group, &candidates);
+            }
+        }
+    }
+
+    fn group_of(&self, id: CallerId) -> Option<GroupId> {
+        let pending = self.callers.get(&id)?.pending.as_ref()?;
+        Some(pending.route.group.clone())
+    }
+
+    fn enqueue(&mut self, id: CallerId) {
+        let Some(pending) = self.callers.get_mut(&id).and_then(|caller| caller.pending.as_mut())
+        else {
+            return;
+        };
+        if matches!(pending.stage, Stage::Waiting(_)) {
+            return;
+        }
+        let group = pending.route.group.clone();
+        let urgency = pending.route.urgency;
+        let turn = self.group(&group).queue.push(urgency, id);
+        if let Some(pending) = self.callers.get_mut(&id).and_then(|caller| caller.pending.as_mut())
+        {
+            pending.stage = Stage::Waiting(turn);
+        }
+    }
+
+    /// Takes a request out of the queue of its group.
+    pub(super) fn dequeue(&mut self, id: CallerId) {
+        let Some(pending) = self.callers.get(&id).and_then(|caller| caller.pending.as_ref()) else {
+            return;
+        };
+        if let Stage::Waiting(turn) = pending.stage {
+            let group = pending.route.group.clone();
+            self.group(&group).queue.remove(turn);
+        }
+    }
+
+    /// Gives waiting requests the connections that have become idle.
+    pub(super) fn pump(&mut self, context: Context<'_>, group: &GroupId, may_open: bool) {
+        for (_, id) in self.group(group).queue.in_order() {
+            self.place(context, id, may_open);
+        }
+    }
+
+    /// Opens a connection to the first candidate that has room for one.
+    fn open_for(&mut self, context: Context<'_>, group: &GroupId, candidates: &[Candidate]) {
+        let waiting = self.waiting(group);
+        let opening: usize = candidates
+            .iter()
+            .filter_map(|candidate| self.connections.known_health(&candidate.server))
+            .map(|health| health.opening)
+            .sum();
+        if opening >= waiting {
+            return;
+        }
+        for candidate in candidates {
+            let Some(server) = context.view.server(&candidate.server) else {
+                continue;
+            };
+            let share = self.connection_share(context, server);
+            let health = self.connections.health(&server.id);
+            if health.connections < share && context.now >= health.open_after {
+                self.open(context, server);
+                return;
+            }
+        }
+    }
+
+    /// Opens a connection to a server.
+    pub(super) fn open(&mut self, context: Context<'_>, server: &Server) {
+        let connection =
+            self.connections.open(&server.id, server.born_ms, &server.group, context.now);
+        self.metrics.connection_opened();
+        self.actions.push(Action::Connect {
+            connection,
+            address: server.address,
+            group: server.group.clone(),
+            server: server.id.clone(),
+        });
+    }
+
+    /// Returns how many connections this instance may hold to a server.
+    pub(super) fn connection_share(&self, context: Context<'_>, server: &Server) -> usize {
+        let limit = context
+            .view
+            .document()
+            .and_then(|document| document.groups.get(&server.group))
+            .map_or(1, |limits| limits.max_connections);
+        let instances = context.view.live().count().max(1);
+        (limit.saturating_sub(SPARE_CONNECTIONS) / instances).max(1)
+    }
+
+    /// Returns the servers that may run a request, the best first.
+    fn candidates(&self, context: Context<'_>, pending: &Pending) -> Vec<Candidate> {
+        let group = &pending.route.group;
+        let usable = self.usable_primary(context, group);
+        let primary = || {
+            let slots = usable
+                .as_ref()
+                .and_then(|id| context.view.server(id))
+                .map_or(usize::MAX, |server| server.slots);
+            usable.iter().map(|id| Candidate { server: id.clone(), slots }).collect()
+        };
+        if pending.need == Need::Primary || pending.primary_only {
+            return primary();
+        }
+        let Some(floor) = self.floor(pending) else {
+            return primary();
+        };
+        let leading = context.view.group(group).map(|record| record.primary.clone());
+        let is_changing = trust::retiring_primary(context.view, group).is_some();
+        let mut ranked: Vec<_> = context
+            .view
+            .servers_of(group)
+            .filter(|server| !server.is_leaving)
+            .filter(|server| !(is_changing && leading.as_ref() == Some(&server.id)))
+            .filter(|server| self.may_have(server, floor, context))
+            .map(|server| {
+                let health = self.connections.known_health(&server.id);
+                let running = health.map_or(0, |health| health.running);
+                let rank = (
+                    pending.avoided.as_ref() == Some(&server.id),
+                    running >= server.slots,
+                    usable.as_ref() == Some(&server.id),
+                    server.domain != self.settings.domain,
+                    running,
+                    server.id.clone(),
+                );
+                (rank, server.slots)
+            })
+            .collect();
+        ranked.sort();
+        ranked.into_iter().map(|(rank, slots)| Candidate { server: rank.5, slots }).collect()
+    }
+
+    /// Returns whether a server may have applied a position, by what it last
+    /// said.
+    fn may_have(&self, server: &Server, floor: TermPosition, context: Context<'_>) -> bool {
+        let Some(health) = self.connections.known_health(&server.id) else {
+            return true;
+        };
+        if context.now < health.rest_until {
+            return false;
+        }
+        health
+            .applied
+            .is_none_or(|(applied, at)| applied >= floor || context.now.since(at) > POSITION_MEMORY)
+    }
+
+    /// Returns the primary of a group if it may be used now.
+    pub(super) fn usable_primary(&self, context: Context<'_>, group: &GroupId) -> Option<ServerId> {
+        trust::usable_primary(
+            context.view,
+            &self.settings.instance,
+            self.settings.incarnation,
+            group,
+            context.now,
+        )
+        .map(|record| record.primary.clone())
+    }
+
+    /// Returns the position that a server must have applied for a request.
+    ///
+    /// None if no sample is young enough: then only the primary may answer.
+    fn floor(&self, pending: &Pending) -> Option<TermPosition> {
+        let Need::NotOlder { than, own_commit } = &pending.need else {
+            return None;
+        };
+        let state = self.groups.get(&pending.route.group)?;
+        let floor = state.samples.floor(*than)?;
+        // Commits of an older term that still exist lie below every position
+        // of the newer one, so the order of positions suffices.
+        Some(own_commit.map_or(floor, |position| position.max(floor)))
+    }
+
+    /// Puts a request on an idle connection.
+    fn dispatch(&mut self, context: Context<'_>, id: CallerId, connection_id: ConnectionId) {
+        self.dequeue(id);
+        self.assign(id, connection_id);
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let Some(pending) = &caller.pending else {
+            return;
+        };
+        let begin = match &mut caller.transaction {
+            Transaction::Open(open) => {
+                open.connection = Some(connection_id);
+                Some(open.read_only)
+            }
+            _ => None,
+        };
+        let shape = match &pending.work {
+            Work::Prepared { shape, .. } => Some(shape.clone()),
+            Work::Direct { .. } | Work::Commit => None,
+        };
+        let values = caller.values.clone();
+        let Some(connection) = self.connections.get_mut(connection_id) else {
+            return;
+        };
+        connection.is_held = begin.is_some();
+        connection.sent_at = context.now;
+        if connection.values != values {
+            if !connection.can_add_values(&values) {
+                connection.values = Default::default();
+                connection.prepared.clear();
+                connection.expected.push_back(Expected::Setup);
+                self.actions.push(Action::Send(connection_id, Command::Clear));
+            }
+            for (name, value) in values.iter() {
+                if connection.values.get(name) != Some(value) {
+                    let command = Command::Set { name: name.clone(), value: value.clone() };
+                    connection.expected.push_back(Expected::Setup);
+                    self.actions.push(Action::Send(connection_id, command));
+                }
+            }
+            connection.values = values;
+        }
+        if let Some(shape) = shape {
+            self.prepare(connection_id, &shape);
+        }
+        if let Some(read_only) = begin {
+            let Ok(floor) = self.floor_at(context, id, connection_id) else {
+                self.fail_attempt(context, connection_id, no_young_position());
+                return;
+            };
+            if let Some(connection) = self.connections.get_mut(connection_id) {
+                connection.expected.push_back(Expected::Begin);
+            }
+            self.actions.push(Action::Send(connection_id, Command::Begin { read_only, floor }));
+        }
+        self.continue_setup(context, connection_id);
+    }
+
+    /// Prepares a shape on a connection that doesn't know it yet.
+    fn prepare(&mut self, connection_id: ConnectionId, shape: &Shape) {
+        let handle = handle(shape);
+        let Some(connection) = self.connections.get_mut(connection_id) else {
+            return;
+        };
+        if connection.prepared.insert(handle) {
+            connection.expected.push_back(Expected::Setup);
+            let command = Command::Prepare { handle, shape: shape.clone() };
+            self.actions.push(Action::Send(connection_id, command));
+        }
+    }
+
+    /// Sends the caller's work once nothing is left to prepare.
+    pub(super) fn continue_setup(&mut self, context: Context<'_>, connection_id: ConnectionId) {
+        let is_prepared = self
+            .connections
+            .get(connection_id)
+            .is_some_and(|connection| connection.expected.is_empty());
+        if is_prepared {
+            self.send_main(context, connection_id);
+        }
+    }
+
+    fn assign(&mut self, id: CallerId, connection_id: ConnectionId) {
+        if let Some(connection) = self.connections.get_mut(connection_id) {
+            connection.owner = Some(id);
+        }
+        if let Some(pending) = self.callers.get_mut(&id).and_then(|caller| caller.pending.as_mut())
+        {
+            pending.stage = Stage::Placed(connection_id);
+        }
+    }
+
+    /// Sends the caller's work on its connection.
+    pub(super) fn send_main(&mut self, context: Context<'_>, connection_id: ConnectionId) {
+        let Some(connection) = self.connections.get(connection_id) else {
+            return;
+        };
+        let Some(id) = connection.owner else {
+            return;
+        };
+        let server = connection.server.clone();
+        let group = connection.group.clone();
+        let Some(caller) = self.callers.get(&id) else {
+            return;
+        };
+        let Some(pending) = caller.pending.clone() else {
+            return;
+        };
+        let in_transaction = matches!(caller.transaction, Transaction::Open(_));
+        let is_usable = self.usable_primary(context, &group).as_ref() == Some(&server);
+        if pending.need == Need::Primary && !is_usable && !self.is_finishing(&group, &server) {
+            let failure = Failure::new(FailureKind::Busy, "the group's primary is being replaced");
+            self.fail_attempt(context, connection_id, failure);
+            return;
+        }
+        if let Work::Prepared { shape, .. } = &pending.work {
+            self.prepare(connection_id, shape);
+            let must_wait = self
+                .connections
+                .get(connection_id)
+                .is_some_and(|connection| !connection.expected.is_empty());
+            if must_wait {
+                return;
+            }
+        }
+        let is_plain_read = !in_transaction && pending.work.access() == Access::Read;
+        let floor = match self.floor_at(context, id, connection_id) {
+            Ok(floor) => floor.filter(|_| is_plain_read),
+            Err(UnknownFloor) if is_plain_read => {
+                self.fail_attempt(context, connection_id, no_young_position());
+                return;
+            }
+            // The transaction was begun with the floor.
+            Err(UnknownFloor) => None,
+        };
+        let handle = match &pending.work {
+            Work::Prepared { shape, .. } => Some(handle(shape)),
+            Work::Direct { .. } | Work::Commit => None,
+        };
+        debug!(self.log, "request sent"; "request" => %pending.tag, "server" => %server,
+            "floor" => floor.map(|floor| floor.to_string()));
+        let command =
+            Command::Run { tag: pending.tag.clone(), work: pending.work.clone(), handle, floor };
+        if let Some(connection) = self.connections.get_mut(connection_id) {
+            connection.expected.push_back(Expected::Main);
+            connection.sent_at = context.now;
+        }
+        self.connections.health(&server).running += 1;
+        if let Some(pending) = self.callers.get_mut(&id).and_then(|caller| caller.pending.as_mut())
+        {
+            pending.attempts += 1;
+        }
+        self.actions.push(Action::Send(connection_id, command));
+    }
+
+    /// Returns whether a transaction may still finish at a primary that is
+    /// being replaced.
+    fn is_finishing(&self, group: &GroupId, server: &ServerId) -> bool {
+        let retiring = self.groups.get(group).and_then(|state| state.retiring.as_ref());
+        retiring.is_some_and(|retiring| retiring.primary == *server)
+    }
+
+    /// Returns the floor to send along: none to a primary that may be used,
+    /// which has everything.
+    fn floor_at(
+        &self,
+        context: Context<'_>,
+        id: CallerId,
+        connection_id: ConnectionId,
+    ) -> Result<Option<TermPosition>, UnknownFloor> {
+        let pending = self.callers.get(&id).and_then(|caller| caller.pending.as_ref());
+        let (Some(pending), Some(connection)) = (pending, self.connections.get(connection_id))
+        else {
+            return Err(UnknownFloor);
+        };
+        let usable = self.usable_primary(context, &connection.group);
+        if pending.need == Need::Primary || usable.as_ref() == Some(&connection.server) {
+            return Ok(None);
+        }
+        self.floor(pending).map(Some).ok_or(UnknownFloor)
+    }
+}
+
+/// No position is known that a replica must have applied.
+struct UnknownFloor;
+
+fn no_young_position() -> Failure {
+    Failure::new(FailureKind::Lagging, "no recent position of the primary is known")
+}
+
+/// Returns the name of a shape on server connections, the same for all callers.
+fn handle(shape: &Shape) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    shape.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/lib/proxy/src/event_loop/links.rs
@@ -0,0 +1,300 @@
+//! The instance's own calls: the store, servers' roles and the promoter.
+
+use std::time::Duration;
+
+use masticreel_base::ids::{GroupId, ServerId};
+use mio::Token;
+use slog::{debug, info, warn};
+
+use super::{CONNECT_TIMEOUT, Entry, EventLoop, Loss, StoreUse, Use};
+use crate::coordinator::{ControlFailure, Step};
+use crate::engine::Context;
+use crate::event_loop::store_link::{CALL_TIMEOUT, WATCH_SLACK};
+use crate::moment::{Moment, SteadyClock};
+use crate::protocol::{
+    Platform, PromoterProtocol, StoreProtocol, UpstreamMessage, UpstreamProtocol,
+};
+use crate::records::{StoreAnswer, StoreCall};
+use crate::statement::Command;
+use crate::store_view::Change;
+
+/// Returns how long a call may take on a connection that is established.
+pub(super) fn call_timeout(call: &StoreCall) -> Duration {
+    match call {
+        StoreCall::Watch { wait, .. } => *wait + WATCH_SLACK,
+        _ => CALL_TIMEOUT,
+    }
+}
+
+impl<Spoken, Clock> EventLoop<'_, Spoken, Clock>
+where
+    Spoken: Platform,
+    Clock: SteadyClock,
+{
+    /// Makes the calls of the store that are due.
+    pub(super) fn call_store(&mut self) {
+        if let Some(call) = self.link.next_call(&self.view, self.now) {
+            self.start_call(StoreUse::Link, call);
+        }
+    }
+
+    fn start_call(&mut self, used_for: StoreUse, call: StoreCall) {
+        let timeout = call_timeout(&call);
+        let idle = self.entries.iter().find_map(|(token, entry)| {
+            matches!(entry.used_for, Use::Store { call: None }).then_some(*token)
+        });
+        let token = match idle {
+            Some(token) => token,
+            None => {
+                let fresh = Use::Store { call: None };
+                match self.connect(self.settings.store, fresh, CONNECT_TIMEOUT) {
+                    Ok(token) => token,
+                    Err(error) => {
+                        warn!(self.log, "no connection to the store"; "error" => %error);
+                        self.store_answered(used_for, &call, self.now, None);
+                        return;
+                    }
+                }
+            }
+        };
+        if let Some(entry) = self.entries.get_mut(&token) {
+            self.platform.store().encode(&call, &mut entry.socket.output);
+            let is_connected = entry.socket.is_connected();
+            let timeout = if is_connected { timeout } else { CONNECT_TIMEOUT };
+            entry.deadline = Some(self.now + timeout);
+            entry.used_for = Use::Store { call: Some((used_for, call, self.now)) };
+            self.dirty.insert(token);
+        }
+    }
+
+    pub(super) fn read_store(&mut self, token: Token) {
+        let Some(Entry { socket, used_for: Use::Store { call }, deadline }) =
+            self.entries.get_mut(&token)
+        else {
+            return;
+        };
+        let Some((used_for, asked, asked_at)) = call.take() else {
+            return;
+        };
+        match self.platform.store().decode(&asked, &mut socket.input) {
+            Ok(None) => *call = Some((used_for, asked, asked_at)),
+            Ok(Some(answer)) => {
+                *deadline = None;
+                self.store_answered(used_for, &asked, asked_at, Some(answer));
+            }
+            Err(error) => {
+                warn!(self.log, "store's answer can't be read"; "call" => asked.name(),
+                    "reason" => error.reason);
+                self.close(token);
+                self.store_answered(used_for, &asked, asked_at, None);
+            }
+        }
+    }
+
+    pub(super) fn store_answered(
+        &mut self,
+        used_for: StoreUse,
+        call: &StoreCall,
+        asked_at: Moment,
+        answer: Option<StoreAnswer>,
+    ) {
+        let outcome = match &answer {
+            None => "lost",
+            Some(StoreAnswer::Unavailable) => "unavailable",
+            Some(StoreAnswer::Conflict) => "conflict",
+            Some(StoreAnswer::Rejected) => "rejected",
+            Some(_) => "ok",
+        };
+        self.metrics.store_called(call.name(), outcome);
+        match used_for {
+            StoreUse::Link => {
+                let store = self.platform.store();
+                let was_complete = self.link.is_complete();
+                let progress = self.link.answered(&mut self.view, self.now, answer, store);
+                if progress.is_newly_lost {
+                    warn!(self.log, "store lost"; "call" => call.name(), "outcome" => outcome,
+                        "revision" => self.view.revision());
+                }
+                if progress.is_regained || (!was_complete && self.link.is_complete()) {
+                    info!(self.log, "store in view"; "revision" => self.view.revision());
+                }
+                self.follow(progress.changes);
+            }
+            StoreUse::Coordinator(purpose) => {
+                debug!(self.log, "store answered"; "purpose" => ?purpose, "outcome" => outcome);
+                if outcome != "ok" {
+                    info!(self.log, "store call failed"; "purpose" => ?purpose,
+                        "outcome" => outcome,
+                        "took_ms" => self.now.since(asked_at).as_millis());
+                }
+                self.coordinator.store_answered(self.now, asked_at, &purpose, answer.as_ref());
+                self.coordinator.tick(&self.view, self.now);
+            }
+        }
+    }
+
+    /// Tells the decisions what changed in the picture of the store.
+    fn follow(&mut self, changes: Vec<Change>) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            let context = Context { view: &self.view, now: self.now };
+            match change {
+                Change::Document => {
+                    if let Some(document) = self.view.document() {
+                        info!(self.log, "configuration in force";
+                            "version" => document.version, "routes" => document.routes.len(),
+                            "groups" => document.groups.len());
+                    }
+                }
+                Change::Server(id) => {
+                    match self.view.server(&id) {
+                        Some(server) => info!(self.log, "server's entry"; "server" => %id,
+                            "group" => %server.group, "address" => %server.address,
+                            "leaving" => server.is_leaving,
+                            "role" => server.role.map(|role| role.to_string())),
+                        None => info!(self.log, "server's entry removed"; "server" => %id),
+                    }
+                    self.engine.server_changed(context, &id);
+                }
+                Change::Group(group) => self.engine.group_changed(context, &group),
+                Change::Control => {}
+                Change::Unusable(key, reason) => {
+                    warn!(self.log, "item of the store can't be used"; "key" => %key,
+                        "reason" => reason);
+                }
+            }
+        }
+        // What was stopped has to be known before the coordinator confirms it.
+        self.carry_out();
+        self.coordinator.tick(&self.view, self.now);
+    }
+
+    pub(super) fn step(&mut self, step: Step) {
+        match step {
+            Step::Store(purpose, call) => self.start_call(StoreUse::Coordinator(purpose), call),
+            Step::Control { server, address, group, command } => {
+                let used_for = Use::Control {
+                    group: group.clone(),
+                    server: server.clone(),
+                    command: command.clone(),
+                    row: None,
+                    step: 0,
+                };
+                match self.connect(address, used_for, CONNECT_TIMEOUT) {
+                    Ok(token) => {
+                        if let Some(entry) = self.entries.get_mut(&token) {
+                            let output = &mut entry.socket.output;
+                            self.platform.upstreams().encode_start(&group, &server, output);
+                        }
+                    }
+                    Err(error) => {
+                        warn!(self.log, "no connection can be opened"; "server" => %server,
+                            "error" => %error);
+                        self.control_failed(&group, &server, &command, Loss::Closed);
+                    }
+                }
+            }
+            Step::Promote(order) => {
+                let Some(promoter) = self.settings.promoter else {
+                    warn!(self.log, "no promoter is known"; "group" => %order.group);
+                    return;
+                };
+                let used_for = Use::Promoter { order: order.clone() };
+                match self.connect(promoter, used_for, CONNECT_TIMEOUT) {
+                    Ok(token) => {
+                        if let Some(entry) = self.entries.get_mut(&token) {
+                            self.platform.promoter().encode(&order, &mut entry.socket.output);
+                        }
+                    }
+                    Err(error) => {
+                        warn!(self.log, "no connection to the promoter"; "error" => %error);
+                        self.coordinator.promoter_answered(self.now, &order, None);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn read_control(&mut self, token: Token) {
+        loop {
+            let Some(Entry {
+                socket,
+                used_for: Use::Control { group, server, command, row, step },
+                ..
+            }) = self.entries.get_mut(&token)
+            else {
+                return;
+            };
+            let message = match self.platform.upstreams().decode(&mut socket.input) {
+                Ok(None) => return,
+                Ok(Some(message)) => message,
+                Err(error) => {
+                    warn!(self.log, "server's message can't be read"; "reason" => error.reason);
+                    self.ended(token, false);
+                    return;
+                }
+            };
+            match message {
+                UpstreamMessage::Row(text) => *row = Some(text),
+                UpstreamMessage::Complete(_) => {}
+                UpstreamMessage::Ready { .. } if *step == 0 => {
+                    *step = 1;
+                    self.platform.upstreams().encode_command(command, &mut socket.output);
+                    self.dirty.insert(token);
+                }
+                UpstreamMessage::Ready { .. } | UpstreamMessage::Error(_) => {
+                    let status =
+                        row.take().and_then(|row| self.platform.upstreams().decode_status(&row));
+                    let (group, server, command) = (group.clone(), server.clone(), command.clone());
+                    self.close(token);
+                    let result = status.ok_or(ControlFailure::Rejected);
+                    self.coordinator.control_answered(self.now, &group, &server, &command, result);
+                    self.coordinator.tick(&self.view, self.now);
+                    return;
+                }
+            }
+        }
+    }
+
+    pub(super) fn control_failed(
+        &mut self,
+        group: &GroupId,
+        server: &ServerId,
+        command: &Command,
+        loss: Loss,
+    ) {
+        let failure = match loss {
+            Loss::Refused => ControlFailure::Refused,
+            Loss::Silent => ControlFailure::Silent,
+            Loss::Closed | Loss::Garbage => ControlFailure::Rejected,
+        };
+        self.coordinator.control_answered(self.now, group, server, command, Err(failure));
+    }
+
+    pub(super) fn read_promoter(&mut self, token: Token) {
+        let Some(Entry { socket, used_for: Use::Promoter { order }, .. }) =
+            self.entries.get_mut(&token)
+        else {
+            return;
+        };
+        match self.platform.promoter().decode(&mut socket.input) {
+            Ok(None) => {}
+            Ok(Some(answer)) => {
+                let order = order.clone();
+                self.close(token);
+                self.coordinator.promoter_answered(self.now, &order, Some(answer));
+            }
+            Err(error) => {
+                warn!(self.log, "promoter's answer can't be read"; "reason" => error.reason);
+                self.ended(token, false);
+            }
+        }
+    }
+
+    /// Returns how long ago the store last showed the newest state.
+    pub(super) fn store_age(&self) -> Option<Duration> {
+        self.view.confirmed_at().map(|at| self.now.since(at))
+    }
+}
--- /dev/null
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -0,0 +1,376 @@
+//! Callers and servers: what arrives, and what became of connections.
+
+use std::collections::{BTreeSet, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use masticreel_base::ids::{GroupId, ServerId};
+use mio::net::TcpListener;
+use mio::{Interest, Poll, Token};
+use slog::{Logger, debug, info, warn};
+
+use super::{
+    CALLER_LISTENER, CONNECT_TIMEOUT, Condition, Entry, EventLoop, FIRST_SOCKET, METRICS_LISTENER,
+    READINESS_LISTENER, RunError, SESSION_START_TIMEOUT, Use,
+};
+use crate::caller::CallerId;
+use crate::connections::ConnectionId;
+use crate::coordinator::Coordinator;
+use crate::engine::{Context, Engine, EngineSettings, Loss};
+use crate::event_loop::socket::Socket;
+use crate::event_loop::store_link::StoreLink;
+use crate::log::LogBuffer;
+use crate::metrics::Metrics;
+use crate::moment::{Moment, SteadyClock};
+use crate::protocol::{
+    CallerMessage, CallerProtocol, Platform, ProtocolError, UpstreamMessage, UpstreamProtocol,
+};
+use crate::settings::ProxySettings;
+use crate::statement::{Failure, FailureKind};
+use crate::store_view::StoreView;
+
+impl<'a, Spoken, Clock> EventLoop<'a, Spoken, Clock>
+where
+    Spoken: Platform,
+    Clock: SteadyClock,
+{
+    pub(super) fn new(
+        platform: &'a Spoken,
+        settings: &ProxySettings,
+        clock: Clock,
+        log: Logger,
+        buffer: LogBuffer,
+    ) -> Result<Self, RunError> {
+        let poll = Poll::new().map_err(RunError::new("poller"))?;
+        let listen = |address: SocketAddr, token: Token| {
+            let what = format!("listener at {address}");
+            let mut listener = TcpListener::bind(address).map_err(RunError::new(what.clone()))?;
+            poll.registry()
+                .register(&mut listener, token, Interest::READABLE)
+                .map_err(RunError::new(what))?;
+            Ok(listener)
+        };
+        let callers_listener = listen(settings.callers, CALLER_LISTENER)?;
+        let page_listeners = vec![
+            (READINESS_LISTENER, listen(settings.readiness, READINESS_LISTENER)?),
+            (METRICS_LISTENER, listen(settings.metrics, METRICS_LISTENER)?),
+        ];
+        let metrics = Metrics::new();
+        let incarnation = new_incarnation(&clock);
+        let engine_settings = EngineSettings {
+            instance: settings.instance.clone(),
+            incarnation,
+            domain: settings.domain.clone(),
+        };
+        let lease = crate::coordinator::Lease::new(settings.shortest_lease);
+        let coordinator =
+            Coordinator::new(settings.instance.clone(), incarnation, lease, log.clone());
+        info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"),
+            "domain" => %settings.domain, "callers" => %settings.callers,
+            "store" => %settings.store, "incarnation" => incarnation);
+        let now = clock.now();
+        Ok(Self {
+            platform,
+            settings: settings.clone(),
+            clock,
+            engine: Engine::new(engine_settings, log.clone(), metrics.clone()),
+            coordinator,
+            log,
+            buffer,
+            metrics,
+            poll,
+            callers_listener: Some(callers_listener),
+            page_listeners,
+            entries: HashMap::new(),
+            next_token: FIRST_SOCKET,
+            next_caller: 0,
+            caller_tokens: HashMap::new(),
+            upstream_tokens: HashMap::new(),
+            dirty: BTreeSet::new(),
+            view: StoreView::default(),
+            link: StoreLink::new(),
+            stopping_at: None,
+            is_ready: false,
+            ticked_at: now,
+            now,
+        })
+    }
+
+    pub(super) fn accept_callers(&mut self) {
+        loop {
+            let Some(listener) = &self.callers_listener else {
+                return;
+            };
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let token = self.new_token();
+                    self.next_caller += 1;
+                    let id = CallerId(self.next_caller);
+                    match Socket::accepted(stream, self.poll.registry(), token) {
+                        Ok(socket) => {
+                            let used_for = Use::Caller { id, is_open: false };
+                            let deadline = Some(self.now + SESSION_START_TIMEOUT);
+                            self.entries.insert(token, Entry { socket, used_for, deadline });
+                            self.caller_tokens.insert(id, token);
+                        }
+                        Err(error) => warn!(self.log, "caller not accepted"; "error" => %error),
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => {
+                    warn!(self.log, "caller not accepted"; "error" => %error);
+                    return;
+                }
+            }
+        }
+    }
+
+    pub(super) fn connect_upstream(
+        &mut self,
+        id: ConnectionId,
+        address: SocketAddr,
+        group: &GroupId,
+        server: &ServerId,
+    ) {
+        let used_for = Use::Upstream { id, last_row: None };
+        match self.connect(address, used_for, CONNECT_TIMEOUT) {
+            Ok(token) => {
+                self.upstream_tokens.insert(id, token);
+                if let Some(entry) = self.entries.get_mut(&token) {
+                    let output = &mut entry.socket.output;
+                    self.platform.upstreams().encode_start(group, server, output);
+                }
+            }
+            Err(error) => {
+                warn!(self.log, "no connection can be opened"; "server" => %server,
+                    "error" => %error);
+                let context = Context { view: &self.view, now: self.now };
+                self.engine.connection_lost(context, id, Loss::Closed);
+            }
+        }
+    }
+
+    pub(super) fn writable(&mut self, token: Token) {
+        let Some(entry) = self.entries.get_mut(&token) else {
+            return;
+        };
+        let was_connected = entry.socket.is_connected();
+        match entry.socket.check_connected() {
+            Ok(true) => {
+                if !was_connected {
+                    let timeout = established_timeout(&entry.used_for);
+                    entry.deadline = timeout.map(|timeout| self.now + timeout);
+                }
+                self.dirty.insert(token);
+            }
+            Ok(false) => {}
+            Err(error) => {
+                let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
+                self.ended(token, is_refused);
+            }
+        }
+    }
+
+    pub(super) fn readable(&mut self, token: Token) {
+        let Some(entry) = self.entries.get_mut(&token) else {
+            return;
+        };
+        if !entry.socket.is_connected() {
+            return;
+        }
+        let condition = entry.socket.fill();
+        match entry.used_for {
+            Use::Caller { .. } => self.read_caller(token),
+            Use::Upstream { .. } => self.read_upstream(token),
+            Use::Control { .. } => self.read_control(token),
+            Use::Store { .. } => self.read_store(token),
+            Use::Promoter { .. } => self.read_promoter(token),
+            Use::Page => self.read_page(token),
+        }
+        if condition != Condition::Open {
+            self.ended(token, false);
+        }
+    }
+
+    fn read_caller(&mut self, token: Token) {
+        loop {
+            let Some(Entry { socket, used_for: Use::Caller { id, is_open }, deadline }) =
+                self.entries.get_mut(&token)
+            else {
+                return;
+            };
+            if socket.ends_after_output {
+                socket.input.clear();
+                return;
+            }
+            let id = *id;
+            let context = Context { view: &self.view, now: self.now };
+            match self.platform.callers().decode(&mut socket.input) {
+                Ok(None) => return,
+                Ok(Some(CallerMessage::Finish)) => {
+                    self.ended(token, false);
+                    return;
+                }
+                Ok(Some(CallerMessage::Start { database })) if !*is_open => {
+                    let outcome = self.engine.open_session(context, id, database.clone());
+                    let output = &mut socket.output;
+                    match outcome {
+                        Ok(()) => {
+                            *is_open = true;
+                            *deadline = None;
+                            self.platform.callers().encode_start(Ok(()), output);
+                        }
+                        Err(failure) => {
+                            info!(self.log, "session refused"; "caller" => %id,
+                                "outcome" => %failure.kind, "reason" => %failure.text,
+                                "config" => self.view.document().map_or(0, |d| d.version));
+                            self.platform.callers().encode_start(Err(&failure), output);
+                            socket.ends_after_output = true;
+                        }
+                    }
+                    self.dirty.insert(token);
+                }
+                Ok(Some(CallerMessage::Request { tag, statement })) if *is_open => {
+                    self.engine.request(context, id, tag, statement);
+                }
+                Ok(Some(_)) => {
+                    let error = ProtocolError::malformed("the message doesn't fit the session");
+                    self.refuse_caller(token, &error);
+                    return;
+                }
+                Err(error) => {
+                    self.refuse_caller(token, &error);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn refuse_caller(&mut self, token: Token, error: &ProtocolError) {
+        info!(self.log, "caller's message can't be read"; "reason" => error.reason);
+        if let Some(entry) = self.entries.get_mut(&token) {
+            self.platform.callers().encode_protocol_error(error, &mut entry.socket.output);
+            entry.socket.ends_after_output = true;
+            self.dirty.insert(token);
+        }
+    }
+
+    fn read_upstream(&mut self, token: Token) {
+        loop {
+            let Some(Entry { socket, used_for: Use::Upstream { id, last_row }, .. }) =
+                self.entries.get_mut(&token)
+            else {
+                return;
+            };
+            let id = *id;
+            let context = Context { view: &self.view, now: self.now };
+            match self.platform.upstreams().decode(&mut socket.input) {
+                Ok(None) => return,
+                Ok(Some(message)) => {
+                    let mut status = None;
+                    match &message {
+                        UpstreamMessage::Row(row) if self.engine.expects_role(id) => {
+                            *last_row = Some(row.clone());
+                        }
+                        UpstreamMessage::Ready { .. } => {
+                            let row = last_row.take();
+                            status =
+                                row.and_then(|row| self.platform.upstreams().decode_status(&row));
+                        }
+                        _ => {}
+                    }
+                    self.engine.upstream_message(context, id, message, status);
+                }
+                Err(error) => {
+                    warn!(self.log, "server's message can't be read"; "reason" => error.reason);
+                    self.engine.connection_lost(context, id, Loss::Garbage);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Follows the end of a connection.
+    pub(super) fn ended(&mut self, token: Token, is_refused: bool) {
+        let Some(mut entry) = self.entries.remove(&token) else {
+            return;
+        };
+        self.dirty.remove(&token);
+        entry.socket.deregister(self.poll.registry());
+        let is_connected = entry.socket.is_connected();
+        let context = Context { view: &self.view, now: self.now };
+        let loss = match (is_refused, is_connected) {
+            (true, _) => Loss::Refused,
+            (false, true) => Loss::Closed,
+            (false, false) => Loss::Silent,
+        };
+        match entry.used_for {
+            Use::Caller { id, .. } => {
+                self.caller_tokens.remove(&id);
+                self.engine.close_session(context, id);
+            }
+            Use::Upstream { id, .. } => {
+                self.upstream_tokens.remove(&id);
+                debug!(self.log, "server connection ended"; "connection" => %id, "loss" => ?loss);
+                self.engine.connection_lost(context, id, loss);
+            }
+            Use::Control { group, server, command, .. } => {
+                self.control_failed(&group, &server, &command, loss);
+            }
+            Use::Store { call } => {
+                if let Some((used_for, call, asked_at)) = call {
+                    self.store_answered(used_for, &call, asked_at, None);
+                }
+            }
+            Use::Promoter { order } => {
+                self.coordinator.promoter_answered(self.now, &order, None);
+            }
+            Use::Page => {}
+        }
+    }
+
+    /// Ends connections whose time is over.
+    pub(super) fn expire_entries(&mut self) {
+        let expired: Vec<Token> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.deadline.is_some_and(|deadline| self.now >= deadline))
+            .map(|(token, _)| *token)
+            .collect();
+        for token in expired {
+            if let Some(entry) = self.entries.get(&token)
+                && let Use::Caller { is_open: false, .. } = entry.used_for
+            {
+                let failure = Failure::new(FailureKind::Timeout, "the session was not opened");
+                info!(self.log, "caller dropped"; "reason" => %failure.text);
+            }
+            self.ended(token, false);
+        }
+    }
+}
+
+/// Returns the time-out of a connection once it is established.
+fn established_timeout(used_for: &Use) -> Option<Duration> {
+    match used_for {
+        // The engine times its work itself.
+        Use::Upstream { .. } | Use::Caller { .. } | Use::Store { call: None } => None,
+        Use::Store { call: Some((_, call, _)) } => Some(super::links::call_timeout(call)),
+        Use::Control { .. } => Some(super::CONTROL_TIMEOUT),
+        Use::Promoter { .. } => Some(super::ORDER_TIMEOUT),
+        Use::Page => Some(super::PAGE_TIMEOUT),
+    }
+}
+
+/// Returns a number that no other life of the instance has.
+fn new_incarnation<Clock>(clock: &Clock) -> u64
+where
+    Clock: SteadyClock,
+{
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut hasher = DefaultHasher::new();
+    (unix, clock.now().since(Moment::default()), std::process::id()).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/lib/proxy/src/event_loop/store_link.rs
@@ -0,0 +1,162 @@
+//! Keeps the picture of the store up to date: a list, then one watch after the
+//! other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::moment::Moment;
+use crate::protocol::StoreProtocol;
+use crate::records::{Item, StoreAnswer, StoreCall};
+use crate::store_view::{Change, StoreView};
+
+/// How long the store may hold a watch without changes.
+///
+/// With [`WATCH_SLACK`], a connection that went silent costs less than the
+/// three seconds in which a configuration must be in force.
+const WATCH_WAIT: Duration = Duration::from_millis(1500);
+/// How much later than the wait a watch is given up.
+pub const WATCH_SLACK: Duration = Duration::from_millis(700);
+/// How long a call may take.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+/// The first pause after a failure.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
+/// The longest pause after failures.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Follows the store's items.
+#[derive(Debug)]
+pub struct StoreLink {
+    state: State,
+    asked_at: Moment,
+    is_waiting: bool,
+    not_before: Moment,
+    failures: u32,
+    is_lost: bool,
+}
+
+#[derive(Debug)]
+enum State {
+    Listing { after: Option<Arc<str>>, items: Vec<Item>, started: Option<(Moment, u64)> },
+    Watching,
+}
+
+/// What an answer of the store means.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// What changed in the picture.
+    pub changes: Vec<Change>,
+    /// Whether the store has just stopped answering.
+    pub is_newly_lost: bool,
+    /// Whether the store answers again.
+    pub is_regained: bool,
+}
+
+impl StoreLink {
+    /// Creates a link that starts with a list.
+    pub fn new() -> Self {
+        Self {
+            state: State::Listing { after: None, items: Vec::new(), started: None },
+            asked_at: Moment::default(),
+            is_waiting: false,
+            not_before: Moment::default(),
+            failures: 0,
+            is_lost: false,
+        }
+    }
+
+    /// Returns whether a full list was received.
+    pub fn is_complete(&self) -> bool {
+        matches!(self.state, State::Watching)
+    }
+
+    /// Returns the next call, none while one is under way.
+    pub fn next_call(&mut self, view: &StoreView, now: Moment) -> Option<StoreCall> {
+        if self.is_waiting || now < self.not_before {
+            return None;
+        }
+        self.is_waiting = true;
+        self.asked_at = now;
+        Some(match &self.state {
+            State::Listing { after, .. } => {
+                StoreCall::List { after: after.clone(), may_be_stale: false }
+            }
+            State::Watching => StoreCall::Watch { after: view.revision(), wait: WATCH_WAIT },
+        })
+    }
+
+    /// Takes an answer, none if the call was lost.
+    pub fn answered<Store>(
+        &mut self,
+        view: &mut StoreView,
+        now: Moment,
+        answer: Option<StoreAnswer>,
+        store: &Store,
+    ) -> Progress
+    where
+        Store: StoreProtocol,
+    {
+        self.is_waiting = false;
+        let mut progress = Progress::default();
+        match answer {
+            Some(StoreAnswer::Page { items, is_truncated, revision }) => {
+                progress.changes = self.listed(view, items, is_truncated, revision, store);
+            }
+            Some(StoreAnswer::Events { events, revision }) => {
+                progress.changes = view.apply(&events, store);
+                view.confirm(self.asked_at, revision);
+            }
+            Some(StoreAnswer::HistoryGone) => self.restart(),
+            Some(_) | None => {
+                self.failures += 1;
+                let pause = SHORTEST_PAUSE * self.failures.min(8);
+                self.not_before = now + pause.min(LONGEST_PAUSE);
+                progress.is_newly_lost = !std::mem::replace(&mut self.is_lost, true);
+                if !self.is_complete() {
+                    self.restart();
+                }
+                return progress;
+            }
+        }
+        self.failures = 0;
+        progress.is_regained = std::mem::replace(&mut self.is_lost, false);
+        progress
+    }
+
+    fn restart(&mut self) {
+        self.state = State::Listing { after: None, items: Vec::new(), started: None };
+    }
+
+    fn listed<Store>(
+        &mut self,
+        view: &mut StoreView,
+        page: Vec<Item>,
+        is_truncated: bool,
+        revision: u64,
+        store: &Store,
+    ) -> Vec<Change>
+    where
+        Store: StoreProtocol,
+    {
+        let State::Listing { after, items, started } = &mut self.state else {
+            return Vec::new();
+        };
+        // Pages are no snapshot, so the watch starts from the first of them.
+        let (asked_at, first_revision) = *started.get_or_insert((self.asked_at, revision));
+        let last = page.last().map(|item| item.key.clone());
+        items.extend(page);
+        if is_truncated && last.is_some() {
+            *after = last;
+            return Vec::new();
+        }
+        let changes = view.replace(items, store);
+        view.confirm(asked_at, first_revision);
+        self.state = State::Watching;
+        changes
+    }
+}
+
+impl Default for StoreLink {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/lib/proxy/src/metrics.rs
@@ -0,0 +1,140 @@
+//! What the request path counts; listed in `docs/OPERATIONS.md`.
+
+use std::time::Duration;
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BUCKETS_SECONDS: [f64; 12] =
+    [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
+
+/// The metrics of an instance's request path.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    request_seconds: HistogramVec,
+    local_answers: IntCounterVec,
+    connections_opened: IntCounter,
+    store_calls: IntCounterVec,
+    /// Callers' connections.
+    pub callers: IntGauge,
+    /// Requests without an answer.
+    pub pending: IntGauge,
+    /// The version of the configuration in force.
+    pub config_version: IntGauge,
+    /// Time since the store last showed the newest records, in ms.
+    pub confirmed_ms_ago: IntGauge,
+    /// Whether this instance replaces primaries.
+    pub holds_duty: IntGauge,
+    /// Log lines that were dropped.
+    pub log_lines_dropped: IntGauge,
+}
+
+impl Metrics {
+    /// Creates and registers the metrics.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let gauge = |name: &str, help: &str| {
+            register(&registry, IntGauge::new(name, help).expect("the name is valid"))
+        };
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels);
+            register(&registry, counters.expect("the names are valid"))
+        };
+        Self {
+            requests: counters(
+                "masticreel_requests_total",
+                "Requests of servers' work by urgency and outcome.",
+                &["urgency", "outcome"],
+            ),
+            local_answers: counters(
+                "masticreel_local_answers_total",
+                "Requests that the instance answered itself, by outcome.",
+                &["outcome"],
+            ),
+            store_calls: counters(
+                "masticreel_store_calls_total",
+                "Calls of the platform's store by kind and outcome.",
+                &["call", "outcome"],
+            ),
+            request_seconds: register(
+                &registry,
+                HistogramVec::new(
+                    HistogramOpts::new(
+                        "masticreel_request_seconds",
+                        "Time from a request to its answer, by urgency.",
+                    )
+                    .buckets(LATENCY_BUCKETS_SECONDS.to_vec()),
+                    &["urgency"],
+                )
+                .expect("the names are valid"),
+            ),
+            connections_opened: register(
+                &registry,
+                IntCounter::new(
+                    "masticreel_upstream_connections_opened_total",
+                    "Connections opened to servers.",
+                )
+                .expect("the name is valid"),
+            ),
+            callers: gauge("masticreel_callers", "Connections of callers."),
+            pending: gauge("masticreel_pending_requests", "Requests without an answer."),
+            config_version: gauge("masticreel_config_version", "Configuration in force."),
+            confirmed_ms_ago: gauge(
+                "masticreel_store_confirmed_ms_ago",
+                "Time since the store showed the newest records, in ms; -1 for never.",
+            ),
+            holds_duty: gauge("masticreel_holds_duty", "Whether it replaces primaries."),
+            log_lines_dropped: gauge("masticreel_log_lines_dropped", "Log lines dropped."),
+            registry,
+        }
+    }
+
+    /// Counts a request that was answered.
+    pub fn answered(&self, urgency: u8, outcome: &str, took: Duration) {
+        let urgency = urgency.to_string();
+        self.requests.with_label_values(&[urgency.as_str(), outcome]).inc();
+        self.request_seconds.with_label_values(&[urgency.as_str()]).observe(took.as_secs_f64());
+    }
+
+    /// Counts a request that needed no server.
+    pub fn answered_locally(&self, outcome: &str) {
+        self.local_answers.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts a connection to a server.
+    pub fn connection_opened(&self) {
+        self.connections_opened.inc();
+    }
+
+    /// Counts a call of the store.
+    pub fn store_called(&self, call: &str, outcome: &str) {
+        self.store_calls.with_label_values(&[call, outcome]).inc();
+    }
+
+    /// Returns all metrics in the usual text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric can't be written as text.
+    pub fn page(&self) -> Result<String, prometheus::Error> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn register<Metric>(registry: &Registry, metric: Metric) -> Metric
+where
+    Metric: prometheus::core::Collector + Clone + 'static,
+{
+    registry.register(Box::new(metric.clone())).expect("no two metrics share a name");
+    metric
+}
