coordinator: don't wait for members whose lease ended long ago

Change: an instance counts as entitled only while it sees its own live key, so a member whose key has been gone for longer than an entitlement is not waited for and is dismissed at once. Calls that fail are repeated more slowly. A test plays the removed machine.

--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -83,7 +83,7 @@
     vacant_since: Option<Moment>,
     absent: HashMap<ServerId, Moment>,
     silent_members: HashMap<InstanceId, Moment>,
-    dismissed: HashMap<InstanceId, Moment>,
+    failures: u32,
     settled_at: HashMap<GroupId, Moment>,
     changes: BTreeMap<GroupId, Change>,
     deposed: HashMap<ServerId, change::Deposed>,
@@ -106,7 +106,7 @@
             vacant_since: None,
             absent: HashMap::new(),
             silent_members: HashMap::new(),
-            dismissed: HashMap::new(),
+            failures: 0,
             settled_at: HashMap::new(),
             changes: BTreeMap::new(),
             deposed: HashMap::new(),
@@ -126,6 +126,7 @@
 
     /// Does what the view and the time demand.
     pub fn tick(&mut self, view: &StoreView, now: Moment) {
+        self.note_silent_members(view, now);
         self.keep_registered(view, now);
         self.keep_doubts(view, now);
         self.keep_duty(view, now);
@@ -189,9 +190,14 @@
         }
         let pause = match answer {
             Some(StoreAnswer::Committed { .. } | StoreAnswer::Lease { .. }) => {
+                self.failures = 0;
                 registration::SETTLE_PAUSE
             }
-            _ => registration::RETRY_PAUSE,
+            Some(StoreAnswer::Conflict | StoreAnswer::LeaseGone) => registration::SETTLE_PAUSE,
+            _ => {
+                self.failures += 1;
+                registration::RETRY_PAUSE * self.failures.min(registration::LONGEST_RETRY_PAUSES)
+            }
         };
         self.not_before.insert(purpose.clone(), now + pause);
     }
@@ -219,11 +225,13 @@
     }
 
     /// Calls the store unless a call for the same purpose is under way or was
-    /// made a moment ago.
-    fn call(&mut self, now: Moment, purpose: Purpose, call: StoreCall) {
+    /// made a moment ago; returns whether it did.
+    fn call(&mut self, now: Moment, purpose: Purpose, call: StoreCall) -> bool {
         let is_due = self.not_before.get(&purpose).is_none_or(|not_before| now >= *not_before);
-        if is_due && self.in_flight.insert(purpose.clone()) {
+        let is_made = is_due && self.in_flight.insert(purpose.clone());
+        if is_made {
             self.steps.push(Step::Store(purpose, call));
         }
+        is_made
     }
 }
--- a/lib/proxy/src/coordinator/change.rs
+++ b/lib/proxy/src/coordinator/change.rs
@@ -121,11 +121,11 @@
             .collect();
         for (group, record, revision) in groups {
             if record.phase == Phase::Changing {
-                if !self.changes.contains_key(&group) {
+                self.changes.entry(group).or_insert_with(|| {
                     let mut change = Change::new(record.epoch, now, false);
                     change.is_ordered = record.candidate.is_some();
-                    self.changes.insert(group, change);
-                }
+                    change
+                });
                 continue;
             }
             self.changes.remove(&group);
@@ -141,17 +141,12 @@
                 candidate: None,
                 ..record.clone()
             };
-            info!(self.log, "primary is to be replaced"; "group" => %group,
-                "primary" => %record.primary, "term" => %record.term,
-                "epoch" => blocked.epoch, "reason" => reason);
-            self.write_record(
-                now,
-                Purpose::Block(group.clone()),
-                &group,
-                &blocked,
-                revision,
-                condition,
-            );
+            let purpose = Purpose::Block(group.clone());
+            if self.write_record(now, purpose, &group, &blocked, revision, condition) {
+                info!(self.log, "primary is to be replaced"; "group" => %group,
+                    "primary" => %record.primary, "term" => %record.term,
+                    "epoch" => blocked.epoch, "reason" => reason);
+            }
         }
     }
 
@@ -204,12 +199,12 @@
         record: &GroupRecord,
         revision: u64,
         condition: (String, u64),
-    ) {
+    ) -> bool {
         let key = group_key(group);
         let value = serde_json::to_vec(record).expect("a record is made of plain values");
         let expected = vec![condition, (key.clone(), revision)];
         let writes = vec![Write { key, value: Some(value), lease: None }];
-        self.call(now, purpose, StoreCall::Commit { expected, writes });
+        self.call(now, purpose, StoreCall::Commit { expected, writes })
     }
 
     pub(super) fn record_written(
@@ -309,7 +304,10 @@
     ) {
         for server in view.servers_of(group) {
             let asked_at = change.asked.get(&server.id).copied();
-            let is_due = asked_at.is_none_or(|asked_at| now.since(asked_at) >= SURVEY_INTERVAL);
+            let is_early =
+                now.since(change.blocked_at) < SURVEY_PATIENCE || change.surveyed_since.is_some();
+            let interval = if is_early { SURVEY_INTERVAL } else { SURVEY_PATIENCE };
+            let is_due = asked_at.is_none_or(|asked_at| now.since(asked_at) >= interval);
             let is_old = server.id == record.primary;
             if !is_due || (is_old && change.surveyed_since.is_some()) {
                 continue;
@@ -354,11 +352,12 @@
         if now.since(change.blocked_at) >= ENTITLEMENT + ENTITLEMENT_MARGIN {
             return true;
         }
-        let have_stopped = view.members().all(|(_, member)| {
+        let have_stopped = view.members().all(|(instance, member)| {
             let stopped = &member.value.stopped;
             stopped.iter().any(|(of, epoch)| of == group && *epoch >= change.epoch)
+                || self.is_past_entitlement(instance, now)
         });
-        if have_stopped && self.are_dismissed_over() {
+        if have_stopped {
             return true;
         }
         // A process that isn't running can't be used by anyone.
@@ -476,19 +475,14 @@
             term,
             candidate: None,
         };
-        info!(self.log, "primary replaced"; "group" => %group, "old" => %record.primary,
-            "primary" => %leader, "term" => %term, "epoch" => published.epoch);
         let deposed =
             Deposed { group: group.clone(), term, since: now, asked_at: Moment::default() };
         self.deposed.insert(record.primary.clone(), deposed);
-        self.write_record(
-            now,
-            Purpose::Publish(group.clone()),
-            group,
-            &published,
-            revision,
-            condition,
-        );
+        let purpose = Purpose::Publish(group.clone());
+        if self.write_record(now, purpose, group, &published, revision, condition) {
+            info!(self.log, "primary replaced"; "group" => %group, "old" => %record.primary,
+                "primary" => %leader, "term" => %term, "epoch" => published.epoch);
+        }
     }
 
     /// Tells replaced primaries to step down.
--- a/lib/proxy/src/coordinator/duty.rs
+++ b/lib/proxy/src/coordinator/duty.rs
@@ -1,6 +1,5 @@
 //! Who replaces primaries, and the members that it counts on.
 
-use std::collections::BTreeSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -18,8 +17,6 @@
 const DUTY_RESERVE: Duration = Duration::from_millis(500);
 /// Spreads the attempts of all instances to take a vacant duty.
 const VACANCY_SPREAD_MS: u64 = 400;
-/// How long an instance must be without its lease before it is dismissed.
-const DISMISSAL_DELAY: Duration = Duration::from_secs(20);
 
 impl Coordinator {
     /// Returns whether this instance replaces primaries.
@@ -66,41 +63,47 @@
         self.call(now, Purpose::TakeDuty, StoreCall::Commit { expected, writes: vec![write] });
     }
 
-    /// Removes members that have been without a lease for long, so that no
-    /// replacement waits for them.
+    /// Notes since when members have been without their leases.
+    pub(super) fn note_silent_members(&mut self, view: &StoreView, now: Moment) {
+        if view.confirmed_at().is_none() {
+            return;
+        }
+        self.silent_members
+            .retain(|instance, _| view.member(instance).is_some() && !view.is_live(instance));
+        for (instance, _) in view.members() {
+            if !view.is_live(instance) {
+                self.silent_members.entry(instance.clone()).or_insert(now);
+            }
+        }
+    }
+
+    /// Returns whether a member has been without its lease for so long that it
+    /// can't be entitled any more.
+    pub(super) fn is_past_entitlement(&self, member: &InstanceId, now: Moment) -> bool {
+        self.silent_members
+            .get(member)
+            .is_some_and(|since| now.since(*since) >= ENTITLEMENT + ENTITLEMENT_MARGIN)
+    }
+
+    /// Removes members that can't be entitled any more.
     pub(super) fn dismiss_members(&mut self, view: &StoreView, now: Moment) {
-        let live: BTreeSet<&InstanceId> = view.live().collect();
         let members: Vec<(InstanceId, u64)> =
             view.members().map(|(instance, member)| (instance.clone(), member.revision)).collect();
-        self.silent_members.retain(|instance, _| view.member(instance).is_some());
         for (instance, revision) in members {
-            if live.contains(&instance) {
-                self.silent_members.remove(&instance);
-                continue;
-            }
-            let since = *self.silent_members.entry(instance.clone()).or_insert(now);
-            if now.since(since) < DISMISSAL_DELAY {
+            if !self.is_past_entitlement(&instance, now) {
                 continue;
             }
             let Some((condition, _)) = self.duty_condition(view) else {
                 continue;
             };
-            info!(self.log, "member dismissed"; "member" => %instance,
-                "silent_ms" => now.since(since).as_millis());
-            self.dismissed.insert(instance.clone(), now);
             let key = member_key(&instance);
             let expected = vec![condition, (key.clone(), revision)];
             let writes = vec![Write { key, value: None, lease: None }];
             let call = StoreCall::Commit { expected, writes };
-            self.call(now, Purpose::Dismiss(instance), call);
+            if self.call(now, Purpose::Dismiss(instance.clone()), call) {
+                info!(self.log, "member dismissed"; "member" => %instance);
+            }
         }
-        let longest = ENTITLEMENT + ENTITLEMENT_MARGIN;
-        self.dismissed.retain(|_, at| now.since(*at) < longest);
-    }
-
-    /// Returns whether no dismissed member can still be entitled.
-    pub(super) fn are_dismissed_over(&self) -> bool {
-        self.dismissed.is_empty()
     }
 
     /// Writes the first record of groups that have none.
--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use masticreel_base::ids::GroupId;
 use slog::info;
 
 use crate::coordinator::{Coordinator, Purpose};
@@ -12,7 +13,9 @@
 use crate::store_view::StoreView;
 
 /// The pause before a call that failed is made again.
-pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(250);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The longest pause after failures in a row, in pauses.
+pub(super) const LONGEST_RETRY_PAUSES: u32 = 4;
 /// The time in which a watch shows what was written.
 pub(super) const SETTLE_PAUSE: Duration = Duration::from_millis(150);
 /// How long a lease lasts: three renewals may be lost.
@@ -86,7 +89,7 @@
         }
         let record = self.member_record(view);
         let is_registered = view.member(&self.instance) == Some(&record);
-        let is_live = view.live().any(|instance| *instance == self.instance);
+        let is_live = view.is_live(&self.instance);
         if is_registered && is_live {
             return;
         }
@@ -107,7 +110,7 @@
     fn member_record(&self, view: &StoreView) -> MemberRecord {
         let is_current =
             |group: &_, epoch: u64| view.group(group).is_some_and(|record| record.epoch == epoch);
-        let stopped = self
+        let stopped: Vec<_> = self
             .stopped
             .iter()
             .filter(|(group, epoch)| is_current(group, **epoch))
@@ -142,8 +145,6 @@
                 let value = serde_json::to_vec(doubt).expect("a record is made of plain values");
                 let key = doubt_key(group, &self.instance);
                 let write = Write { key, value: Some(value), lease: Some(lease) };
-                info!(self.log, "primary doubted"; "group" => %group,
-                    "primary" => %doubt.primary, "kind" => %doubt.kind, "epoch" => doubt.epoch);
                 calls.push((Purpose::Doubt(group.clone()), write));
             }
         }
@@ -164,13 +165,16 @@
         }
         for (purpose, write) in calls {
             let call = StoreCall::Commit { expected: Vec::new(), writes: vec![write] };
-            self.call(now, purpose, call);
+            if self.call(now, purpose.clone(), call) {
+                info!(self.log, "doubt about a primary written"; "purpose" => ?purpose,
+                    "doubts" => ?self.doubts);
+            }
         }
     }
 }
 
 /// Returns whether a record has at least these confirmations.
-fn covers(known: &MemberRecord, stopped: &Vec<(masticreel_base::ids::GroupId, u64)>) -> bool {
+fn covers(known: &MemberRecord, stopped: &[(GroupId, u64)]) -> bool {
     stopped
         .iter()
         .all(|(group, epoch)| known.stopped.iter().any(|(known, at)| known == group && at >= epoch))
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -108,6 +108,11 @@
         self.live.keys()
     }
 
+    /// Returns whether an instance renews its lease.
+    pub fn is_live(&self, instance: &InstanceId) -> bool {
+        self.live.contains_key(instance)
+    }
+
     /// Returns the doubts about a group's primary.
     pub fn doubts<'a>(
         &'a self,
--- a/lib/proxy/src/trust.rs
+++ b/lib/proxy/src/trust.rs
@@ -1,9 +1,11 @@
 //! Whether an instance may use the primary of a group.
 //!
 //! An instance may use primaries for [`ENTITLEMENT`] after the start of the
-//! last exchange with the store that showed it the newest records and its own
-//! membership. Whoever replaces a primary first writes that nobody may use it,
-//! and then waits until every member has confirmed or its entitlement is over.
+//! last exchange with the store that showed it the newest records, its own
+//! membership and its own live key. Whoever replaces a primary first writes
+//! that nobody may use it, and then waits until every member has confirmed or
+//! its entitlement is over: [`ENTITLEMENT`] after the record was written, or
+//! after the member's live key was gone.
 
 use std::time::Duration;
 
@@ -30,7 +32,9 @@
     now: Moment,
 ) -> Option<&'a GroupRecord> {
     let record = view.group(group)?;
-    let is_entitled = is_member(view, own, incarnation) && now < view.confirmed_at()? + ENTITLEMENT;
+    let is_entitled = is_member(view, own, incarnation)
+        && view.is_live(own)
+        && now < view.confirmed_at()? + ENTITLEMENT;
     (record.phase == Phase::Serving && is_entitled).then_some(record)
 }
 
--- /dev/null
+++ b/lib/proxy/tests/support.rs
@@ -0,0 +1,356 @@
+//! A store in memory and the decisions around it, without sockets.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticreel_base::ids::{GroupId, InstanceId, LogPosition, ServerId, Term};
+use masticreel_base::position::TermPosition;
+use masticreel_proxy::caller::CallerId;
+use masticreel_proxy::connections::ConnectionId;
+use masticreel_proxy::coordinator::{Coordinator, Lease, Purpose, Step};
+use masticreel_proxy::directory::{Consistency, Document, GroupLimits, Route, Server};
+use masticreel_proxy::engine::{Action, Context, Engine, EngineSettings};
+use masticreel_proxy::metrics::Metrics;
+use masticreel_proxy::moment::Moment;
+use masticreel_proxy::protocol::{Content, ProtocolError, StoreProtocol, UpstreamMessage};
+use masticreel_proxy::records::{
+    DUTY_KEY, GroupRecord, Item, MemberRecord, Phase, StoreAnswer, StoreCall, group_key, live_key,
+    member_key,
+};
+use masticreel_proxy::statement::{Access, Answer, Command, Role, SessionState, Statement};
+use masticreel_proxy::store_view::StoreView;
+use serde::Serialize;
+use slog::{Discard, Logger, o};
+
+pub const GROUP: &str = "ledger";
+pub const OWN: &str = "proxy-1";
+pub const INCARNATION: u64 = 7;
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn group() -> GroupId {
+    GROUP.into()
+}
+
+pub fn position(term: u64, number: u64) -> TermPosition {
+    TermPosition::new(Term(term), LogPosition(number))
+}
+
+/// Knows what keys hold without any encoding.
+#[derive(Debug, Default)]
+pub struct StubStore {
+    contents: HashMap<String, Content>,
+}
+
+impl StoreProtocol for StubStore {
+    fn encode(&self, _call: &StoreCall, _output: &mut Vec<u8>) {}
+
+    fn decode(
+        &self,
+        _call: &StoreCall,
+        _input: &mut Vec<u8>,
+    ) -> Result<Option<StoreAnswer>, ProtocolError> {
+        Ok(None)
+    }
+
+    fn content(&self, key: &str, _value: &[u8]) -> Content {
+        self.contents.get(key).cloned().unwrap_or(Content::Own)
+    }
+
+    fn server_of_key(&self, _key: &str) -> Option<ServerId> {
+        None
+    }
+}
+
+/// The store's items, the view of them and the time.
+#[derive(Debug)]
+pub struct World {
+    pub store: StubStore,
+    pub items: BTreeMap<String, Item>,
+    pub revision: u64,
+    pub now: Moment,
+    pub view: StoreView,
+}
+
+impl World {
+    pub fn new() -> Self {
+        Self {
+            store: StubStore::default(),
+            items: BTreeMap::new(),
+            revision: 100,
+            now: Moment::from_start(Duration::from_secs(1000)),
+            view: StoreView::default(),
+        }
+    }
+
+    /// A group of three servers whose primary is `s1`, used by one instance.
+    pub fn serving() -> Self {
+        let mut world = Self::new();
+        world.document(Consistency::Latest);
+        for (id, role) in [("s1", Role::Primary), ("s2", Role::Replica), ("s3", Role::Replica)] {
+            world.server(id, role, false);
+        }
+        world.record(1, Phase::Serving, "s1");
+        world.join(OWN, INCARNATION);
+        world.refresh();
+        world
+    }
+
+    pub fn document(&mut self, consistency: Consistency) {
+        self.documents(&[("db", consistency, 1)]);
+    }
+
+    pub fn documents(&mut self, routes: &[(&str, Consistency, u8)]) {
+        self.revision += 1;
+        let route = |(database, consistency, urgency): &(&str, Consistency, u8)| {
+            let route = Route {
+                name: (*database).into(),
+                group: group(),
+                consistency: *consistency,
+                statement_timeout: ms(800),
+                target_latency: ms(100),
+                urgency: *urgency,
+            };
+            (Arc::from(*database), Arc::new(route))
+        };
+        let document = Document {
+            version: self.revision,
+            routes: routes.iter().map(route).collect(),
+            groups: HashMap::from([(
+                group(),
+                GroupLimits { max_connections: 16, sync_replicas: 0 },
+            )]),
+            transaction_idle: Some(Duration::from_secs(3)),
+        };
+        self.content("document", Content::Document(document));
+    }
+
+    pub fn server(&mut self, id: &str, role: Role, is_leaving: bool) {
+        let number: u16 = id.trim_start_matches('s').parse().expect("servers are numbered");
+        let server = Server {
+            id: id.into(),
+            group: group(),
+            address: ([127, 0, 0, 1], 1000 + number).into(),
+            domain: format!("domain-{number}").as_str().into(),
+            slots: 2,
+            is_leaving,
+            role: Some(role),
+            born_ms: 1,
+        };
+        self.content(&format!("server/{id}"), Content::Server(server));
+    }
+
+    fn content(&mut self, key: &str, content: Content) {
+        self.store.contents.insert(key.to_owned(), content);
+        self.put(key, &0);
+    }
+
+    pub fn put<T>(&mut self, key: &str, value: &T)
+    where
+        T: Serialize,
+    {
+        self.revision += 1;
+        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let item = Item {
+            key: key.into(),
+            value: serde_json::to_vec(value).expect("plain values"),
+            revision: self.revision,
+            created,
+        };
+        self.items.insert(key.to_owned(), item);
+    }
+
+    pub fn remove(&mut self, key: &str) {
+        self.revision += 1;
+        self.items.remove(key);
+    }
+
+    pub fn record(&mut self, epoch: u64, phase: Phase, primary: &str) {
+        let record =
+            GroupRecord { epoch, phase, primary: primary.into(), term: Term(1), candidate: None };
+        self.put(&group_key(&group()), &record);
+    }
+
+    pub fn join(&mut self, instance: &str, incarnation: u64) {
+        let instance: InstanceId = instance.into();
+        self.put(&live_key(&instance), &incarnation);
+        self.put(&member_key(&instance), &MemberRecord { incarnation, stopped: Vec::new() });
+    }
+
+    pub fn confirm_stop(&mut self, instance: &str, incarnation: u64, epoch: u64) {
+        let record = MemberRecord { incarnation, stopped: vec![(group(), epoch)] };
+        self.put(&member_key(&instance.into()), &record);
+    }
+
+    pub fn take_duty(&mut self) {
+        self.put(DUTY_KEY, &(OWN, INCARNATION));
+    }
+
+    /// Shows the instance the newest state.
+    pub fn refresh(&mut self) {
+        let items: Vec<Item> = self.items.values().cloned().collect();
+        self.view.replace(&items, &self.store);
+        self.view.confirm(self.now, self.revision);
+    }
+
+    pub fn pass(&mut self, duration: Duration) {
+        self.now = self.now + duration;
+    }
+
+    pub fn context(&self) -> Context<'_> {
+        Context { view: &self.view, now: self.now }
+    }
+
+    /// Executes a transaction of the coordinator.
+    pub fn commit(&mut self, call: &StoreCall) -> StoreAnswer {
+        let StoreCall::Commit { expected, writes } = call else {
+            panic!("not a transaction: {call:?}");
+        };
+        let holds = expected.iter().all(|(key, revision)| {
+            self.items.get(key).map_or(0, |item| item.revision) == *revision
+        });
+        if !holds {
+            return StoreAnswer::Conflict;
+        }
+        self.revision += 1;
+        for write in writes {
+            match &write.value {
+                Some(value) => {
+                    let known = self.items.get(&write.key).map(|item| item.created);
+                    let item = Item {
+                        key: write.key.as_str().into(),
+                        value: value.clone(),
+                        revision: self.revision,
+                        created: known.unwrap_or(self.revision),
+                    };
+                    self.items.insert(write.key.clone(), item);
+                }
+                None => {
+                    self.items.remove(&write.key);
+                }
+            }
+        }
+        StoreAnswer::Committed { revision: self.revision }
+    }
+}
+
+pub fn log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+pub fn engine() -> Engine {
+    let settings = EngineSettings {
+        instance: OWN.into(),
+        incarnation: INCARNATION,
+        domain: "domain-2".into(),
+    };
+    Engine::new(settings, log(), Metrics::new())
+}
+
+pub fn coordinator() -> Coordinator {
+    Coordinator::new(OWN.into(), INCARNATION, Lease::new(Duration::from_secs(1)), log())
+}
+
+/// Gives a coordinator its lease, and carries its calls of the store out.
+pub fn settle(world: &mut World, coordinator: &mut Coordinator) -> Vec<Step> {
+    let mut others = Vec::new();
+    coordinator.tick(&world.view, world.now);
+    for step in coordinator.take_steps() {
+        match step {
+            Step::Store(purpose, call) => {
+                let answer = match &call {
+                    StoreCall::Grant { lifetime } => {
+                        StoreAnswer::Lease { lease: 5, lifetime: *lifetime }
+                    }
+                    StoreCall::Renew { .. } => {
+                        StoreAnswer::Lease { lease: 0, lifetime: Duration::from_secs(6) }
+                    }
+                    call => world.commit(call),
+                };
+                let now = world.now;
+                coordinator.store_answered(now, now, &purpose, Some(&answer));
+                world.refresh();
+                others.push(Step::Store(purpose, call));
+            }
+            step => others.push(step),
+        }
+    }
+    others
+}
+
+/// Whether a step writes a group's record for a purpose.
+pub fn is_for(step: &Step, wanted: &Purpose) -> bool {
+    matches!(step, Step::Store(purpose, _) if purpose == wanted)
+}
+
+pub fn read(item: &str) -> Result<Statement, masticreel_proxy::statement::Failure> {
+    Ok(Statement::Direct { access: Access::Read, text: format!("READ {item}").into() })
+}
+
+pub fn write(item: &str) -> Result<Statement, masticreel_proxy::statement::Failure> {
+    Ok(Statement::Direct { access: Access::Write, text: format!("WRITE {item} x").into() })
+}
+
+/// What the engine wants, sorted by kind.
+#[derive(Debug, Default)]
+pub struct Wanted {
+    pub answers: Vec<(CallerId, Answer)>,
+    pub connects: Vec<(ConnectionId, ServerId)>,
+    pub sent: Vec<(ConnectionId, Command)>,
+    pub disconnects: Vec<ConnectionId>,
+    pub others: Vec<Action>,
+}
+
+pub fn wanted(engine: &mut Engine) -> Wanted {
+    let mut wanted = Wanted::default();
+    for action in engine.take_actions() {
+        match action {
+            Action::Answer(id, answer) => wanted.answers.push((id, answer)),
+            Action::Connect { connection, server, .. } => {
+                wanted.connects.push((connection, server));
+            }
+            Action::Send(id, command) => wanted.sent.push((id, command)),
+            Action::Disconnect(id) => wanted.disconnects.push(id),
+            other => wanted.others.push(other),
+        }
+    }
+    wanted
+}
+
+/// Lets a server accept a connection, as a primary if it is asked for its role.
+pub fn accept(world: &World, engine: &mut Engine, id: ConnectionId) -> Wanted {
+    ready(world, engine, id, SessionState::Idle, None);
+    if engine.expects_role(id) {
+        ready(world, engine, id, SessionState::Idle, None);
+    }
+    wanted(engine)
+}
+
+pub fn ready(
+    world: &World,
+    engine: &mut Engine,
+    id: ConnectionId,
+    state: SessionState,
+    position: Option<TermPosition>,
+) {
+    let message = UpstreamMessage::Ready { state, position };
+    engine.upstream_message(world.context(), id, message, None);
+}
+
+/// Lets a server complete a command.
+pub fn complete(
+    world: &World,
+    engine: &mut Engine,
+    id: ConnectionId,
+    state: SessionState,
+    position: Option<TermPosition>,
+) -> Wanted {
+    let message = UpstreamMessage::Complete(Some("signature".into()));
+    engine.upstream_message(world.context(), id, message, None);
+    ready(world, engine, id, state, position);
+    wanted(engine)
+}
--- /dev/null
+++ b/lib/proxy/tests/test_replacement.rs
@@ -0,0 +1,199 @@
+//! How a primary is replaced, against a store in memory.
+
+mod support;
+
+use std::time::Duration;
+
+use masticreel_proxy::coordinator::{Coordinator, Purpose, Step};
+use masticreel_proxy::protocol::PromoterAnswer;
+use masticreel_proxy::records::{Phase, live_key};
+use masticreel_proxy::statement::{Command, Role, ServerStatus};
+use support::{INCARNATION, OWN, World, coordinator, group, is_for, ms, position, settle};
+
+/// A holder of the duty whose first order would be allowed at once.
+fn holder(world: &mut World) -> Coordinator {
+    let mut coordinator = coordinator();
+    world.take_duty();
+    world.refresh();
+    for _ in 0..40 {
+        settle(world, &mut coordinator);
+        world.pass(ms(100));
+        world.refresh();
+    }
+    assert!(coordinator.holds_duty(&world.view, world.now));
+    coordinator
+}
+
+fn replica(number: u64) -> ServerStatus {
+    ServerStatus { role: Role::Replica, term: position(1, 0).term, received: position(1, number) }
+}
+
+/// Answers the questions about replicas, and returns the servers that were
+/// ordered to lead.
+fn survey(world: &mut World, coordinator: &mut Coordinator, steps: &[Step]) -> Vec<String> {
+    let mut ordered = Vec::new();
+    for step in steps {
+        match step {
+            Step::Control { server, command, .. } => {
+                let status = match (server.as_str(), command) {
+                    ("s1", Command::StepDown { .. }) => replica(9),
+                    ("s1", _) => ServerStatus { role: Role::Primary, ..replica(9) },
+                    ("s2", _) => replica(9),
+                    _ => replica(7),
+                };
+                coordinator.control_answered(world.now, &group(), server, command, Ok(status));
+            }
+            Step::Promote(order) => {
+                ordered.push(order.server.to_string());
+                coordinator.promoter_answered(world.now, order, Some(PromoterAnswer::Accepted));
+            }
+            Step::Store(..) => {}
+        }
+    }
+    ordered
+}
+
+/// Runs a change and returns what was ordered within a time.
+fn ordered_within(world: &mut World, coordinator: &mut Coordinator, time: Duration) -> Vec<String> {
+    let end = world.now + time;
+    while world.now < end {
+        let steps = settle(world, coordinator);
+        let ordered = survey(world, coordinator, &steps);
+        if !ordered.is_empty() {
+            return ordered;
+        }
+        world.pass(ms(20));
+        world.refresh();
+    }
+    Vec::new()
+}
+
+#[test]
+fn test_leaving_primary_is_replaced_once_all_members_have_stopped() {
+    let mut world = World::serving();
+    world.join("proxy-2", 1);
+    let mut holder = holder(&mut world);
+    world.server("s1", Role::Primary, true);
+    world.refresh();
+    assert!(ordered_within(&mut world, &mut holder, ms(1000)).is_empty(), "proxy-2 may write");
+    world.confirm_stop("proxy-2", 1, 2);
+    world.refresh();
+    holder.stopped(&group(), 2);
+    assert_eq!(ordered_within(&mut world, &mut holder, ms(1000)), ["s2"]);
+}
+
+#[test]
+fn test_member_that_never_confirms_is_waited_for_until_its_entitlement_ends() {
+    let mut world = World::serving();
+    world.join("proxy-2", 1);
+    let mut holder = holder(&mut world);
+    world.server("s1", Role::Primary, true);
+    world.refresh();
+    holder.stopped(&group(), 2);
+    assert!(ordered_within(&mut world, &mut holder, ms(13_000)).is_empty());
+    assert_eq!(ordered_within(&mut world, &mut holder, ms(2000)), ["s2"]);
+}
+
+/// A machine that was removed for good held every later change up for 13.5 s.
+#[test]
+fn test_member_that_lost_its_lease_long_ago_holds_no_change_up() {
+    let mut world = World::serving();
+    world.join("proxy-2", 1);
+    let mut holder = holder(&mut world);
+    world.remove(&live_key(&"proxy-2".into()));
+    world.refresh();
+    for _ in 0..140 {
+        settle(&mut world, &mut holder);
+        world.pass(ms(100));
+        world.refresh();
+    }
+    world.server("s1", Role::Primary, true);
+    world.refresh();
+    holder.stopped(&group(), 2);
+    assert_eq!(ordered_within(&mut world, &mut holder, ms(1000)), ["s2"]);
+}
+
+#[test]
+fn test_replica_that_received_most_takes_over() {
+    let mut world = World::serving();
+    let mut holder = holder(&mut world);
+    world.server("s1", Role::Primary, true);
+    world.refresh();
+    holder.stopped(&group(), 2);
+    assert_eq!(ordered_within(&mut world, &mut holder, ms(1000)), ["s2"]);
+}
+
+#[test]
+fn test_new_primary_is_published_only_when_it_leads() {
+    let mut world = World::serving();
+    let mut holder = holder(&mut world);
+    world.server("s1", Role::Primary, true);
+    world.refresh();
+    holder.stopped(&group(), 2);
+    ordered_within(&mut world, &mut holder, ms(1000));
+    assert_eq!(world.view.group(&group()).expect("a record").phase, Phase::Changing);
+    let leader =
+        ServerStatus { role: Role::Primary, term: position(2, 0).term, received: position(2, 9) };
+    holder.control_answered(world.now, &group(), &"s2".into(), &Command::Status, Ok(leader));
+    world.pass(ms(200));
+    let steps = settle(&mut world, &mut holder);
+    assert!(steps.iter().any(|step| is_for(step, &Purpose::Publish(group()))), "{steps:?}");
+    let record = world.view.group(&group()).expect("a record");
+    assert_eq!(record.phase, Phase::Serving);
+    assert_eq!(record.primary.as_str(), "s2");
+    assert_eq!(record.term, position(2, 0).term);
+}
+
+#[test]
+fn test_holder_whose_lease_may_have_ended_orders_nothing() {
+    let mut world = World::serving();
+    let mut holder = holder(&mut world);
+    world.server("s1", Role::Primary, true);
+    world.refresh();
+    holder.stopped(&group(), 2);
+    settle(&mut world, &mut holder);
+    world.pass(Duration::from_secs(7));
+    holder.tick(&world.view, world.now);
+    let steps = holder.take_steps();
+    assert!(!steps.iter().any(|step| matches!(step, Step::Promote(_))), "{steps:?}");
+    assert!(!holder.holds_duty(&world.view, world.now));
+}
+
+#[test]
+fn test_instance_without_its_live_key_is_not_entitled() {
+    let mut world = World::serving();
+    let usable = |world: &World| {
+        masticreel_proxy::trust::usable_primary(
+            &world.view,
+            &OWN.into(),
+            INCARNATION,
+            &group(),
+            world.now,
+        )
+        .is_some()
+    };
+    assert!(usable(&world));
+    world.remove(&live_key(&OWN.into()));
+    world.refresh();
+    assert!(!usable(&world));
+}
+
+#[test]
+fn test_entitlement_ends_without_news_of_the_store() {
+    let mut world = World::serving();
+    let usable = |world: &World, incarnation| {
+        masticreel_proxy::trust::usable_primary(
+            &world.view,
+            &OWN.into(),
+            incarnation,
+            &group(),
+            world.now,
+        )
+        .is_some()
+    };
+    assert!(!usable(&world, INCARNATION + 1), "another life is no member");
+    world.pass(masticreel_proxy::trust::ENTITLEMENT - ms(1));
+    assert!(usable(&world, INCARNATION));
+    world.pass(ms(1));
+    assert!(!usable(&world, INCARNATION));
+}
