--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -1,5 +1,6 @@
 //! What the passing of time and changes of the view do to requests.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,8 +21,14 @@
 /// A server that answers nothing for this long while work is with it is tried
 /// over a new connection.
 const SILENCE: Duration = Duration::from_millis(500);
-/// How long a connection may rest unused.
+/// How long the last connection to a server may rest unused.
 const IDLE_LIFETIME: Duration = Duration::from_secs(30);
+/// How long further connections to a server may rest unused.
+///
+/// A server holds the connections of a machine that lost its power for
+/// seconds. If instances kept all that they may have, none of them would find
+/// room after they all restarted.
+const SPARE_LIFETIME: Duration = Duration::from_millis(1000);
 /// The rest between statements of a transaction, where the configuration names
 /// none.
 const DEFAULT_TRANSACTION_IDLE: Duration = Duration::from_secs(10);
@@ -165,6 +172,7 @@
         let mut dropped = Vec::new();
         let mut lost = Vec::new();
         let mut doubted: Vec<(ServerId, Moment)> = Vec::new();
+        let mut kept = HashSet::new();
         for (id, connection) in self.connections.iter() {
             let rested = context.now.since(connection.idle_since);
             let waits = context.now.since(connection.sent_at);
@@ -179,7 +187,9 @@
                     &connection.server,
                     connection.server_born_ms,
                 );
-                if rested > IDLE_LIFETIME || !is_wanted {
+                let is_spare = !kept.insert(&connection.server);
+                let lifetime = if is_spare { SPARE_LIFETIME } else { IDLE_LIFETIME };
+                if rested > lifetime || !is_wanted {
                     dropped.push(id);
                 }
             } else if !connection.expected.is_empty() && waits > SILENCE {
