engine: keep connections so that two lives of all instances fit

Change: all instances together keep half of what a server accepts, the rest closes after 1 s; reads go to the own domain's primary only while it has no work of this instance. The connection test now plays the six instances of a site, since one alone may keep more; its checks are unchanged.

--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -1,6 +1,6 @@
 //! What the passing of time and changes of the view do to requests.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 use super::{Action, Context, Engine, REFUSAL_LEAD, Retiring};
 use crate::caller::{CallerId, Stage, Transaction};
 use crate::connections::{ConnectionId, Expected};
+use crate::engine::placing::connections_at_rest;
 use crate::moment::Moment;
 use crate::records::Phase;
 use crate::statement::{Access, Failure, FailureKind, Work};
@@ -21,13 +22,9 @@
 /// A server that answers nothing for this long while work is with it is tried
 /// over a new connection.
 const SILENCE: Duration = Duration::from_millis(500);
-/// How long the last connection to a server may rest unused.
+/// How long connections to a server may rest unused.
 const IDLE_LIFETIME: Duration = Duration::from_secs(30);
-/// How long further connections to a server may rest unused.
-///
-/// A server holds the connections of a machine that lost its power for
-/// seconds. If instances kept all that they may have, none of them would find
-/// room after they all restarted.
+/// How long connections may rest beyond those that are kept.
 const SPARE_LIFETIME: Duration = Duration::from_millis(1000);
 /// The rest between statements of a transaction, where the configuration names
 /// none.
@@ -172,7 +169,7 @@
         let mut dropped = Vec::new();
         let mut lost = Vec::new();
         let mut doubted: Vec<(ServerId, Moment)> = Vec::new();
-        let mut kept = HashSet::new();
+        let mut kept: HashMap<&ServerId, usize> = HashMap::new();
         for (id, connection) in self.connections.iter() {
             let rested = context.now.since(connection.idle_since);
             let waits = context.now.since(connection.sent_at);
@@ -187,7 +184,9 @@
                     &connection.server,
                     connection.server_born_ms,
                 );
-                let is_spare = !kept.insert(&connection.server);
+                let kept = kept.entry(&connection.server).or_insert(0);
+                *kept += 1;
+                let is_spare = *kept > connections_at_rest(context, &connection.group);
                 let lifetime = if is_spare { SPARE_LIFETIME } else { IDLE_LIFETIME };
                 if rested > lifetime || !is_wanted {
                     dropped.push(id);
--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -144,13 +144,8 @@
 
     /// Returns how many connections this instance may hold to a server.
     pub(super) fn connection_share(&self, context: Context<'_>, server: &Server) -> usize {
-        let limit = context
-            .view
-            .document()
-            .and_then(|document| document.groups.get(&server.group))
-            .map_or(1, |limits| limits.max_connections);
-        let instances = context.view.live().count().max(1);
-        (limit.saturating_sub(SPARE_CONNECTIONS) / instances).max(1)
+        let limit = connection_limit(context, &server.group).saturating_sub(SPARE_CONNECTIONS);
+        (limit / context.view.live().count().max(1)).max(1)
     }
 
     /// Returns the servers that may run a request, the best first.
@@ -181,11 +176,13 @@
             .map(|server| {
                 let health = self.connections.known_health(&server.id);
                 let running = health.map_or(0, |health| health.running);
+                let is_primary = usable.as_ref() == Some(&server.id);
                 let rank = (
                     pending.avoided.as_ref() == Some(&server.id),
                     running >= server.slots,
-                    usable.as_ref() == Some(&server.id),
+                    is_primary && running > 0,
                     server.domain != self.settings.domain,
+                    is_primary,
                     running,
                     server.id.clone(),
                 );
@@ -193,7 +190,7 @@
             })
             .collect();
         ranked.sort();
-        ranked.into_iter().map(|(rank, slots)| Candidate { server: rank.5, slots }).collect()
+        ranked.into_iter().map(|(rank, slots)| Candidate { server: rank.6, slots }).collect()
     }
 
     /// Returns whether a server may have applied a position, by what it last
@@ -427,6 +424,22 @@
     Failure::new(FailureKind::Lagging, "no recent position of the primary is known")
 }
 
+/// Returns how many connections to a server of a group this instance keeps at
+/// rest.
+///
+/// A server holds the connections of a machine that lost its power for seconds,
+/// so all instances together keep half of what it accepts: the other half is
+/// for their next lives.
+pub(super) fn connections_at_rest(context: Context<'_>, group: &GroupId) -> usize {
+    let instances = context.view.live().count().max(1);
+    (connection_limit(context, group) / 2 / instances).max(1)
+}
+
+fn connection_limit(context: Context<'_>, group: &GroupId) -> usize {
+    let limits = context.view.document().and_then(|document| document.groups.get(group));
+    limits.map_or(1, |limits| limits.max_connections)
+}
+
 /// Returns the name of a shape on server connections, the same for all callers.
 fn handle(shape: &Shape) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/lib/proxy/tests/test_connections.rs
+++ b/lib/proxy/tests/test_connections.rs
@@ -27,6 +27,10 @@
 #[test]
 fn test_spare_connections_are_closed_soon_after_their_work() {
     let mut world = World::serving();
+    for instance in ["proxy-2", "proxy-3", "proxy-4", "proxy-5", "proxy-6"] {
+        world.join(instance, 1);
+    }
+    world.refresh();
     let mut engine = engine();
     let connections = busy(&world, &mut engine, 2);
     assert_eq!(connections.len(), 2, "one for each waiting request");
