queue: late work gives way, and crowded servers get less

Change: an instance sends one statement at a time to a server whose times have grown to 2.5 of the usual, or that refused one; among equally urgent requests those past their route's aim go last. A test plays twice a slot's work for two seconds against first come, first served.

--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -10,6 +10,7 @@
 
 use crate::caller::{CallerId, SessionValues};
 use crate::moment::Moment;
+use crate::pace::Pace;
 use crate::statement::Failure;
 
 /// Distinguishes the connections of one process.
@@ -103,6 +104,8 @@
     pub answered_at: Moment,
     /// No statement that another server may run is sent before.
     pub rest_until: Moment,
+    /// How much work it takes at present.
+    pub pace: Pace,
 }
 
 /// How long a server rests after it failed an attempt.
@@ -200,6 +203,13 @@
         self.health.get(server)
     }
 
+    /// Returns whether a connection of a group is idle.
+    pub fn has_idle(&self, group: &GroupId) -> bool {
+        self.connections
+            .values()
+            .any(|connection| connection.group == *group && connection.is_idle())
+    }
+
     /// Chooses the idle connection to a server on which least must be set up.
     pub fn best_idle(&self, server: &ServerId, values: &SessionValues) -> Option<ConnectionId> {
         let idle = self
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -127,7 +127,14 @@
                 Err(failure) => self.setup_failed(context, id, failure),
             },
             Expected::Main => {
-                self.connections.health(&server).running -= 1;
+                let health = self.connections.health(&server);
+                health.running -= 1;
+                match &outcome {
+                    Err(failure) if failure.kind == FailureKind::Busy => {
+                        health.pace.refused(context.now);
+                    }
+                    _ => health.pace.observe(context.now.since(sent_at)),
+                }
                 let ended = Ended { rows: partial.rows, outcome, state, position };
                 self.main_ended(context, id, ended);
             }
--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -25,7 +25,8 @@
 #[derive(Debug)]
 struct Candidate {
     server: ServerId,
-    slots: usize,
+    /// Whether the instance has as much work there as the server takes.
+    is_full: bool,
 }
 
 impl Engine {
@@ -47,8 +48,7 @@
         let candidates = self.candidates(context, pending);
         let values = caller.values.clone();
         for candidate in &candidates {
-            let running = self.connections.known_health(&candidate.server).map_or(0, |h| h.running);
-            if running >= candidate.slots {
+            if candidate.is_full {
                 continue;
             }
             if let Some(connection) = self.connections.best_idle(&candidate.server, &values) {
@@ -80,7 +80,8 @@
         }
         let group = pending.route.group.clone();
         let urgency = pending.route.urgency;
-        let turn = self.group(&group).queue.push(urgency, id);
+        let wanted_by = pending.received_at + pending.route.target_latency;
+        let turn = self.group(&group).queue.push(urgency, id, wanted_by);
         if let Some(pending) = self.callers.get_mut(&id).and_then(|caller| caller.pending.as_mut())
         {
             pending.stage = Stage::Waiting(turn);
@@ -100,7 +101,10 @@
 
     /// Gives waiting requests the connections that have become idle.
     pub(super) fn pump(&mut self, context: Context<'_>, group: &GroupId, may_open: bool) {
-        for (_, id) in self.group(group).queue.in_order() {
+        for id in self.group(group).queue.in_order(context.now) {
+            if !may_open && !self.connections.has_idle(group) {
+                return;
+            }
             self.place(context, id, may_open);
         }
     }
@@ -153,11 +157,11 @@
         let group = &pending.route.group;
         let usable = self.usable_primary(context, group);
         let primary = || {
-            let slots = usable
+            let is_full = usable
                 .as_ref()
                 .and_then(|id| context.view.server(id))
-                .map_or(usize::MAX, |server| server.slots);
-            usable.iter().map(|id| Candidate { server: id.clone(), slots }).collect()
+                .is_some_and(|server| self.is_full(context, server));
+            usable.iter().map(|id| Candidate { server: id.clone(), is_full }).collect()
         };
         if pending.need == Need::Primary || pending.primary_only {
             return primary();
@@ -176,21 +180,30 @@
             .map(|server| {
                 let health = self.connections.known_health(&server.id);
                 let running = health.map_or(0, |health| health.running);
+                let is_full = self.is_full(context, server);
                 let is_primary = usable.as_ref() == Some(&server.id);
                 let rank = (
                     pending.avoided.as_ref() == Some(&server.id),
-                    running >= server.slots,
+                    is_full,
                     is_primary && running > 0,
                     server.domain != self.settings.domain,
                     is_primary,
                     running,
                     server.id.clone(),
                 );
-                (rank, server.slots)
+                (rank, is_full)
             })
             .collect();
         ranked.sort();
-        ranked.into_iter().map(|(rank, slots)| Candidate { server: rank.6, slots }).collect()
+        ranked.into_iter().map(|(rank, is_full)| Candidate { server: rank.6, is_full }).collect()
+    }
+
+    /// Returns whether a server has as much of this instance's work as it takes.
+    fn is_full(&self, context: Context<'_>, server: &Server) -> bool {
+        let Some(health) = self.connections.known_health(&server.id) else {
+            return false;
+        };
+        health.running >= health.pace.limit(server.slots, context.now)
     }
 
     /// Returns whether a server may have applied a position, by what it last
--- a/lib/proxy/src/lib.rs
+++ b/lib/proxy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod log;
 pub mod metrics;
 pub mod moment;
+pub mod pace;
 pub mod protocol;
 pub mod queue;
 pub mod records;
--- /dev/null
+++ b/lib/proxy/src/pace.rs
@@ -0,0 +1,63 @@
+//! How many statements an instance has at one server at a time.
+//!
+//! The load it answers: more work than a server's slots, from instances that
+//! don't see each other. Work that waits at a server waits in the order of its
+//! arrival; work that waits here can give way to what is more urgent. So an
+//! instance sends less as soon as its work waits at the server.
+
+use std::time::Duration;
+
+use crate::moment::Moment;
+
+/// The part of a new observation in the mean of the last ones.
+const WEIGHT: f64 = 0.1;
+/// How fast the shortest mean is forgotten, for each observation.
+const DRIFT: f64 = 1.005;
+/// Observations before the mean says anything.
+const WARM_UP: u32 = 20;
+/// Work waits at the server if it takes this many times the usual time.
+const CROWDED_RATIO: f64 = 2.5;
+/// How long a server that turned work away gets the least.
+const REFUSAL_REST: Duration = Duration::from_millis(300);
+
+/// What an instance knows of the time that a server takes.
+#[derive(Debug, Default)]
+pub struct Pace {
+    observations: u32,
+    mean_ms: f64,
+    usual_ms: f64,
+    crowded_until: Moment,
+}
+
+impl Pace {
+    /// Notes how long the server took for a statement.
+    pub fn observe(&mut self, took: Duration) {
+        let took_ms = took.as_secs_f64() * 1000.0;
+        self.observations = self.observations.saturating_add(1);
+        if self.observations == 1 {
+            self.mean_ms = took_ms;
+        }
+        self.mean_ms += (took_ms - self.mean_ms) * WEIGHT;
+        self.usual_ms = if self.observations <= WARM_UP {
+            self.mean_ms
+        } else {
+            (self.usual_ms * DRIFT).min(self.mean_ms)
+        };
+    }
+
+    /// Notes that the server had no room for a statement.
+    pub fn refused(&mut self, now: Moment) {
+        self.crowded_until = now + REFUSAL_REST;
+    }
+
+    /// Returns how many statements the server may have at a time.
+    pub fn limit(&self, slots: usize, now: Moment) -> usize {
+        let is_slow = self.observations > WARM_UP && self.mean_ms > self.usual_ms * CROWDED_RATIO;
+        if is_slow || now < self.crowded_until { 1 } else { slots }
+    }
+
+    /// Returns how long a statement takes at present.
+    pub fn mean(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_ms / 1000.0)
+    }
+}
--- a/lib/proxy/src/queue.rs
+++ b/lib/proxy/src/queue.rs
@@ -1,32 +1,42 @@
 //! The order in which waiting requests of a group get its connections.
 //!
 //! The load it answers: more requests than connections, from routes of unequal
-//! urgency, some of which any server may run and some only the primary.
+//! urgency, some of which any server may run and some only the primary. The
+//! urgent go first. Among equals, those that can still be answered as soon as
+//! their route promises go before those that can't: in an overload, first come,
+//! first served would answer everybody late.
 
 use std::collections::BTreeMap;
 
 use crate::caller::CallerId;
+use crate::moment::Moment;
 
-/// Where a request stands in the queue: urgent ones first, then by arrival.
+/// Where a request stands in the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Turn {
     urgency: u8,
     arrival: u64,
 }
 
+#[derive(Debug)]
+struct Waiting {
+    caller: CallerId,
+    wanted_by: Moment,
+}
+
 /// Requests that wait for a connection.
 #[derive(Debug, Default)]
 pub struct WaitingQueue {
     next_arrival: u64,
-    waiting: BTreeMap<Turn, CallerId>,
+    waiting: BTreeMap<Turn, Waiting>,
 }
 
 impl WaitingQueue {
-    /// Adds a request behind all others of its urgency.
-    pub fn push(&mut self, urgency: u8, caller: CallerId) -> Turn {
+    /// Adds a request that is wanted by a moment.
+    pub fn push(&mut self, urgency: u8, caller: CallerId, wanted_by: Moment) -> Turn {
         let turn = Turn { urgency, arrival: self.next_arrival };
         self.next_arrival += 1;
-        self.waiting.insert(turn, caller);
+        self.waiting.insert(turn, Waiting { caller, wanted_by });
         turn
     }
 
@@ -35,9 +45,21 @@
         self.waiting.remove(&turn);
     }
 
-    /// Returns the waiting requests in their order.
-    pub fn in_order(&self) -> Vec<(Turn, CallerId)> {
-        self.waiting.iter().map(|(turn, caller)| (*turn, *caller)).collect()
+    /// Returns the waiting requests in their order at a moment.
+    pub fn in_order(&self, now: Moment) -> Vec<CallerId> {
+        let mut order: Vec<_> = self
+            .waiting
+            .iter()
+            .map(|(turn, waiting)| ((turn.urgency, now > waiting.wanted_by), waiting.caller))
+            .collect();
+        // The sort is stable: arrival decides between equals.
+        order.sort_by_key(|(rank, _)| *rank);
+        order.into_iter().map(|(_, caller)| caller).collect()
+    }
+
+    /// Returns how many requests go before a new one of an urgency.
+    pub fn ahead_of(&self, urgency: u8) -> usize {
+        self.waiting.keys().filter(|turn| turn.urgency <= urgency).count()
     }
 
     /// Returns how many requests wait.
--- /dev/null
+++ b/lib/proxy/tests/test_overload.rs
@@ -0,0 +1,130 @@
+//! What callers get of a queue when more work comes than a server can do.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use masticreel_proxy::caller::CallerId;
+use masticreel_proxy::moment::Moment;
+use masticreel_proxy::pace::Pace;
+use masticreel_proxy::queue::{Turn, WaitingQueue};
+
+/// A statement's time at the server.
+const SERVICE: Duration = Duration::from_millis(12);
+/// How soon callers want their answers.
+const WANTED_WITHIN: Duration = Duration::from_millis(200);
+/// When callers give up.
+const PATIENCE: Duration = Duration::from_millis(800);
+
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    at: Moment,
+    urgency: u8,
+}
+
+/// Twice the work that one slot can do, for two seconds; each tenth is urgent.
+fn arrivals() -> Vec<Arrival> {
+    (0..333)
+        .map(|index| Arrival {
+            at: Moment::from_start(Duration::from_secs(10) + Duration::from_millis(6) * index),
+            urgency: if index % 10 == 0 { 1 } else { 2 },
+        })
+        .collect()
+}
+
+/// Serves one request after the other and returns each one's wait, none for
+/// those that gave up.
+fn serve<Next>(arrivals: &[Arrival], mut next: Next) -> Vec<Option<Duration>>
+where
+    Next: FnMut(&[usize], Moment) -> usize,
+{
+    let mut waits = vec![None; arrivals.len()];
+    let mut waiting: Vec<usize> = Vec::new();
+    let mut coming = 0;
+    let mut now = arrivals[0].at;
+    while coming < arrivals.len() || !waiting.is_empty() {
+        while coming < arrivals.len() && arrivals[coming].at <= now {
+            waiting.push(coming);
+            coming += 1;
+        }
+        waiting.retain(|index| now.since(arrivals[*index].at) < PATIENCE);
+        if waiting.is_empty() {
+            now = arrivals.get(coming).map_or(now + SERVICE, |arrival| arrival.at);
+            continue;
+        }
+        let chosen = next(&waiting, now);
+        waiting.retain(|index| *index != chosen);
+        waits[chosen] = Some(now.since(arrivals[chosen].at));
+        now = now + SERVICE;
+    }
+    waits
+}
+
+fn on_time(waits: &[Option<Duration>]) -> usize {
+    waits.iter().flatten().filter(|wait| **wait + SERVICE <= WANTED_WITHIN).count()
+}
+
+#[test]
+fn test_overload_leaves_more_callers_on_time_than_first_come() {
+    let arrivals = arrivals();
+    let first_come = serve(&arrivals, |waiting, _| waiting[0]);
+    let mut queue = WaitingQueue::default();
+    let mut turns: HashMap<usize, Turn> = HashMap::new();
+    let queued = serve(&arrivals, |waiting, now| {
+        for index in waiting {
+            turns.entry(*index).or_insert_with(|| {
+                let arrival = arrivals[*index];
+                let caller = CallerId(u64::try_from(*index).expect("small"));
+                queue.push(arrival.urgency, caller, arrival.at + WANTED_WITHIN)
+            });
+        }
+        let gone: Vec<usize> =
+            turns.keys().filter(|index| !waiting.contains(index)).copied().collect();
+        for index in gone {
+            queue.remove(turns.remove(&index).expect("it was queued"));
+        }
+        usize::try_from(queue.in_order(now)[0].0).expect("small")
+    });
+    println!("on time: {} against {} by arrival", on_time(&queued), on_time(&first_come));
+    assert!(on_time(&queued) > 2 * on_time(&first_come));
+    let urgent = arrivals.iter().zip(&queued).filter(|(arrival, _)| arrival.urgency == 1);
+    for (arrival, wait) in urgent {
+        let wait = wait.expect("urgent work is served");
+        assert!(wait <= SERVICE, "{arrival:?} waited {wait:?}, more than one statement");
+    }
+}
+
+#[test]
+fn test_order_is_by_urgency_then_hope_then_arrival() {
+    let mut queue = WaitingQueue::default();
+    let start = Moment::from_start(Duration::from_secs(5));
+    queue.push(2, CallerId(1), start);
+    queue.push(2, CallerId(2), start + WANTED_WITHIN);
+    queue.push(2, CallerId(3), start + WANTED_WITHIN);
+    queue.push(1, CallerId(4), start);
+    let now = start + Duration::from_millis(1);
+    assert_eq!(queue.in_order(now), [CallerId(4), CallerId(2), CallerId(3), CallerId(1)]);
+    assert_eq!(queue.in_order(start), [CallerId(4), CallerId(1), CallerId(2), CallerId(3)]);
+    assert_eq!(queue.ahead_of(1), 1);
+    assert_eq!(queue.ahead_of(2), 4);
+}
+
+#[test]
+fn test_server_at_which_work_waits_gets_one_statement_at_a_time() {
+    let now = Moment::from_start(Duration::from_secs(5));
+    let mut pace = Pace::default();
+    for _ in 0..50 {
+        pace.observe(SERVICE);
+    }
+    assert_eq!(pace.limit(4, now), 4);
+    for _ in 0..20 {
+        pace.observe(SERVICE * 5);
+    }
+    assert_eq!(pace.limit(4, now), 1);
+    for _ in 0..30 {
+        pace.observe(SERVICE);
+    }
+    assert_eq!(pace.limit(4, now), 4, "the load is over");
+    pace.refused(now);
+    assert_eq!(pace.limit(4, now), 1);
+    assert_eq!(pace.limit(4, now + Duration::from_secs(1)), 4);
+}
