proxy: sessions wait for the first configuration; one extra connection

Cause: after a restart of all machines, sessions that came 10 ms before the first list of the store were refused; at crests instances held up to 24 of 28 connections, so their next lives found no room for up to 3 s. Change: a session that comes before the first list waits 0.6 s at most; an instance opens one connection beyond those it keeps at rest. Log lines lose their tag's prefix.

--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -17,6 +17,9 @@
 /// Connections to a server that no instance uses, so that one that restarts
 /// finds room while the server still holds its old ones.
 const SPARE_CONNECTIONS: usize = 1;
+/// Connections to a server beyond those kept at rest that this instance opens
+/// under load.
+const EXTRA_CONNECTIONS: usize = 1;
 /// How long what a replica last said of its position is taken for its position
 /// now.
 const POSITION_MEMORY: Duration = Duration::from_millis(60);
@@ -157,7 +160,8 @@
     /// Returns how many connections this instance may hold to a server.
     pub(super) fn connection_share(&self, context: Context<'_>, server: &Server) -> usize {
         let limit = connection_limit(context, &server.group).saturating_sub(SPARE_CONNECTIONS);
-        (limit / context.view.live().count().max(1)).max(1)
+        let share = (limit / context.view.live().count().max(1)).max(1);
+        share.min(connections_at_rest(context, &server.group) + EXTRA_CONNECTIONS)
     }
 
     /// Returns the servers that may run a request, the best first.
--- a/lib/proxy/src/event_loop/links.rs
+++ b/lib/proxy/src/event_loop/links.rs
@@ -119,6 +119,9 @@
                     info!(self.log, "store in view"; "revision" => self.view.revision());
                 }
                 self.follow(progress.changes);
+                if !was_complete && self.link.is_complete() {
+                    self.open_waiting_sessions();
+                }
             }
             StoreUse::Coordinator(purpose) => {
                 debug!(self.log, "store answered"; "purpose" => ?purpose, "outcome" => outcome);
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -31,6 +31,9 @@
 use crate::statement::{Failure, FailureKind};
 use crate::store_view::StoreView;
 
+/// How long a session may wait for the first configuration.
+const UNKNOWN_CONFIGURATION_PATIENCE: Duration = Duration::from_millis(600);
+
 impl<'a, Spoken, Clock> EventLoop<'a, Spoken, Clock>
 where
     Spoken: Platform,
@@ -206,6 +209,13 @@
                 socket.input.clear();
                 return;
             }
+            // The first list of the store's items is a matter of milliseconds.
+            if !self.link.is_complete() && !*is_open && !socket.input.is_empty() {
+                *deadline = Some(deadline.map_or(self.now, |deadline| {
+                    deadline.min(self.now + UNKNOWN_CONFIGURATION_PATIENCE)
+                }));
+                return;
+            }
             let id = *id;
             let context = Context { view: &self.view, now: self.now };
             match self.platform.callers().decode(&mut socket.input) {
@@ -249,6 +259,19 @@
         }
     }
 
+    /// Opens the sessions that waited for the configuration.
+    pub(super) fn open_waiting_sessions(&mut self) {
+        let waiting: Vec<Token> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| matches!(entry.used_for, Use::Caller { is_open: false, .. }))
+            .map(|(token, _)| *token)
+            .collect();
+        for token in waiting {
+            self.read_caller(token);
+        }
+    }
+
     fn refuse_caller(&mut self, token: Token, error: &ProtocolError) {
         info!(self.log, "caller's message can't be read"; "reason" => error.reason);
         if let Some(entry) = self.entries.get_mut(&token) {
@@ -344,8 +367,14 @@
             if let Some(entry) = self.entries.get(&token)
                 && let Use::Caller { is_open: false, .. } = entry.used_for
             {
-                let failure = Failure::new(FailureKind::Timeout, "the session was not opened");
-                info!(self.log, "caller dropped"; "reason" => %failure.text);
+                let failure = Failure::new(FailureKind::Busy, "the session could not be opened");
+                info!(self.log, "session refused"; "outcome" => %failure.kind,
+                    "reason" => %failure.text, "store_in_view" => self.link.is_complete());
+                if let Some(entry) = self.entries.get_mut(&token) {
+                    let output = &mut entry.socket.output;
+                    self.platform.callers().encode_start(Err(&failure), output);
+                    entry.socket.flush();
+                }
             }
             self.ended(token, false);
         }
--- a/lib/proxy/src/log.rs
+++ b/lib/proxy/src/log.rs
@@ -118,7 +118,8 @@
 
     fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
         let mut line = Vec::with_capacity(256);
-        let is_formatted = Logfmt::new(&mut line).build().log(record, values).is_ok();
+        let is_formatted =
+            Logfmt::new(&mut line).print_tag(false).build().log(record, values).is_ok();
         let mut state = self.buffer.lock();
         let is_served = record.tag() == SERVED;
         if !is_formatted || !state.admits(is_served) {
