coordinator: after an order let only the ordered server in

Change: before an order, a primary that came back under another id is let in without one; afterwards only a server that was ordered.

--- a/lib/proxy/src/coordinator/change.rs
+++ b/lib/proxy/src/coordinator/change.rs
@@ -5,7 +5,7 @@
 //! replica that received most is chosen, written down and ordered to lead. Once
 //! it leads, a record lets it be used. See `docs/design/10-platform.md`.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use masticreel_base::ids::{GroupId, ServerId, Term};
@@ -81,7 +81,8 @@
     surveyed_since: Option<Moment>,
     order_allowed_until: Option<Moment>,
     ordered_at: Option<Moment>,
-    is_ordered: bool,
+    /// Servers that were ordered to lead.
+    ordered: BTreeSet<ServerId>,
 }
 
 impl Change {
@@ -97,7 +98,7 @@
             surveyed_since: None,
             order_allowed_until: None,
             ordered_at: None,
-            is_ordered: false,
+            ordered: BTreeSet::new(),
         }
     }
 
@@ -123,7 +124,7 @@
             if record.phase == Phase::Changing {
                 self.changes.entry(group).or_insert_with(|| {
                     let mut change = Change::new(record.epoch, now, false);
-                    change.is_ordered = record.candidate.is_some();
+                    change.ordered.extend(record.candidate);
                     change
                 });
                 continue;
@@ -275,7 +276,7 @@
         let is_proved = change.order_allowed_until.is_some_and(|until| now < until);
         if is_written && is_proved {
             change.ordered_at = Some(now);
-            change.is_ordered = true;
+            change.ordered.insert(candidate.clone());
             change.order_allowed_until = None;
             info!(self.log, "promotion ordered"; "group" => %group, "server" => %candidate,
                 "token" => token, "epoch" => change.epoch,
@@ -322,7 +323,11 @@
         }
     }
 
-    /// Returns the server that leads a newer term already.
+    /// Returns the server that leads the group already.
+    ///
+    /// Before an order was given, that is a primary which came back under
+    /// another id; afterwards only a server that was ordered to lead, since the
+    /// order may still take effect.
     fn new_leader(
         &self,
         view: &StoreView,
@@ -336,8 +341,16 @@
             let leads = status.role == Role::Primary && server.id != record.primary;
             leads.then(|| (server.id.clone(), status.term))
         });
-        let newest = leaders.max_by_key(|(_, term)| *term)?;
-        (newest.1 > record.term).then_some(newest)
+        let newest_term = change.newest_term(record);
+        if change.ordered.is_empty() && record.candidate.is_none() {
+            return leaders.max_by_key(|(_, term)| *term).filter(|(_, term)| *term >= newest_term);
+        }
+        leaders
+            .filter(|(server, _)| {
+                change.ordered.contains(server) || record.candidate.as_ref() == Some(server)
+            })
+            .max_by_key(|(_, term)| *term)
+            .filter(|(_, term)| *term >= newest_term)
     }
 
     /// Returns whether no instance can be using the old primary.
@@ -408,7 +421,7 @@
         surveyed_since: Moment,
     ) -> Option<ServerId> {
         if let Some(chosen) = &record.candidate
-            && change.is_ordered
+            && change.ordered.contains(chosen)
             && !change.unfit.contains_key(chosen)
         {
             // An order that was lost may still take effect.
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -170,8 +170,17 @@
     }
 
     pub fn record(&mut self, epoch: u64, phase: Phase, primary: &str) {
-        let record =
-            GroupRecord { epoch, phase, primary: primary.into(), term: Term(1), candidate: None };
+        self.record_of_term(1, epoch, phase, primary);
+    }
+
+    pub fn record_of_term(&mut self, term: u64, epoch: u64, phase: Phase, primary: &str) {
+        let record = GroupRecord {
+            epoch,
+            phase,
+            primary: primary.into(),
+            term: Term(term),
+            candidate: None,
+        };
         self.put(&group_key(&group()), &record);
     }
 
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -144,6 +144,46 @@
     assert_eq!(record.term, position(2, 0).term);
 }
 
+/// A crashed primary that came back under another id was let in while the order
+/// to another server was about to take effect: its writes were lost.
+#[test]
+fn test_after_an_order_only_the_ordered_server_is_let_in() {
+    let mut world = World::serving();
+    world.record_of_term(0, 1, Phase::Serving, "s1");
+    world.refresh();
+    let mut holder = holder(&mut world);
+    world.server("s1", Role::Primary, true);
+    world.refresh();
+    holder.stopped(&group(), 2);
+    assert_eq!(ordered_within(&mut world, &mut holder, ms(1000)), ["s2"]);
+    world.server("s4", Role::Primary, false);
+    world.refresh();
+    let back = ServerStatus { role: Role::Primary, ..replica(9) };
+    holder.control_answered(world.now, &group(), &"s4".into(), &Command::Status, Ok(back));
+    world.pass(ms(200));
+    settle(&mut world, &mut holder);
+    let record = world.view.group(&group()).expect("a record");
+    assert_eq!(record.phase, Phase::Changing, "s4 must not be used: {record:?}");
+}
+
+#[test]
+fn test_primary_that_came_back_under_another_id_needs_no_order() {
+    let mut world = World::serving();
+    world.join("proxy-2", 1);
+    let mut holder = holder(&mut world);
+    world.server("s1", Role::Primary, true);
+    world.refresh();
+    settle(&mut world, &mut holder);
+    world.server("s4", Role::Primary, false);
+    world.refresh();
+    let back = ServerStatus { role: Role::Primary, ..replica(9) };
+    settle(&mut world, &mut holder);
+    holder.control_answered(world.now, &group(), &"s4".into(), &Command::Status, Ok(back));
+    world.pass(ms(200));
+    settle(&mut world, &mut holder);
+    assert_eq!(world.view.group(&group()).expect("a record").primary.as_str(), "s4");
+}
+
 #[test]
 fn test_holder_whose_lease_may_have_ended_orders_nothing() {
     let mut world = World::serving();
