coordinator: shorter leases and order windows

Cause: with the holder of the duty cut from the store, or frozen, the next one could take over after 6 s only, and gave its first order 2.5 s later. Change: leases last 3.2 s; an order follows its proof of the duty within 0.4 s and times out after 0.8 s, so a new holder waits 1.4 s.

--- a/lib/proxy/src/coordinator/change.rs
+++ b/lib/proxy/src/coordinator/change.rs
@@ -32,10 +32,10 @@
 /// How old a server's answer may be to count in a change.
 const STATUS_LIFETIME: Duration = Duration::from_millis(1000);
 /// How long after a proof of the duty an order may be sent.
-const ORDER_WINDOW: Duration = Duration::from_millis(1000);
+const ORDER_WINDOW: Duration = Duration::from_millis(400);
 /// How long a new holder waits before its first order, so that no order of the
 /// holder before is still on its way: its window and the time-out of the call.
-const FIRST_ORDER_DELAY: Duration = Duration::from_millis(2500);
+const FIRST_ORDER_DELAY: Duration = Duration::from_millis(1400);
 /// The pause between two orders for one change.
 const ORDER_PAUSE: Duration = Duration::from_millis(300);
 /// How long a server's entry may be missing before its primary is replaced;
--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -19,7 +19,7 @@
 /// The time in which a watch shows what was written.
 pub(super) const SETTLE_PAUSE: Duration = Duration::from_millis(150);
 /// How long a lease lasts: three renewals may be lost.
-const LEASE_LIFETIME: Duration = Duration::from_secs(6);
+const LEASE_LIFETIME: Duration = Duration::from_millis(3200);
 /// The part of its lifetime after which a lease is renewed.
 const RENEWALS_PER_LIFETIME: u32 = 4;
 
--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -48,7 +48,7 @@
 /// How long a command to a server outside the pools may take.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long an order to promote may take.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(1200);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long a reader of pages may take.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a caller may take to open its session.
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -275,9 +275,7 @@
                     StoreCall::Grant { lifetime } => {
                         StoreAnswer::Lease { lease: 5, lifetime: *lifetime }
                     }
-                    StoreCall::Renew { .. } => {
-                        StoreAnswer::Lease { lease: 0, lifetime: Duration::from_secs(6) }
-                    }
+                    StoreCall::Renew { .. } => StoreAnswer::Lease { lease: 0, lifetime: ms(3200) },
                     call => world.commit(call),
                 };
                 let now = world.now;
