engine: open the own domain's replica, let lagging ones rest

Change: a read that goes elsewhere opens the best server's first connection; a replica that lacked a floor is asked again after 250 ms; an instance that is out of touch with the store for longer than its entitlement refuses at once. Tests for each, and for floors, doubt and repeats.

--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -100,6 +100,8 @@
     pub failed_opens: u32,
     /// The last position that it applied, and when that was learned.
     pub applied: Option<(TermPosition, Moment)>,
+    /// The floor that it last lacked, and when.
+    pub lacked: Option<(TermPosition, Moment)>,
     /// When it last answered anything.
     pub answered_at: Moment,
     /// No statement that another server may run is sent before.
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -392,6 +392,7 @@
         failure: Failure,
         state: SessionState,
     ) {
+        let floor = self.floor_at(context, caller_id, id);
         let Some(caller) = self.callers.get_mut(&caller_id) else {
             return;
         };
@@ -405,6 +406,11 @@
                 | FailureKind::ReadOnly
                 | FailureKind::UnknownStatement
         );
+        if failure.kind == FailureKind::Lagging
+            && let Ok(Some(floor)) = floor
+        {
+            self.connections.health(server).lacked = Some((floor, context.now));
+        }
         if failure.kind == FailureKind::ReadOnly {
             let group = pending.route.group.clone();
             self.doubt_if_leading(context, &group, server);
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -73,7 +73,7 @@
     }
 
     /// Refuses a request that has not run and can't be served in time.
-    fn refuse(&mut self, context: Context<'_>, id: CallerId) {
+    pub(super) fn refuse(&mut self, context: Context<'_>, id: CallerId) {
         self.dequeue(id);
         let Some(caller) = self.callers.get(&id) else {
             return;
--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -24,6 +24,10 @@
 /// now.
 const POSITION_MEMORY: Duration = Duration::from_millis(60);
 
+/// How long a replica that lacked a floor is not asked for it again: one request
+/// in this time finds out whether it has caught up.
+const LAG_MEMORY: Duration = Duration::from_millis(250);
+
 /// A server that may run a request.
 #[derive(Debug)]
 struct Candidate {
@@ -56,9 +60,14 @@
             }
             if let Some(connection) = self.connections.best_idle(&candidate.server, &values) {
                 self.dispatch(context, id, connection);
+                self.open_first(context, &candidates);
                 return;
             }
         }
+        if candidates.is_empty() && !self.may_be_served(context, pending) {
+            self.refuse(context, id);
+            return;
+        }
         self.enqueue(id);
         if may_open {
             let group = self.group_of(id);
@@ -68,6 +77,16 @@
         }
     }
 
+    /// Returns whether a request that no server may run now may find one in time.
+    ///
+    /// A change of the primary is over within its patience. An instance that has
+    /// lost the store, or does not know the group, has no such hope.
+    fn may_be_served(&self, context: Context<'_>, pending: &Pending) -> bool {
+        let is_in_touch =
+            context.view.confirmed_at().is_some_and(|at| context.now < at + trust::ENTITLEMENT);
+        is_in_touch && context.view.group(&pending.route.group).is_some()
+    }
+
     fn group_of(&self, id: CallerId) -> Option<GroupId> {
         let pending = self.callers.get(&id)?.pending.as_ref()?;
         Some(pending.route.group.clone())
@@ -144,6 +163,19 @@
         }
     }
 
+    /// Opens a connection to the best candidate if there is none, for the next
+    /// requests.
+    fn open_first(&mut self, context: Context<'_>, candidates: &[Candidate]) {
+        let best = candidates.iter().find(|candidate| !candidate.is_full);
+        let Some(server) = best.and_then(|best| context.view.server(&best.server)) else {
+            return;
+        };
+        let health = self.connections.health(&server.id);
+        if health.connections == 0 && context.now >= health.open_after {
+            self.open(context, server);
+        }
+    }
+
     /// Opens a connection to a server.
     pub(super) fn open(&mut self, context: Context<'_>, server: &Server) {
         let connection =
@@ -227,9 +259,13 @@
         if context.now < health.rest_until {
             return false;
         }
-        health
-            .applied
-            .is_none_or(|(applied, at)| applied >= floor || context.now.since(at) > POSITION_MEMORY)
+        let lacks = health
+            .lacked
+            .is_some_and(|(lacked, at)| lacked <= floor && context.now.since(at) < LAG_MEMORY);
+        !lacks
+            && health.applied.is_none_or(|(applied, at)| {
+                applied >= floor || context.now.since(at) > POSITION_MEMORY
+            })
     }
 
     /// Returns the primary of a group if it may be used now.
@@ -423,7 +459,7 @@
 
     /// Returns the floor to send along: none to a primary that may be used,
     /// which has everything.
-    fn floor_at(
+    pub(super) fn floor_at(
         &self,
         context: Context<'_>,
         id: CallerId,
@@ -443,7 +479,7 @@
 }
 
 /// No position is known that a replica must have applied.
-struct UnknownFloor;
+pub(super) struct UnknownFloor;
 
 fn no_young_position() -> Failure {
     Failure::new(FailureKind::Lagging, "no recent position of the primary is known")
--- /dev/null
+++ b/lib/proxy/tests/test_reads.rs
@@ -0,0 +1,147 @@
+//! Where reads go, and what they are sent with.
+
+mod support;
+
+use masticreel_proxy::caller::CallerId;
+use masticreel_proxy::connections::ConnectionId;
+use masticreel_proxy::directory::Consistency;
+use masticreel_proxy::engine::Engine;
+use masticreel_proxy::protocol::UpstreamMessage;
+use masticreel_proxy::records::Phase;
+use masticreel_proxy::statement::{Command, Failure, FailureKind, SessionState};
+use support::{World, accept, complete, engine, ms, position, read, ready, wanted, write};
+
+const CALLER: CallerId = CallerId(1);
+
+/// A group whose reads may be a second old, with a sample of the primary.
+fn sampled(consistency: Consistency) -> (World, Engine) {
+    let mut world = World::serving();
+    world.document(consistency);
+    world.refresh();
+    let mut engine = engine();
+    engine.open_session(world.context(), CALLER, "db".into()).expect("the database exists");
+    let (connection, _) = send(&mut world, &mut engine, write("a"));
+    complete(&world, &mut engine, connection, SessionState::Idle, Some(position(1, 9)));
+    // The first read finds no connection to the replica of its own domain.
+    engine.request(world.context(), CALLER, "tag".into(), read("a"));
+    let first = wanted(&mut engine);
+    let (replica, server) = &first.connects[0];
+    assert_eq!(server.as_str(), "s2");
+    accept(&world, &mut engine, *replica);
+    complete(&world, &mut engine, connection, SessionState::Idle, Some(position(1, 9)));
+    (world, engine)
+}
+
+/// Sends a statement and returns the connection and server that it went to.
+fn send(
+    world: &mut World,
+    engine: &mut Engine,
+    statement: Result<masticreel_proxy::statement::Statement, Failure>,
+) -> (ConnectionId, Option<masticreel_base::position::TermPosition>) {
+    engine.request(world.context(), CALLER, "tag".into(), statement);
+    run_of(world, engine)
+}
+
+/// Opens what is wanted and returns where the caller's work was sent.
+fn run_of(
+    world: &World,
+    engine: &mut Engine,
+) -> (ConnectionId, Option<masticreel_base::position::TermPosition>) {
+    let mut next = wanted(engine);
+    loop {
+        let run = next.sent.iter().find_map(|(id, command)| match command {
+            Command::Run { floor, .. } => Some((*id, *floor)),
+            _ => None,
+        });
+        if let Some(run) = run {
+            return run;
+        }
+        let (connection, _) = *next.connects.first().expect("a connection is opened");
+        next = accept(world, engine, connection);
+    }
+}
+
+fn fail(world: &World, engine: &mut Engine, id: ConnectionId, kind: FailureKind) {
+    let failure = Failure::new(kind, "");
+    engine.upstream_message(world.context(), id, UpstreamMessage::Error(failure), None);
+    ready(world, engine, id, SessionState::Idle, Some(position(1, 1)));
+}
+
+#[test]
+fn test_read_that_may_be_old_carries_the_floor_of_its_age() {
+    let (mut world, mut engine) = sampled(Consistency::Bounded(ms(1000)));
+    world.pass(ms(500));
+    world.refresh();
+    let (_, floor) = send(&mut world, &mut engine, read("a"));
+    assert_eq!(floor, Some(position(1, 9)));
+}
+
+#[test]
+fn test_without_a_young_sample_the_primary_answers() {
+    let (mut world, mut engine) = sampled(Consistency::Bounded(ms(1000)));
+    world.pass(ms(1000));
+    world.refresh();
+    let (_, floor) = send(&mut world, &mut engine, read("a"));
+    assert_eq!(floor, None, "only the primary needs no floor");
+}
+
+#[test]
+fn test_samples_of_an_earlier_epoch_are_no_floors() {
+    let (mut world, mut engine) = sampled(Consistency::Bounded(ms(1000)));
+    world.record(2, Phase::Changing, "s1");
+    world.refresh();
+    engine.group_changed(world.context(), &support::group());
+    world.record(3, Phase::Serving, "s3");
+    world.refresh();
+    engine.group_changed(world.context(), &support::group());
+    let (_, floor) = send(&mut world, &mut engine, read("a"));
+    assert_eq!(floor, None, "only the primary needs no floor");
+}
+
+#[test]
+fn test_replica_that_lacked_a_floor_is_left_alone_for_a_while() {
+    let (mut world, mut engine) = sampled(Consistency::Bounded(ms(60_000)));
+    let (first, _) = send(&mut world, &mut engine, read("a"));
+    fail(&world, &mut engine, first, FailureKind::Lagging);
+    let (second, _) = run_of(&world, &mut engine);
+    assert_ne!(second, first);
+    complete(&world, &mut engine, second, SessionState::Idle, Some(position(1, 9)));
+    world.pass(ms(200));
+    world.refresh();
+    let (third, _) = send(&mut world, &mut engine, read("a"));
+    assert_ne!(third, first, "it lacked this floor 200 ms ago");
+    complete(&world, &mut engine, third, SessionState::Idle, Some(position(1, 9)));
+    world.pass(ms(100));
+    world.refresh();
+    let (fourth, _) = send(&mut world, &mut engine, read("a"));
+    assert_eq!(fourth, first, "it may have caught up");
+}
+
+#[test]
+fn test_what_can_not_be_served_is_refused_at_once() {
+    let mut world = World::serving();
+    let mut engine = engine();
+    engine.open_session(world.context(), CALLER, "db".into()).expect("the database exists");
+    world.pass(masticreel_proxy::trust::ENTITLEMENT);
+    engine.request(world.context(), CALLER, "tag".into(), write("a"));
+    let answers = wanted(&mut engine).answers;
+    let failure = answers[0].1.outcome.as_ref().expect_err("nobody may use a primary");
+    assert_eq!(failure.kind, FailureKind::Busy);
+}
+
+#[test]
+fn test_write_whose_connection_broke_is_in_doubt_and_a_read_is_repeated() {
+    let mut world = World::serving();
+    let mut engine = engine();
+    engine.open_session(world.context(), CALLER, "db".into()).expect("the database exists");
+    let (connection, _) = send(&mut world, &mut engine, write("a"));
+    let closed = masticreel_proxy::engine::Loss::Closed;
+    engine.connection_lost(world.context(), connection, closed);
+    let answers = wanted(&mut engine).answers;
+    let failure = answers[0].1.outcome.as_ref().expect_err("it may have run");
+    assert_eq!(failure.kind, FailureKind::InDoubt);
+    let (connection, _) = send(&mut world, &mut engine, read("a"));
+    engine.connection_lost(world.context(), connection, closed);
+    let (again, _) = run_of(&world, &mut engine);
+    assert_ne!(again, connection);
+}
