peers: tell members without the store of a change directly

Change: the holder sends the record to members that have not confirmed after 60 ms, by datagram; they stop, say so, and are told of the new primary. A record is kept by the highest epoch, whichever way it came.

--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -18,6 +18,7 @@
 pub use crate::coordinator::change::ControlFailure;
 pub use crate::coordinator::registration::Lease;
 use crate::moment::Moment;
+use crate::peers::PeerMessage;
 use crate::protocol::{PromoterAnswer, PromotionOrder};
 use crate::records::{DoubtKind, DoubtRecord, StoreAnswer, StoreCall};
 use crate::statement::{Command, ServerStatus};
@@ -66,6 +67,8 @@
     },
     /// Order a promotion.
     Promote(PromotionOrder),
+    /// Tell another instance.
+    Tell(SocketAddr, PeerMessage),
 }
 
 /// The state of an instance's part.
@@ -87,12 +90,21 @@
     settled_at: HashMap<GroupId, Moment>,
     changes: BTreeMap<GroupId, Change>,
     deposed: HashMap<ServerId, change::Deposed>,
+    announcements: Vec<change::Announcement>,
+    address: SocketAddr,
+    asked_to_stop: BTreeMap<GroupId, SocketAddr>,
     steps: Vec<Step>,
 }
 
 impl Coordinator {
     /// Creates the part of an instance that has just started.
-    pub fn new(instance: InstanceId, incarnation: u64, lease: Lease, log: Logger) -> Self {
+    pub fn new(
+        instance: InstanceId,
+        incarnation: u64,
+        address: SocketAddr,
+        lease: Lease,
+        log: Logger,
+    ) -> Self {
         Self {
             instance,
             incarnation,
@@ -110,6 +122,9 @@
             settled_at: HashMap::new(),
             changes: BTreeMap::new(),
             deposed: HashMap::new(),
+            announcements: Vec::new(),
+            address,
+            asked_to_stop: BTreeMap::new(),
             steps: Vec::new(),
         }
     }
@@ -136,6 +151,7 @@
             self.watch_primaries(view, now);
             self.drive_changes(view, now);
             self.depose(view, now);
+            self.announce(now);
         } else {
             self.changes.clear();
             self.held_since = None;
@@ -145,6 +161,23 @@
     /// Notes that all work at a retiring primary has ended.
     pub fn stopped(&mut self, group: &GroupId, epoch: u64) {
         self.stopped.insert(group.clone(), epoch);
+        if let Some(holder) = self.asked_to_stop.remove(group) {
+            let instance = self.instance.clone();
+            let message = PeerMessage::Stopped { instance, group: group.clone(), epoch };
+            self.steps.push(Step::Tell(holder, message));
+        }
+    }
+
+    /// Notes who wants to know when all work at a retiring primary has ended.
+    pub fn asked_to_stop(&mut self, group: &GroupId, holder: SocketAddr) {
+        self.asked_to_stop.insert(group.clone(), holder);
+    }
+
+    /// Takes another instance's word that it has stopped.
+    pub fn peer_stopped(&mut self, instance: &InstanceId, group: &GroupId, epoch: u64) {
+        if let Some(change) = self.changes.get_mut(group) {
+            change.peer_stopped(instance, epoch);
+        }
     }
 
     /// Notes a doubt about a primary.
--- a/lib/proxy/src/coordinator/change.rs
+++ b/lib/proxy/src/coordinator/change.rs
@@ -6,16 +6,20 @@
 //! it leads, a record lets it be used. See `docs/design/10-platform.md`.
 
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use masticreel_base::ids::{GroupId, ServerId, Term};
+use masticreel_base::ids::{GroupId, InstanceId, ServerId, Term};
 use masticreel_base::position::TermPosition;
 use slog::{info, warn};
 
 use crate::coordinator::{Coordinator, Purpose, Step};
 use crate::moment::Moment;
+use crate::peers::PeerMessage;
 use crate::protocol::{PromoterAnswer, PromotionOrder};
-use crate::records::{DoubtKind, GroupRecord, Phase, StoreAnswer, StoreCall, Write, group_key};
+use crate::records::{
+    DoubtKind, GroupRecord, MemberRecord, Phase, StoreAnswer, StoreCall, Write, group_key,
+};
 use crate::statement::{Command, Role, ServerStatus};
 use crate::store_view::StoreView;
 use crate::trust::{ENTITLEMENT, ENTITLEMENT_MARGIN};
@@ -43,6 +47,13 @@
 const ABSENCE_PATIENCE: Duration = Duration::from_millis(2500);
 /// How long doubts are ignored after a change.
 const SETTLING_TIME: Duration = Duration::from_millis(700);
+/// How long members have to confirm through the store before they are told
+/// directly.
+const TELLING_DELAY: Duration = Duration::from_millis(60);
+/// The pause between two messages to a member.
+const TELLING_PAUSE: Duration = Duration::from_millis(80);
+/// How long members that stopped without the store are told of a new primary.
+const ANNOUNCING_TIME: Duration = Duration::from_secs(4);
 /// How long a replaced primary is told to step down.
 const DEPOSING_TIME: Duration = Duration::from_secs(10);
 /// The pause between two such commands.
@@ -83,6 +94,19 @@
     ordered_at: Option<Moment>,
     /// Servers that were ordered to lead.
     ordered: BTreeSet<ServerId>,
+    /// Members that said directly that they have stopped.
+    told_stopped: BTreeSet<InstanceId>,
+    told_at: Moment,
+}
+
+/// A new record that members without the store are told of.
+#[derive(Debug)]
+pub(super) struct Announcement {
+    group: GroupId,
+    record: GroupRecord,
+    to: Vec<SocketAddr>,
+    since: Moment,
+    told_at: Moment,
 }
 
 impl Change {
@@ -99,6 +123,14 @@
             order_allowed_until: None,
             ordered_at: None,
             ordered: BTreeSet::new(),
+            told_stopped: BTreeSet::new(),
+            told_at: Moment::default(),
+        }
+    }
+
+    pub(super) fn peer_stopped(&mut self, instance: &InstanceId, epoch: u64) {
+        if epoch >= self.epoch {
+            self.told_stopped.insert(instance.clone());
         }
     }
 
@@ -250,8 +282,14 @@
         let leaving = view.server(&record.primary).is_some_and(|server| server.is_leaving);
         change.is_planned |= leaving;
         self.survey(view, now, group, &record, change);
+        self.tell_members(view, now, group, &record, change);
         if let Some(leader) = self.new_leader(view, now, group, &record, change) {
-            self.publish(view, now, group, &record, versioned.revision, leader);
+            let told: Vec<SocketAddr> = view
+                .members()
+                .filter(|(instance, _)| change.told_stopped.contains(*instance))
+                .filter_map(|(_, member)| member.value.address)
+                .collect();
+            self.publish(view, now, group, &record, versioned.revision, leader, told);
             return;
         }
         if !self.is_unused(view, now, group, &record, change) {
@@ -365,12 +403,10 @@
         if now.since(change.blocked_at) >= ENTITLEMENT + ENTITLEMENT_MARGIN {
             return true;
         }
-        let have_stopped = view.members().all(|(instance, member)| {
-            let stopped = &member.value.stopped;
-            stopped.iter().any(|(of, epoch)| of == group && *epoch >= change.epoch)
-                || self.is_past_entitlement(instance, now)
-        });
-        if have_stopped {
+        if view
+            .members()
+            .all(|(instance, member)| self.has_stopped(instance, &member.value, group, change, now))
+        {
             return true;
         }
         // A process that isn't running can't be used by anyone.
@@ -380,6 +416,64 @@
         is_gone && now.since(change.blocked_at) >= CRASH_PATIENCE
     }
 
+    /// Returns whether a member can't be using the old primary.
+    fn has_stopped(
+        &self,
+        instance: &InstanceId,
+        member: &MemberRecord,
+        group: &GroupId,
+        change: &Change,
+        now: Moment,
+    ) -> bool {
+        member.stopped.iter().any(|(of, epoch)| of == group && *epoch >= change.epoch)
+            || change.told_stopped.contains(instance)
+            || self.is_past_entitlement(instance, now)
+    }
+
+    /// Tells members that have not confirmed yet of a change.
+    fn tell_members(
+        &mut self,
+        view: &StoreView,
+        now: Moment,
+        group: &GroupId,
+        record: &GroupRecord,
+        change: &mut Change,
+    ) {
+        let is_due = now.since(change.blocked_at) >= TELLING_DELAY
+            && now.since(change.told_at) >= TELLING_PAUSE;
+        if !is_due {
+            return;
+        }
+        change.told_at = now;
+        for (instance, member) in view.members() {
+            if self.has_stopped(instance, &member.value, group, change, now) {
+                continue;
+            }
+            if let Some(address) = member.value.address {
+                let message = PeerMessage::Record { group: group.clone(), record: record.clone() };
+                self.steps.push(Step::Tell(address, message));
+            }
+        }
+    }
+
+    /// Tells members that stopped without the store of the new primary.
+    pub(super) fn announce(&mut self, now: Moment) {
+        self.announcements.retain(|known| now.since(known.since) < ANNOUNCING_TIME);
+        for known in &mut self.announcements {
+            if now.since(known.told_at) < TELLING_PAUSE {
+                continue;
+            }
+            known.told_at = now;
+            for address in &known.to {
+                let message = PeerMessage::Record {
+                    group: known.group.clone(),
+                    record: known.record.clone(),
+                };
+                self.steps.push(Step::Tell(*address, message));
+            }
+        }
+    }
+
     fn step_down_old(
         &mut self,
         view: &StoreView,
@@ -477,6 +571,7 @@
         record: &GroupRecord,
         revision: u64,
         (leader, term): (ServerId, Term),
+        told: Vec<SocketAddr>,
     ) {
         let Some((condition, _)) = self.duty_condition(view) else {
             return;
@@ -495,6 +590,14 @@
         if self.write_record(now, purpose, group, &published, revision, condition) {
             info!(self.log, "primary replaced"; "group" => %group, "old" => %record.primary,
                 "primary" => %leader, "term" => %term, "epoch" => published.epoch);
+            self.announcements.retain(|known| known.group != *group);
+            self.announcements.push(Announcement {
+                group: group.clone(),
+                record: published,
+                to: told,
+                since: now,
+                told_at: Moment::default(),
+            });
         }
     }
 
--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -119,10 +119,16 @@
         let known = view.member(&self.instance);
         // Confirmations of changes that are over need no write of their own.
         match known {
-            Some(known) if known.incarnation == self.incarnation && covers(known, &stopped) => {
+            Some(known)
+                if known.incarnation == self.incarnation
+                    && known.address == Some(self.address)
+                    && covers(known, &stopped) =>
+            {
                 known.clone()
             }
-            _ => MemberRecord { incarnation: self.incarnation, stopped },
+            _ => {
+                MemberRecord { incarnation: self.incarnation, stopped, address: Some(self.address) }
+            }
         }
     }
 
--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use masticreel_base::ids::{GroupId, ServerId};
-use mio::net::TcpListener;
+use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
@@ -37,6 +37,7 @@
 const READINESS_LISTENER: Token = Token(1);
 const METRICS_LISTENER: Token = Token(2);
 const SIGNALS: Token = Token(3);
+const PEERS: Token = Token(4);
 const FIRST_SOCKET: usize = 16;
 
 /// How often what is due is done while requests are under way.
@@ -130,6 +131,7 @@
     poll: Poll,
     callers_listener: Option<TcpListener>,
     page_listeners: Vec<(Token, TcpListener)>,
+    peers: UdpSocket,
     entries: HashMap<Token, Entry>,
     next_token: usize,
     next_caller: u64,
@@ -218,6 +220,7 @@
         match token {
             CALLER_LISTENER => self.accept_callers(),
             READINESS_LISTENER | METRICS_LISTENER => self.accept_readers(token),
+            PEERS => self.read_peers(),
             _ => {
                 if event.is_writable() || event.is_error() {
                     self.writable(token);
--- a/lib/proxy/src/event_loop/links.rs
+++ b/lib/proxy/src/event_loop/links.rs
@@ -1,5 +1,6 @@
 //! The instance's own calls: the store, servers' roles and the promoter.
 
+use std::io;
 use std::time::Duration;
 
 use masticreel_base::ids::{GroupId, ServerId};
@@ -11,10 +12,11 @@
 use crate::engine::Context;
 use crate::event_loop::store_link::{CALL_TIMEOUT, WATCH_SLACK};
 use crate::moment::{Moment, SteadyClock};
+use crate::peers::{MESSAGE_LIMIT_BYTES, PeerMessage};
 use crate::protocol::{
     Platform, PromoterProtocol, StoreProtocol, UpstreamMessage, UpstreamProtocol,
 };
-use crate::records::{StoreAnswer, StoreCall};
+use crate::records::{Phase, StoreAnswer, StoreCall};
 use crate::statement::Command;
 use crate::store_view::Change;
 
@@ -199,6 +201,12 @@
                     }
                 }
             }
+            Step::Tell(address, message) => {
+                // Lost messages are repeated until they are answered.
+                if let Err(error) = self.peers.send_to(&message.encode(), address) {
+                    debug!(self.log, "datagram not sent"; "to" => %address, "error" => %error);
+                }
+            }
             Step::Promote(order) => {
                 let Some(promoter) = self.settings.promoter else {
                     warn!(self.log, "no promoter is known"; "group" => %order.group);
@@ -220,6 +228,44 @@
         }
     }
 
+    /// Reads what other instances tell.
+    pub(super) fn read_peers(&mut self) {
+        let mut buffer = [0_u8; MESSAGE_LIMIT_BYTES];
+        loop {
+            let (length, from) = match self.peers.recv_from(&mut buffer) {
+                Ok(received) => received,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => {
+                    warn!(self.log, "datagram not received"; "error" => %error);
+                    return;
+                }
+            };
+            match PeerMessage::decode(&buffer[..length]) {
+                Some(PeerMessage::Record { group, record }) => {
+                    if record.phase == Phase::Changing {
+                        self.coordinator.asked_to_stop(&group, from);
+                    }
+                    let changes = self.view.told_record(&group, record);
+                    if !changes.is_empty() {
+                        info!(self.log, "told of a group's record"; "group" => %group,
+                            "from" => %from);
+                    }
+                    self.follow(changes);
+                    let context = Context { view: &self.view, now: self.now };
+                    self.engine.tick(context);
+                }
+                Some(PeerMessage::Stopped { instance, group, epoch }) => {
+                    info!(self.log, "member has stopped"; "member" => %instance,
+                        "group" => %group, "epoch" => epoch);
+                    self.coordinator.peer_stopped(&instance, &group, epoch);
+                    self.coordinator.tick(&self.view, self.now);
+                }
+                None => warn!(self.log, "datagram can't be read"; "from" => %from),
+            }
+        }
+    }
+
     pub(super) fn read_control(&mut self, token: Token) {
         loop {
             let Some(Entry {
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -7,13 +7,13 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use masticreel_base::ids::{GroupId, ServerId};
-use mio::net::TcpListener;
+use mio::net::{TcpListener, UdpSocket};
 use mio::{Interest, Poll, Token};
 use slog::{Logger, debug, info, warn};
 
 use super::{
     CALLER_LISTENER, CONNECT_TIMEOUT, Condition, Entry, EventLoop, FIRST_SOCKET, METRICS_LISTENER,
-    READINESS_LISTENER, RunError, SESSION_START_TIMEOUT, Use,
+    PEERS, READINESS_LISTENER, RunError, SESSION_START_TIMEOUT, Use,
 };
 use crate::caller::CallerId;
 use crate::connections::ConnectionId;
@@ -60,6 +60,11 @@
             (READINESS_LISTENER, listen(settings.readiness, READINESS_LISTENER)?),
             (METRICS_LISTENER, listen(settings.metrics, METRICS_LISTENER)?),
         ];
+        let mut peers = UdpSocket::bind(settings.peers)
+            .map_err(RunError::new(format!("datagrams at {}", settings.peers)))?;
+        poll.registry()
+            .register(&mut peers, PEERS, Interest::READABLE)
+            .map_err(RunError::new("datagrams"))?;
         let metrics = Metrics::new();
         let incarnation = new_incarnation(&clock);
         let engine_settings = EngineSettings {
@@ -68,8 +73,13 @@
             domain: settings.domain.clone(),
         };
         let lease = crate::coordinator::Lease::new(settings.shortest_lease);
-        let coordinator =
-            Coordinator::new(settings.instance.clone(), incarnation, lease, log.clone());
+        let coordinator = Coordinator::new(
+            settings.instance.clone(),
+            incarnation,
+            settings.peers,
+            lease,
+            log.clone(),
+        );
         info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"),
             "domain" => %settings.domain, "callers" => %settings.callers,
             "store" => %settings.store, "incarnation" => incarnation);
@@ -86,6 +96,7 @@
             poll,
             callers_listener: Some(callers_listener),
             page_listeners,
+            peers,
             entries: HashMap::new(),
             next_token: FIRST_SOCKET,
             next_caller: 0,
--- a/lib/proxy/src/lib.rs
+++ b/lib/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod moment;
 pub mod pace;
+pub mod peers;
 pub mod protocol;
 pub mod queue;
 pub mod records;
--- a/lib/proxy/src/records.rs
+++ b/lib/proxy/src/records.rs
@@ -1,5 +1,6 @@
 //! What instances keep in the platform's store, and the calls that they make.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -103,6 +104,9 @@
     /// The newest epoch per group in which the instance has stopped all work
     /// at the primary.
     pub stopped: Vec<(GroupId, u64)>,
+    /// Where other instances reach it.
+    #[serde(default)]
+    pub address: Option<SocketAddr>,
 }
 
 /// Why an instance doubts a primary.
--- a/lib/proxy/src/settings.rs
+++ b/lib/proxy/src/settings.rs
@@ -18,6 +18,8 @@
     pub readiness: SocketAddr,
     /// Where metrics are read.
     pub metrics: SocketAddr,
+    /// Where other instances reach this one with datagrams.
+    pub peers: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
     /// Who carries promotions out, if the platform has one.
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -155,10 +155,9 @@
     {
         let mut changes = Vec::new();
         let before: Vec<ServerId> = self.servers.keys().cloned().collect();
-        let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
+        let groups = std::mem::take(&mut self.groups);
         self.servers.clear();
         self.server_keys.clear();
-        self.groups.clear();
         self.members.clear();
         self.live.clear();
         self.doubts.clear();
@@ -167,7 +166,10 @@
             self.write(item, store, &mut changes);
         }
         changes.extend(before.into_iter().map(Change::Server));
-        changes.extend(groups.into_iter().map(Change::Group));
+        // Another instance may have told of a newer record than the list has.
+        for (group, record) in groups {
+            self.note_record(&group, record, &mut changes);
+        }
         changes.push(Change::Control);
         changes
     }
@@ -224,10 +226,13 @@
             return;
         };
         let is_read = match key {
-            OwnKey::Group(group) => {
-                changes.push(Change::Group(group.clone()));
-                insert_read(&mut self.groups, group, item)
-            }
+            OwnKey::Group(group) => match read::<GroupRecord>(item) {
+                Some(record) => {
+                    self.note_record(&group, record, changes);
+                    true
+                }
+                None => false,
+            },
             OwnKey::Member(instance) => insert_read(&mut self.members, instance, item),
             OwnKey::Doubt(group, instance) => {
                 insert_read(&mut self.doubts, (group, instance), item)
@@ -253,6 +258,31 @@
         }
     }
 
+    /// Notes a group's record that another instance told of.
+    pub fn told_record(&mut self, group: &GroupId, record: GroupRecord) -> Vec<Change> {
+        let mut changes = Vec::new();
+        // Revision zero: whoever wants to change the record needs the store's.
+        self.note_record(group, Versioned { revision: 0, value: record }, &mut changes);
+        changes
+    }
+
+    /// Keeps the record of the highest epoch.
+    fn note_record(
+        &mut self,
+        group: &GroupId,
+        record: Versioned<GroupRecord>,
+        changes: &mut Vec<Change>,
+    ) {
+        let known = self.groups.get(group);
+        let is_newer = known.is_none_or(|known| {
+            (record.value.epoch, record.revision) > (known.value.epoch, known.revision)
+        });
+        if is_newer {
+            self.groups.insert(group.clone(), record);
+            changes.push(Change::Group(group.clone()));
+        }
+    }
+
     fn remove(&mut self, key: &Arc<str>, changes: &mut Vec<Change>) {
         if let Some(id) = self.server_keys.remove(key) {
             self.servers.remove(&id);
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -187,11 +188,18 @@
     pub fn join(&mut self, instance: &str, incarnation: u64) {
         let instance: InstanceId = instance.into();
         self.put(&live_key(&instance), &incarnation);
-        self.put(&member_key(&instance), &MemberRecord { incarnation, stopped: Vec::new() });
+        self.put(
+            &member_key(&instance),
+            &MemberRecord { incarnation, stopped: Vec::new(), address: address(instance.as_str()) },
+        );
     }
 
     pub fn confirm_stop(&mut self, instance: &str, incarnation: u64, epoch: u64) {
-        let record = MemberRecord { incarnation, stopped: vec![(group(), epoch)] };
+        let record = MemberRecord {
+            incarnation,
+            stopped: vec![(group(), epoch)],
+            address: address(instance),
+        };
         self.put(&member_key(&instance.into()), &record);
     }
 
@@ -247,6 +255,12 @@
     }
 }
 
+/// Where an instance is reached, by its number.
+pub fn address(instance: &str) -> Option<SocketAddr> {
+    let number: u16 = instance.rsplit('-').next()?.parse().ok()?;
+    Some(([127, 0, 0, 1], 2000 + number).into())
+}
+
 pub fn log() -> Logger {
     Logger::root(Discard, o!())
 }
@@ -261,7 +275,13 @@
 }
 
 pub fn coordinator() -> Coordinator {
-    Coordinator::new(OWN.into(), INCARNATION, Lease::new(Duration::from_secs(1)), log())
+    Coordinator::new(
+        OWN.into(),
+        INCARNATION,
+        address(OWN).expect("numbered"),
+        Lease::new(Duration::from_secs(1)),
+        log(),
+    )
 }
 
 /// Gives a coordinator its lease, and carries its calls of the store out.
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use masticreel_proxy::coordinator::{Coordinator, Purpose, Step};
+use masticreel_proxy::peers::PeerMessage;
 use masticreel_proxy::protocol::PromoterAnswer;
 use masticreel_proxy::records::{Phase, live_key};
 use masticreel_proxy::statement::{Command, Role, ServerStatus};
@@ -47,7 +48,7 @@
                 ordered.push(order.server.to_string());
                 coordinator.promoter_answered(world.now, order, Some(PromoterAnswer::Accepted));
             }
-            Step::Store(..) => {}
+            Step::Store(..) | Step::Tell(..) => {}
         }
     }
     ordered
@@ -113,6 +114,51 @@
     assert_eq!(ordered_within(&mut world, &mut holder, ms(1000)), ["s2"]);
 }
 
+/// An instance that the store turned away held a change up for 12 s.
+#[test]
+fn test_member_without_the_store_is_told_directly_and_its_word_counts() {
+    let mut world = World::serving();
+    world.join("proxy-2", 1);
+    let mut holder = holder(&mut world);
+    world.server("s1", Role::Primary, true);
+    world.refresh();
+    holder.stopped(&group(), 2);
+    let mut told = Vec::new();
+    for _ in 0..20 {
+        let steps = settle(&mut world, &mut holder);
+        told.extend(steps.iter().filter_map(|step| match step {
+            Step::Tell(address, message) => Some((*address, message.clone())),
+            _ => None,
+        }));
+        assert!(survey(&mut world, &mut holder, &steps).is_empty(), "proxy-2 may write");
+        world.pass(ms(20));
+        world.refresh();
+    }
+    assert!(told.iter().all(|(to, _)| Some(*to) == support::address("proxy-2")), "{told:?}");
+    assert!(matches!(&told[0].1, PeerMessage::Record { record, .. } if record.epoch == 2));
+    holder.peer_stopped(&"proxy-2".into(), &group(), 1);
+    assert!(ordered_within(&mut world, &mut holder, ms(300)).is_empty(), "an earlier epoch");
+    holder.peer_stopped(&"proxy-2".into(), &group(), 2);
+    assert_eq!(ordered_within(&mut world, &mut holder, ms(1000)), ["s2"]);
+}
+
+#[test]
+fn test_told_record_holds_until_the_store_shows_a_newer_one() {
+    let mut world = World::serving();
+    let changing = masticreel_proxy::records::GroupRecord {
+        epoch: 2,
+        phase: Phase::Changing,
+        ..world.view.group(&group()).expect("a record").clone()
+    };
+    assert!(!world.view.told_record(&group(), changing.clone()).is_empty());
+    assert!(world.view.told_record(&group(), changing).is_empty(), "it is known");
+    world.refresh();
+    assert_eq!(world.view.group(&group()).expect("a record").phase, Phase::Changing);
+    world.record(3, Phase::Serving, "s2");
+    world.refresh();
+    assert_eq!(world.view.group(&group()).expect("a record").primary.as_str(), "s2");
+}
+
 #[test]
 fn test_replica_that_received_most_takes_over() {
     let mut world = World::serving();
