trust: prove reads when the store is silent; wait less where it is safe

Change: an entitlement lasts 16 s. After 3.5 s without the store a read of a primary is delivered only when the server then says that it leads; writes and plain transactions a stepped-down server refuses itself. So a change in which the old primary has stepped down waits 3.5 s for members that don't confirm, any other one 16 s.

--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -31,6 +31,8 @@
     Begin,
     /// A caller's work.
     Main,
+    /// The server's role, before a read's answer is delivered.
+    Proof,
     /// A rollback that nobody waits for.
     Rollback,
 }
@@ -44,6 +46,17 @@
     pub outcome: Option<Result<Option<Arc<str>>, Failure>>,
 }
 
+/// A successful answer whose server may not lead any more.
+#[derive(Debug)]
+pub struct Unproved {
+    /// The rows.
+    pub rows: Vec<Arc<str>>,
+    /// The server's signature.
+    pub signature: Option<Arc<str>>,
+    /// The server's position.
+    pub position: Option<TermPosition>,
+}
+
 /// A connection to a server.
 #[derive(Debug)]
 pub struct Connection {
@@ -57,6 +70,8 @@
     pub expected: VecDeque<Expected>,
     /// The answer that is being received.
     pub partial: PartialAnswer,
+    /// The answer that is delivered once the server's role is known.
+    pub unproved: Option<Unproved>,
     /// The caller that it works for.
     pub owner: Option<CallerId>,
     /// Whether the owner's transaction holds it.
@@ -141,6 +156,7 @@
             group: group.clone(),
             expected: VecDeque::from([Expected::Start]),
             partial: PartialAnswer::default(),
+            unproved: None,
             owner: None,
             is_held: false,
             values: SessionValues::default(),
--- a/lib/proxy/src/coordinator/change.rs
+++ b/lib/proxy/src/coordinator/change.rs
@@ -22,7 +22,7 @@
 };
 use crate::statement::{Command, Role, ServerStatus};
 use crate::store_view::StoreView;
-use crate::trust::{ENTITLEMENT, ENTITLEMENT_MARGIN};
+use crate::trust::{ENTITLEMENT, ENTITLEMENT_MARGIN, FRESHNESS};
 
 /// How often a server is asked for its state during a change.
 const SURVEY_INTERVAL: Duration = Duration::from_millis(80);
@@ -47,6 +47,9 @@
 const ABSENCE_PATIENCE: Duration = Duration::from_millis(2500);
 /// How long doubts are ignored after a change.
 const SETTLING_TIME: Duration = Duration::from_millis(700);
+/// How long members may finish their work before the old primary is told to
+/// step down.
+const STEPPING_DELAY: Duration = Duration::from_millis(200);
 /// How long members have to confirm through the store before they are told
 /// directly.
 const TELLING_DELAY: Duration = Duration::from_millis(60);
@@ -96,6 +99,8 @@
     ordered: BTreeSet<ServerId>,
     /// Members that said directly that they have stopped.
     told_stopped: BTreeSet<InstanceId>,
+    /// Whether the old primary said that it does not lead any more.
+    has_stepped_down: bool,
     told_at: Moment,
 }
 
@@ -124,6 +129,7 @@
             ordered_at: None,
             ordered: BTreeSet::new(),
             told_stopped: BTreeSet::new(),
+            has_stepped_down: false,
             told_at: Moment::default(),
         }
     }
@@ -134,6 +140,12 @@
         }
     }
 
+    /// Returns for how long after a change began members that know nothing of it
+    /// may use the old primary.
+    fn entitlement(&self) -> Duration {
+        if self.has_stepped_down { FRESHNESS } else { ENTITLEMENT }
+    }
+
     fn status(&self, server: &ServerId, now: Moment) -> Option<ServerStatus> {
         let (status, at) = self.known.get(server)?;
         (now.since(*at) < STATUS_LIFETIME).then_some(*status)
@@ -292,6 +304,11 @@
             self.publish(view, now, group, &record, versioned.revision, leader, told);
             return;
         }
+        change.has_stepped_down |=
+            change.status(&record.primary, now).is_some_and(|status| status.role == Role::Replica);
+        if now.since(change.blocked_at) >= STEPPING_DELAY {
+            self.step_down_old(view, now, group, &record, change);
+        }
         if !self.is_unused(view, now, group, &record, change) {
             return;
         }
@@ -400,7 +417,7 @@
         record: &GroupRecord,
         change: &Change,
     ) -> bool {
-        if now.since(change.blocked_at) >= ENTITLEMENT + ENTITLEMENT_MARGIN {
+        if now.since(change.blocked_at) >= change.entitlement() + ENTITLEMENT_MARGIN {
             return true;
         }
         if view
@@ -427,7 +444,7 @@
     ) -> bool {
         member.stopped.iter().any(|(of, epoch)| of == group && *epoch >= change.epoch)
             || change.told_stopped.contains(instance)
-            || self.is_past_entitlement(instance, now)
+            || self.is_silent_for(instance, change.entitlement(), now)
     }
 
     /// Tells members that have not confirmed yet of a change.
@@ -489,9 +506,7 @@
         if now < asked_at {
             return;
         }
-        let has_stepped_down =
-            change.status(&server.id, now).is_some_and(|status| status.role == Role::Replica);
-        if has_stepped_down {
+        if change.has_stepped_down {
             return;
         }
         change.asked.insert(server.id.clone(), now + SURVEY_PATIENCE);
--- a/lib/proxy/src/coordinator/duty.rs
+++ b/lib/proxy/src/coordinator/duty.rs
@@ -77,12 +77,17 @@
         }
     }
 
-    /// Returns whether a member has been without its lease for so long that it
-    /// can't be entitled any more.
-    pub(super) fn is_past_entitlement(&self, member: &InstanceId, now: Moment) -> bool {
+    /// Returns whether a member has been without its lease for longer than an
+    /// entitlement lasts.
+    pub(super) fn is_silent_for(
+        &self,
+        member: &InstanceId,
+        entitlement: Duration,
+        now: Moment,
+    ) -> bool {
         self.silent_members
             .get(member)
-            .is_some_and(|since| now.since(*since) >= ENTITLEMENT + ENTITLEMENT_MARGIN)
+            .is_some_and(|since| now.since(*since) >= entitlement + ENTITLEMENT_MARGIN)
     }
 
     /// Removes members that can't be entitled any more.
@@ -90,7 +95,7 @@
         let members: Vec<(InstanceId, u64)> =
             view.members().map(|(instance, member)| (instance.clone(), member.revision)).collect();
         for (instance, revision) in members {
-            if !self.is_past_entitlement(&instance, now) {
+            if !self.is_silent_for(&instance, ENTITLEMENT, now) {
                 continue;
             }
             let Some((condition, _)) = self.duty_condition(view) else {
--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -24,6 +24,7 @@
 use crate::directory::{Consistency, Route};
 use crate::metrics::Metrics;
 use crate::moment::Moment;
+use crate::pace::Pace;
 use crate::queue::WaitingQueue;
 use crate::records::DoubtKind;
 use crate::samples::Samples;
@@ -129,6 +130,7 @@
     active: BTreeSet<CallerId>,
     connections: Connections,
     groups: BTreeMap<GroupId, GroupState>,
+    route_paces: HashMap<Arc<str>, Pace>,
     actions: Vec<Action>,
 }
 
@@ -143,6 +145,7 @@
             active: BTreeSet::new(),
             connections: Connections::default(),
             groups: BTreeMap::new(),
+            route_paces: HashMap::new(),
             actions: Vec::new(),
         }
     }
@@ -156,7 +159,8 @@
     pub fn expects_role(&self, id: ConnectionId) -> bool {
         self.connections
             .get(id)
-            .is_some_and(|connection| connection.expected.front() == Some(&Expected::Role))
+            .and_then(|connection| connection.expected.front())
+            .is_some_and(|expected| matches!(expected, Expected::Role | Expected::Proof))
     }
 
     /// Returns whether requests or transactions are under way.
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -8,8 +8,8 @@
 use slog::{info, warn};
 
 use super::{Action, Context, Engine};
-use crate::caller::{CallerId, Stage, Transaction};
-use crate::connections::{ConnectionId, Expected, SERVER_REST};
+use crate::caller::{CallerId, Need, Stage, Transaction};
+use crate::connections::{ConnectionId, Expected, SERVER_REST, Unproved};
 use crate::log::SERVED;
 use crate::moment::Moment;
 use crate::protocol::UpstreamMessage;
@@ -17,6 +17,7 @@
 use crate::statement::{
     Access, Command, Failure, FailureKind, Outcome, Role, ServerStatus, SessionState, Work,
 };
+use crate::trust;
 
 /// The pause before a request that a server was too busy for is tried again.
 const BUSY_PAUSE: Duration = Duration::from_millis(12);
@@ -112,7 +113,10 @@
         let server = connection.server.clone();
         let group = connection.group.clone();
         self.note_position(context, &server, sent_at, position);
+        let is_known_to_lead = trust::is_fresh(context.view, sent_at)
+            || self.proves_lead(expected, id, partial.outcome.as_ref(), status);
         if self.usable_primary(context, &group).as_ref() == Some(&server)
+            && is_known_to_lead
             && let Some(position) = position
         {
             self.group(&group).samples.note(sent_at, position);
@@ -138,10 +142,82 @@
                 let ended = Ended { rows: partial.rows, outcome, state, position };
                 self.main_ended(context, id, ended);
             }
+            Expected::Proof => self.proved(context, id, status),
             Expected::Rollback => self.release(context, id),
         }
     }
 
+    /// Returns whether only a primary could have given an answer.
+    fn proves_lead(
+        &self,
+        expected: Expected,
+        id: ConnectionId,
+        outcome: Option<&Outcome>,
+        status: Option<ServerStatus>,
+    ) -> bool {
+        match expected {
+            Expected::Role | Expected::Proof => {
+                status.is_some_and(|status| status.role == Role::Primary)
+            }
+            Expected::Main => {
+                let owner = self.connections.get(id).and_then(|connection| connection.owner);
+                let pending = owner.and_then(|owner| self.callers.get(&owner)?.pending.as_ref());
+                matches!(outcome, Some(Ok(_)))
+                    && pending.is_some_and(|pending| pending.work.access() == Access::Write)
+            }
+            Expected::Start | Expected::Setup | Expected::Begin | Expected::Rollback => false,
+        }
+    }
+
+    /// Returns whether an answer may come from a primary that was replaced.
+    ///
+    /// A server that has stepped down refuses writes and plain transactions by
+    /// itself, but answers other reads as a replica does.
+    fn needs_proof(&self, context: Context<'_>, id: ConnectionId, caller: CallerId) -> bool {
+        let Some(caller) = self.callers.get(&caller) else {
+            return false;
+        };
+        let is_guarded = match &caller.transaction {
+            Transaction::Open(open) => !open.read_only,
+            _ => false,
+        };
+        let is_latest_read = caller.pending.as_ref().is_some_and(|pending| {
+            pending.need == Need::Primary && pending.work.access() == Access::Read
+        });
+        let sent_at = self.connections.get(id).map(|connection| connection.sent_at);
+        let is_fresh = sent_at.is_some_and(|sent_at| trust::is_fresh(context.view, sent_at));
+        is_latest_read && !is_guarded && !is_fresh
+    }
+
+    fn proved(&mut self, context: Context<'_>, id: ConnectionId, status: Option<ServerStatus>) {
+        let Some(connection) = self.connections.get_mut(id) else {
+            return;
+        };
+        let server = connection.server.clone();
+        let group = connection.group.clone();
+        let unproved = connection.unproved.take();
+        let Some(caller) = connection.owner else {
+            self.release_orphan(context, id);
+            return;
+        };
+        match (status.map(|status| status.role), unproved) {
+            (Some(Role::Primary), Some(answer)) => {
+                let Unproved { rows, signature, position } = answer;
+                self.main_succeeded(context, id, caller, rows, signature, position);
+            }
+            (role, _) => {
+                info!(self.log, "read not proved to be the latest"; "server" => %server,
+                    "role" => role.map(|role| role.to_string()));
+                if role == Some(Role::Replica) {
+                    self.doubt_if_leading(context, &group, &server);
+                }
+                let failure =
+                    Failure::new(FailureKind::Busy, "the server could not prove that it leads");
+                self.fail_attempt(context, id, failure);
+            }
+        }
+    }
+
     fn note_position(
         &mut self,
         context: Context<'_>,
@@ -316,6 +392,15 @@
             return;
         };
         match ended.outcome {
+            Ok(signature) if self.needs_proof(context, id, caller_id) => {
+                if let Some(connection) = self.connections.get_mut(id) {
+                    let Ended { rows, position, .. } = ended;
+                    connection.unproved = Some(Unproved { rows, signature, position });
+                    connection.expected.push_back(Expected::Proof);
+                    connection.sent_at = context.now;
+                    self.actions.push(Action::Send(id, Command::Status));
+                }
+            }
             Ok(signature) => {
                 self.main_succeeded(context, id, caller_id, ended.rows, signature, ended.position);
             }
@@ -366,7 +451,9 @@
             caller.transaction = Transaction::None;
         }
         if let Some(connection) = self.connections.get(id) {
-            let sent_ms = context.now.since(connection.sent_at).as_millis();
+            let sent = context.now.since(connection.sent_at);
+            self.route_paces.entry(Arc::clone(&route.name)).or_default().observe(sent);
+            let sent_ms = sent.as_millis();
             info!(self.log, #SERVED, "request served"; "request" => %tag, "route" => %route.name,
                 "server" => %connection.server, "position" => position.map(|at| at.to_string()),
                 "sample_ms_ago" => self.sample_ms_ago(context, &group),
--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -11,6 +11,7 @@
 use crate::caller::{CallerId, Need, Pending, Stage, Transaction};
 use crate::connections::{ConnectionId, Expected};
 use crate::directory::Server;
+use crate::pace::Pace;
 use crate::statement::{Access, Command, Failure, FailureKind, Shape, Work};
 use crate::trust;
 
@@ -103,7 +104,9 @@
         let group = pending.route.group.clone();
         let urgency = pending.route.urgency;
         let wanted_by = pending.received_at + pending.route.target_latency;
-        let turn = self.group(&group).queue.push(urgency, id, wanted_by);
+        let expected =
+            self.route_paces.get(&pending.route.name).map(Pace::usual).unwrap_or_default();
+        let turn = self.group(&group).queue.push(urgency, id, wanted_by, expected);
         if let Some(pending) = self.callers.get_mut(&id).and_then(|caller| caller.pending.as_mut())
         {
             pending.stage = Stage::Waiting(turn);
--- a/lib/proxy/src/pace.rs
+++ b/lib/proxy/src/pace.rs
@@ -56,6 +56,11 @@
         if is_slow || now < self.crowded_until { 1 } else { slots }
     }
 
+    /// Returns how long a statement takes where nothing else waits.
+    pub fn usual(&self) -> Duration {
+        Duration::from_secs_f64(self.usual_ms / 1000.0)
+    }
+
     /// Returns how long a statement takes at present.
     pub fn mean(&self) -> Duration {
         Duration::from_secs_f64(self.mean_ms / 1000.0)
--- a/lib/proxy/src/queue.rs
+++ b/lib/proxy/src/queue.rs
@@ -4,9 +4,11 @@
 //! urgency, some of which any server may run and some only the primary. The
 //! urgent go first. Among equals, those that can still be answered as soon as
 //! their route promises go before those that can't: in an overload, first come,
-//! first served would answer everybody late.
+//! first served would answer everybody late. Among those the short go first, so
+//! that the time which is left answers as many as it can.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::caller::CallerId;
 use crate::moment::Moment;
@@ -22,8 +24,12 @@
 struct Waiting {
     caller: CallerId,
     wanted_by: Moment,
+    expected: Duration,
 }
 
+/// Requests whose expected times differ by less than this are equals.
+const EXPECTED_STEP_MS: u128 = 4;
+
 /// Requests that wait for a connection.
 #[derive(Debug, Default)]
 pub struct WaitingQueue {
@@ -32,11 +38,17 @@
 }
 
 impl WaitingQueue {
-    /// Adds a request that is wanted by a moment.
-    pub fn push(&mut self, urgency: u8, caller: CallerId, wanted_by: Moment) -> Turn {
+    /// Adds a request that is wanted by a moment and expected to take a time.
+    pub fn push(
+        &mut self,
+        urgency: u8,
+        caller: CallerId,
+        wanted_by: Moment,
+        expected: Duration,
+    ) -> Turn {
         let turn = Turn { urgency, arrival: self.next_arrival };
         self.next_arrival += 1;
-        self.waiting.insert(turn, Waiting { caller, wanted_by });
+        self.waiting.insert(turn, Waiting { caller, wanted_by, expected });
         turn
     }
 
@@ -52,7 +64,9 @@
             .waiting
             .iter()
             .map(|(turn, waiting)| {
-                ((turn.urgency, answered_at > waiting.wanted_by), waiting.caller)
+                let is_late = answered_at > waiting.wanted_by;
+                let step = waiting.expected.as_millis() / EXPECTED_STEP_MS;
+                ((turn.urgency, is_late, step), waiting.caller)
             })
             .collect();
         // The sort is stable: arrival decides between equals.
@@ -60,11 +74,6 @@
         order.into_iter().map(|(_, caller)| caller).collect()
     }
 
-    /// Returns how many requests go before a new one of an urgency.
-    pub fn ahead_of(&self, urgency: u8) -> usize {
-        self.waiting.keys().filter(|turn| turn.urgency <= urgency).count()
-    }
-
     /// Returns how many requests wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/lib/proxy/src/trust.rs
+++ b/lib/proxy/src/trust.rs
@@ -6,6 +6,11 @@
 //! that nobody may use it, and then waits until every member has confirmed or
 //! its entitlement is over: [`ENTITLEMENT`] after the record was written, or
 //! after the member's live key was gone.
+//!
+//! After [`FRESHNESS`] an instance uses a primary only for what the server would
+//! refuse once it has stepped down (writes and transactions), and asks for the
+//! server's role after each other read. So where the old primary has stepped
+//! down before the new one leads, a replacement waits for [`FRESHNESS`] only.
 
 use std::time::Duration;
 
@@ -17,8 +22,13 @@
 
 /// How long an instance may use primaries without hearing from the store.
 ///
-/// Longer than the store's outages that operators plan for (9 s) and a watch.
-pub const ENTITLEMENT: Duration = Duration::from_secs(12);
+/// Longer than the cuts that operators plan for (12 s), a watch and its time-out.
+pub const ENTITLEMENT: Duration = Duration::from_secs(16);
+/// How long an instance takes a primary's answers to reads on trust.
+///
+/// Longer than a watch with its time-out, so that it lasts while the store is
+/// well.
+pub const FRESHNESS: Duration = Duration::from_millis(3500);
 /// How much longer a replacement waits than entitlements last, so that
 /// statements sent at the very end are over.
 pub const ENTITLEMENT_MARGIN: Duration = Duration::from_millis(1500);
@@ -38,6 +48,12 @@
     (record.phase == Phase::Serving && is_entitled).then_some(record)
 }
 
+/// Returns whether the store had shown the newest records shortly before a
+/// moment.
+pub fn is_fresh(view: &StoreView, at: Moment) -> bool {
+    view.confirmed_at().is_some_and(|confirmed_at| at < confirmed_at + FRESHNESS)
+}
+
 /// Returns whether the store lists this life of the instance.
 pub fn is_member(view: &StoreView, own: &InstanceId, incarnation: u64) -> bool {
     view.member(own).is_some_and(|member| member.incarnation == incarnation)
--- a/lib/proxy/tests/test_reads.rs
+++ b/lib/proxy/tests/test_reads.rs
@@ -145,3 +145,44 @@
     let (again, _) = run_of(&world, &mut engine);
     assert_ne!(again, connection);
 }
+
+/// A primary that has stepped down answers reads as a replica does; an instance
+/// that the store turned away would deliver them as the latest.
+#[test]
+fn test_latest_read_is_proved_when_the_store_is_silent() {
+    let mut world = World::serving();
+    let mut engine = engine();
+    engine.open_session(world.context(), CALLER, "db".into()).expect("the database exists");
+    world.pass(masticreel_proxy::trust::FRESHNESS);
+    let (connection, _) = send(&mut world, &mut engine, read("a"));
+    let after = complete(&world, &mut engine, connection, SessionState::Idle, Some(position(1, 9)));
+    assert!(after.answers.is_empty(), "the server's role is not known yet");
+    assert_eq!(after.sent, [(connection, Command::Status)]);
+    let status = |role| masticreel_proxy::statement::ServerStatus {
+        role,
+        term: position(1, 0).term,
+        received: position(1, 9),
+    };
+    let end = UpstreamMessage::Ready { state: SessionState::Idle, position: Some(position(1, 9)) };
+    let primary = Some(status(masticreel_proxy::statement::Role::Primary));
+    engine.upstream_message(world.context(), connection, end.clone(), primary);
+    assert_eq!(wanted(&mut engine).answers.len(), 1);
+
+    let (connection, _) = send(&mut world, &mut engine, read("a"));
+    complete(&world, &mut engine, connection, SessionState::Idle, Some(position(1, 9)));
+    let replica = Some(status(masticreel_proxy::statement::Role::Replica));
+    engine.upstream_message(world.context(), connection, end, replica);
+    let after = wanted(&mut engine);
+    assert!(after.answers.is_empty(), "a replica's answer may be old");
+}
+
+#[test]
+fn test_write_needs_no_proof() {
+    let mut world = World::serving();
+    let mut engine = engine();
+    engine.open_session(world.context(), CALLER, "db".into()).expect("the database exists");
+    world.pass(masticreel_proxy::trust::FRESHNESS);
+    let (connection, _) = send(&mut world, &mut engine, write("a"));
+    let after = complete(&world, &mut engine, connection, SessionState::Idle, Some(position(1, 9)));
+    assert_eq!(after.answers.len(), 1);
+}
