coordinator: prove a crash also without the entry; quicker time-outs

Change: a primary's last entry is kept for its address; doubts count without an entry; calls time out after 0.6 s, silence is probed after 0.3 s; an accepted order is repeated after 1.5 s. A test that was red before. A dark primary with a frozen member still waits for the member: nothing shows that it could not reach the primary.

--- a/lib/proxy/src/coordinator/change.rs
+++ b/lib/proxy/src/coordinator/change.rs
@@ -40,6 +40,9 @@
 /// How long a new holder waits before its first order, so that no order of the
 /// holder before is still on its way: its window and the time-out of the call.
 const FIRST_ORDER_DELAY: Duration = Duration::from_millis(1400);
+/// The pause between two orders for one change, after one that was accepted:
+/// longer than promotions take (1 s at most on the users' sites).
+const ACCEPTED_PAUSE: Duration = Duration::from_millis(1500);
 /// The pause between two orders for one change.
 const ORDER_PAUSE: Duration = Duration::from_millis(300);
 /// How long a server's entry may be missing before its primary is replaced;
@@ -95,6 +98,8 @@
     surveyed_since: Option<Moment>,
     order_allowed_until: Option<Moment>,
     ordered_at: Option<Moment>,
+    /// Whether the last order was accepted.
+    is_accepted: bool,
     /// Servers that were ordered to lead.
     ordered: BTreeSet<ServerId>,
     /// Members that said directly that they have stopped.
@@ -127,6 +132,7 @@
             surveyed_since: None,
             order_allowed_until: None,
             ordered_at: None,
+            is_accepted: false,
             ordered: BTreeSet::new(),
             told_stopped: BTreeSet::new(),
             has_stepped_down: false,
@@ -206,13 +212,19 @@
         if others.count() == 0 {
             return None;
         }
-        let Some(server) = view.server(&record.primary) else {
-            let since = *self.absent.entry(record.primary.clone()).or_insert(now);
-            return (now.since(since) > ABSENCE_PATIENCE).then_some("entry_gone");
-        };
-        self.absent.remove(&record.primary);
-        if server.is_leaving {
-            return Some("leaving");
+        match view.server(&record.primary) {
+            Some(server) => {
+                self.absent.remove(&record.primary);
+                if server.is_leaving {
+                    return Some("leaving");
+                }
+            }
+            None => {
+                let since = *self.absent.entry(record.primary.clone()).or_insert(now);
+                if now.since(since) > ABSENCE_PATIENCE {
+                    return Some("entry_gone");
+                }
+            }
         }
         let settled_at = self.settled_at.get(group).copied().unwrap_or_default();
         if now.since(settled_at) < SETTLING_TIME {
@@ -318,8 +330,8 @@
         else {
             return;
         };
-        let is_paused =
-            change.ordered_at.is_some_and(|ordered_at| now.since(ordered_at) < ORDER_PAUSE);
+        let pause = if change.is_accepted { ACCEPTED_PAUSE } else { ORDER_PAUSE };
+        let is_paused = change.ordered_at.is_some_and(|ordered_at| now.since(ordered_at) < pause);
         let held_for = self.held_since.map_or(Duration::ZERO, |since| now.since(since));
         if is_paused || held_for < FIRST_ORDER_DELAY {
             return;
@@ -358,7 +370,8 @@
         record: &GroupRecord,
         change: &mut Change,
     ) {
-        for server in view.servers_of(group) {
+        let old = view.last_known(&record.primary).filter(|old| view.server(&old.id).is_none());
+        for server in view.servers_of(group).chain(old) {
             let asked_at = change.asked.get(&server.id).copied();
             let is_early =
                 now.since(change.blocked_at) < SURVEY_PATIENCE || change.surveyed_since.is_some();
@@ -499,7 +512,7 @@
         record: &GroupRecord,
         change: &mut Change,
     ) {
-        let Some(server) = view.server(&record.primary) else {
+        let Some(server) = view.last_known(&record.primary) else {
             return;
         };
         let asked_at = change.asked.get(&server.id).copied().unwrap_or_default();
@@ -620,7 +633,7 @@
     pub(super) fn depose(&mut self, view: &StoreView, now: Moment) {
         self.deposed.retain(|_, deposed| now.since(deposed.since) < DEPOSING_TIME);
         for (server, deposed) in &mut self.deposed {
-            let Some(server) = view.server(server) else {
+            let Some(server) = view.last_known(server) else {
                 continue;
             };
             if now.since(deposed.asked_at) < DEPOSING_PAUSE {
@@ -676,10 +689,11 @@
     ) {
         info!(self.log, "promotion answered"; "group" => %order.group, "server" => %order.server,
             "answer" => answer.map_or_else(|| "lost".to_owned(), |answer| answer.to_string()));
-        if answer == Some(PromoterAnswer::Refused)
-            && let Some(change) = self.changes.get_mut(&order.group)
-        {
-            change.unfit.insert(order.server.clone(), now);
+        if let Some(change) = self.changes.get_mut(&order.group) {
+            change.is_accepted = answer == Some(PromoterAnswer::Accepted);
+            if answer == Some(PromoterAnswer::Refused) {
+                change.unfit.insert(order.server.clone(), now);
+            }
         }
     }
 }
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -21,7 +21,9 @@
 const START_TIMEOUT: Duration = Duration::from_millis(1500);
 /// A server that answers nothing for this long while work is with it is tried
 /// over a new connection.
-const SILENCE: Duration = Duration::from_millis(500);
+const SILENCE: Duration = Duration::from_millis(300);
+/// A read whose server has answered nothing for this long runs elsewhere.
+const READ_SILENCE: Duration = Duration::from_millis(500);
 /// How long connections to a server may rest unused.
 const IDLE_LIFETIME: Duration = Duration::from_secs(30);
 /// How long connections may rest beyond those that are kept.
@@ -148,7 +150,7 @@
             return;
         };
         let sent_at = connection.sent_at;
-        let is_old = context.now.since(sent_at) > SILENCE;
+        let is_old = context.now.since(sent_at) > READ_SILENCE;
         let is_silent = self
             .connections
             .known_health(&connection.server)
@@ -159,7 +161,7 @@
         let is_read = caller.pending.as_ref().is_some_and(|p| p.work.access() == Access::Read)
             && matches!(caller.transaction, Transaction::None);
         // Another connection may still work where this one went silent.
-        let is_lone = !is_silent && context.now.since(sent_at) > SILENCE + STOP_GRACE;
+        let is_lone = !is_silent && context.now.since(sent_at) > READ_SILENCE + STOP_GRACE;
         if is_old && is_read && (is_silent || is_lone) {
             self.break_off(context, on);
         }
--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -45,7 +45,7 @@
 /// How often what is due is done at rest.
 const IDLE_TICK: Duration = Duration::from_millis(100);
 /// How long a connection may take to be established.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a command to a server outside the pools may take.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long an order to promote may take.
--- a/lib/proxy/src/event_loop/store_link.rs
+++ b/lib/proxy/src/event_loop/store_link.rs
@@ -16,8 +16,8 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
 /// How much later than the wait a watch is given up.
 pub const WATCH_SLACK: Duration = Duration::from_millis(700);
-/// How long a call may take.
-pub const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+/// How long a call may take; a slow store takes about 0.4 s.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// The first pause after a failure.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failures.
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -53,6 +53,8 @@
     document: Option<Arc<Document>>,
     servers: HashMap<ServerId, Server>,
     server_keys: HashMap<Arc<str>, ServerId>,
+    /// Primaries whose entries are gone, as they were last known.
+    departed: HashMap<ServerId, Server>,
     groups: HashMap<GroupId, Versioned<GroupRecord>>,
     members: BTreeMap<InstanceId, Versioned<MemberRecord>>,
     live: BTreeMap<InstanceId, u64>,
@@ -73,6 +75,19 @@
         self.servers.get(id)
     }
 
+    /// Returns a server, also if its entry is gone and it was a primary.
+    pub fn last_known(&self, id: &ServerId) -> Option<&Server> {
+        self.servers.get(id).or_else(|| self.departed.get(id))
+    }
+
+    /// Keeps what is known of a server that is a group's primary.
+    fn depart(&mut self, server: Server) {
+        self.departed.retain(|id, _| self.groups.values().any(|group| group.value.primary == *id));
+        if self.groups.get(&server.group).is_some_and(|group| group.value.primary == server.id) {
+            self.departed.insert(server.id.clone(), server);
+        }
+    }
+
     /// Returns the servers of a group.
     pub fn servers_of<'a>(&'a self, group: &'a GroupId) -> impl Iterator<Item = &'a Server> {
         self.servers.values().filter(move |server| server.group == *group)
@@ -154,9 +169,9 @@
         Store: StoreProtocol,
     {
         let mut changes = Vec::new();
-        let before: Vec<ServerId> = self.servers.keys().cloned().collect();
+        let servers = std::mem::take(&mut self.servers);
+        let before: Vec<ServerId> = servers.keys().cloned().collect();
         let groups = std::mem::take(&mut self.groups);
-        self.servers.clear();
         self.server_keys.clear();
         self.members.clear();
         self.live.clear();
@@ -165,6 +180,11 @@
         for item in items {
             self.write(item, store, &mut changes);
         }
+        for (id, server) in servers {
+            if !self.servers.contains_key(&id) {
+                self.depart(server);
+            }
+        }
         changes.extend(before.into_iter().map(Change::Server));
         // Another instance may have told of a newer record than the list has.
         for (group, record) in groups {
@@ -285,7 +305,9 @@
 
     fn remove(&mut self, key: &Arc<str>, changes: &mut Vec<Change>) {
         if let Some(id) = self.server_keys.remove(key) {
-            self.servers.remove(&id);
+            if let Some(server) = self.servers.remove(&id) {
+                self.depart(server);
+            }
             changes.push(Change::Server(id));
             return;
         }
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -194,6 +194,36 @@
     assert_eq!(world.view.group(&group()).expect("a record").primary.as_str(), "s2");
 }
 
+/// A crashed primary's entry is gone after three heartbeats; then nothing proved
+/// any more that its process was not running.
+#[test]
+fn test_crashed_primary_is_replaced_also_when_its_entry_is_gone() {
+    let mut world = World::serving();
+    world.join("proxy-2", 1);
+    let mut holder = holder(&mut world);
+    world.remove("server/s1");
+    world.refresh();
+    holder.stopped(&group(), 2);
+    let start = world.now;
+    let mut ordered = Vec::new();
+    while ordered.is_empty() && world.now.since(start) < ms(5000) {
+        let steps = settle(&mut world, &mut holder);
+        let (of_old, others): (Vec<Step>, Vec<Step>) = steps.into_iter().partition(
+            |step| matches!(step, Step::Control { server, .. } if server.as_str() == "s1"),
+        );
+        for step in of_old {
+            if let Step::Control { server, command, .. } = step {
+                let refused = Err(ControlFailure::Refused);
+                holder.control_answered(world.now, &group(), &server, &command, refused);
+            }
+        }
+        ordered = survey(&mut world, &mut holder, &others);
+        world.pass(ms(20));
+        world.refresh();
+    }
+    assert_eq!(ordered, ["s2"], "proxy-2 can't use a process that isn't running");
+}
+
 #[test]
 fn test_replica_that_received_most_takes_over() {
     let mut world = World::serving();
