mirror: few instances of a domain watch the store for the others

Change: two live instances of each failure domain watch the store, the others ask one of them the same questions over a connection; an answer carries its age. A follower whose source fails or is old asks the store itself.

--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
-use masticreel_base::ids::{GroupId, InstanceId, ServerId};
+use masticreel_base::ids::{FailureDomain, GroupId, InstanceId, ServerId};
 use slog::Logger;
 
 use crate::coordinator::change::Change;
@@ -92,6 +92,7 @@
     deposed: HashMap<ServerId, change::Deposed>,
     announcements: Vec<change::Announcement>,
     address: SocketAddr,
+    domain: FailureDomain,
     asked_to_stop: BTreeMap<GroupId, SocketAddr>,
     steps: Vec<Step>,
 }
@@ -102,6 +103,7 @@
         instance: InstanceId,
         incarnation: u64,
         address: SocketAddr,
+        domain: FailureDomain,
         lease: Lease,
         log: Logger,
     ) -> Self {
@@ -124,6 +126,7 @@
             deposed: HashMap::new(),
             announcements: Vec::new(),
             address,
+            domain,
             asked_to_stop: BTreeMap::new(),
             steps: Vec::new(),
         }
--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -122,13 +122,17 @@
             Some(known)
                 if known.incarnation == self.incarnation
                     && known.address == Some(self.address)
+                    && known.domain.as_ref() == Some(&self.domain)
                     && covers(known, &stopped) =>
             {
                 known.clone()
             }
-            _ => {
-                MemberRecord { incarnation: self.incarnation, stopped, address: Some(self.address) }
-            }
+            _ => MemberRecord {
+                incarnation: self.incarnation,
+                stopped,
+                address: Some(self.address),
+                domain: Some(self.domain.clone()),
+            },
         }
     }
 
--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -1,5 +1,6 @@
 //! One thread that carries the decisions over sockets.
 
+mod followers;
 mod links;
 mod pages;
 mod serve;
@@ -22,10 +23,12 @@
 use crate::connections::ConnectionId;
 use crate::coordinator::{Coordinator, Purpose};
 use crate::engine::{Action, Context, Engine, Loss};
+use crate::event_loop::followers::Followed;
 use crate::event_loop::socket::{Condition, Socket};
 use crate::event_loop::store_link::StoreLink;
 use crate::log::{LogBuffer, logger};
 use crate::metrics::Metrics;
+use crate::mirror::Mirror;
 use crate::moment::{Moment, SteadyClock};
 use crate::protocol::{CallerProtocol, Platform, PromotionOrder, UpstreamProtocol};
 use crate::records::StoreCall;
@@ -38,6 +41,7 @@
 const METRICS_LISTENER: Token = Token(2);
 const SIGNALS: Token = Token(3);
 const PEERS: Token = Token(4);
+const FOLLOWER_LISTENER: Token = Token(5);
 const FIRST_SOCKET: usize = 16;
 
 /// How often what is due is done while requests are under way.
@@ -75,8 +79,10 @@
         row: Option<std::sync::Arc<str>>,
         step: u8,
     },
-    /// Calls of the store.
-    Store { call: Option<(StoreUse, StoreCall, Moment)> },
+    /// Calls of the store, or of an instance that watches it.
+    Store { call: Option<(StoreUse, StoreCall, Moment)>, via: Option<SocketAddr> },
+    /// An instance that asks this one about the store.
+    Follower { call: Option<(StoreCall, Moment)> },
     /// An order to promote.
     Promoter { order: PromotionOrder },
     /// A reader of pages.
@@ -132,6 +138,7 @@
     callers_listener: Option<TcpListener>,
     page_listeners: Vec<(Token, TcpListener)>,
     peers: UdpSocket,
+    followers_listener: TcpListener,
     entries: HashMap<Token, Entry>,
     next_token: usize,
     next_caller: u64,
@@ -140,6 +147,8 @@
     dirty: BTreeSet<Token>,
     view: StoreView,
     link: StoreLink,
+    mirror: Mirror,
+    followed: Followed,
     engine: Engine,
     coordinator: Coordinator,
     stopping_at: Option<Moment>,
@@ -221,6 +230,7 @@
             CALLER_LISTENER => self.accept_callers(),
             READINESS_LISTENER | METRICS_LISTENER => self.accept_readers(token),
             PEERS => self.read_peers(),
+            FOLLOWER_LISTENER => self.accept_followers(),
             _ => {
                 if event.is_writable() || event.is_error() {
                     self.writable(token);
@@ -246,6 +256,7 @@
             self.update_gauges();
         }
         self.call_store();
+        self.answer_followers();
         self.carry_out();
         self.flush();
         self.buffer.flush(self.now);
--- a/lib/proxy/src/event_loop/links.rs
+++ b/lib/proxy/src/event_loop/links.rs
@@ -1,12 +1,14 @@
 //! The instance's own calls: the store, servers' roles and the promoter.
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use masticreel_base::ids::{GroupId, ServerId};
 use mio::Token;
 use slog::{debug, info, warn};
 
+use super::followers;
 use super::{CONNECT_TIMEOUT, Entry, EventLoop, Loss, StoreUse, Use};
 use crate::coordinator::{ControlFailure, Step};
 use crate::engine::Context;
@@ -35,21 +37,25 @@
 {
     /// Makes the calls of the store that are due.
     pub(super) fn call_store(&mut self) {
-        if let Some(call) = self.link.next_call(&self.view, self.now) {
-            self.start_call(StoreUse::Link, call);
+        let via = self.followed_address();
+        if let Some(call) = self.link.next_call(&self.view, self.now, via.is_some()) {
+            self.start_call(StoreUse::Link, call, via);
         }
     }
 
-    fn start_call(&mut self, used_for: StoreUse, call: StoreCall) {
+    fn start_call(&mut self, used_for: StoreUse, call: StoreCall, via: Option<SocketAddr>) {
         let timeout = call_timeout(&call);
         let idle = self.entries.iter().find_map(|(token, entry)| {
-            matches!(entry.used_for, Use::Store { call: None }).then_some(*token)
+            let is_idle = matches!(&entry.used_for,
+                Use::Store { call: None, via: known } if *known == via);
+            is_idle.then_some(*token)
         });
         let token = match idle {
             Some(token) => token,
             None => {
-                let fresh = Use::Store { call: None };
-                match self.connect(self.settings.store, fresh, CONNECT_TIMEOUT) {
+                let fresh = Use::Store { call: None, via };
+                let address = via.unwrap_or(self.settings.store);
+                match self.connect(address, fresh, CONNECT_TIMEOUT) {
                     Ok(token) => token,
                     Err(error) => {
                         warn!(self.log, "no connection to the store"; "error" => %error);
@@ -60,17 +66,20 @@
             }
         };
         if let Some(entry) = self.entries.get_mut(&token) {
-            self.platform.store().encode(&call, &mut entry.socket.output);
+            match via {
+                Some(_) => followers::encode(&call, &mut entry.socket.output),
+                None => self.platform.store().encode(&call, &mut entry.socket.output),
+            }
             let is_connected = entry.socket.is_connected();
             let timeout = if is_connected { timeout } else { CONNECT_TIMEOUT };
             entry.deadline = Some(self.now + timeout);
-            entry.used_for = Use::Store { call: Some((used_for, call, self.now)) };
+            entry.used_for = Use::Store { call: Some((used_for, call, self.now)), via };
             self.dirty.insert(token);
         }
     }
 
     pub(super) fn read_store(&mut self, token: Token) {
-        let Some(Entry { socket, used_for: Use::Store { call }, deadline }) =
+        let Some(Entry { socket, used_for: Use::Store { call, via }, deadline }) =
             self.entries.get_mut(&token)
         else {
             return;
@@ -78,7 +87,11 @@
         let Some((used_for, asked, asked_at)) = call.take() else {
             return;
         };
-        match self.platform.store().decode(&asked, &mut socket.input) {
+        let decoded = match via {
+            Some(_) => followers::decode(&mut socket.input),
+            None => self.platform.store().decode(&asked, &mut socket.input),
+        };
+        match decoded {
             Ok(None) => *call = Some((used_for, asked, asked_at)),
             Ok(Some(answer)) => {
                 *deadline = None;
@@ -112,7 +125,8 @@
             StoreUse::Link => {
                 let store = self.platform.store();
                 let was_complete = self.link.is_complete();
-                let progress = self.link.answered(&mut self.view, self.now, answer, store);
+                let mirror = &mut self.mirror;
+                let progress = self.link.answered(&mut self.view, mirror, self.now, answer, store);
                 if progress.is_newly_lost {
                     warn!(self.log, "store lost"; "call" => call.name(), "outcome" => outcome,
                         "revision" => self.view.revision());
@@ -178,7 +192,9 @@
 
     pub(super) fn step(&mut self, step: Step) {
         match step {
-            Step::Store(purpose, call) => self.start_call(StoreUse::Coordinator(purpose), call),
+            Step::Store(purpose, call) => {
+                self.start_call(StoreUse::Coordinator(purpose), call, None)
+            }
             Step::Control { server, address, group, command } => {
                 let used_for = Use::Control {
                     group: group.clone(),
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -12,8 +12,8 @@
 use slog::{Logger, debug, info, warn};
 
 use super::{
-    CALLER_LISTENER, CONNECT_TIMEOUT, Condition, Entry, EventLoop, FIRST_SOCKET, METRICS_LISTENER,
-    PEERS, READINESS_LISTENER, RunError, SESSION_START_TIMEOUT, Use,
+    CALLER_LISTENER, CONNECT_TIMEOUT, Condition, Entry, EventLoop, FIRST_SOCKET, FOLLOWER_LISTENER,
+    Followed, METRICS_LISTENER, PEERS, READINESS_LISTENER, RunError, SESSION_START_TIMEOUT, Use,
 };
 use crate::caller::CallerId;
 use crate::connections::ConnectionId;
@@ -23,6 +23,7 @@
 use crate::event_loop::store_link::StoreLink;
 use crate::log::LogBuffer;
 use crate::metrics::Metrics;
+use crate::mirror::Mirror;
 use crate::moment::{Moment, SteadyClock};
 use crate::protocol::{
     CallerMessage, CallerProtocol, Platform, ProtocolError, UpstreamMessage, UpstreamProtocol,
@@ -60,6 +61,7 @@
             (READINESS_LISTENER, listen(settings.readiness, READINESS_LISTENER)?),
             (METRICS_LISTENER, listen(settings.metrics, METRICS_LISTENER)?),
         ];
+        let followers_listener = listen(settings.followers, FOLLOWER_LISTENER)?;
         let mut peers = UdpSocket::bind(settings.peers)
             .map_err(RunError::new(format!("datagrams at {}", settings.peers)))?;
         poll.registry()
@@ -77,6 +79,7 @@
             settings.instance.clone(),
             incarnation,
             settings.peers,
+            settings.domain.clone(),
             lease,
             log.clone(),
         );
@@ -97,6 +100,7 @@
             callers_listener: Some(callers_listener),
             page_listeners,
             peers,
+            followers_listener,
             entries: HashMap::new(),
             next_token: FIRST_SOCKET,
             next_caller: 0,
@@ -105,6 +109,8 @@
             dirty: BTreeSet::new(),
             view: StoreView::default(),
             link: StoreLink::new(),
+            mirror: Mirror::default(),
+            followed: Followed::default(),
             stopping_at: None,
             is_ready: false,
             ticked_at: now,
@@ -203,6 +209,7 @@
             Use::Store { .. } => self.read_store(token),
             Use::Promoter { .. } => self.read_promoter(token),
             Use::Page => self.read_page(token),
+            Use::Follower { .. } => self.read_follower(token),
         }
         if condition != Condition::Open {
             self.ended(token, false);
@@ -354,7 +361,10 @@
             Use::Control { group, server, command, .. } => {
                 self.control_failed(&group, &server, &command, loss);
             }
-            Use::Store { call } => {
+            Use::Store { call, via } => {
+                if via.is_some() {
+                    self.followed.failed(self.now);
+                }
                 if let Some((used_for, call, asked_at)) = call {
                     self.store_answered(used_for, &call, asked_at, None);
                 }
@@ -362,7 +372,7 @@
             Use::Promoter { order } => {
                 self.coordinator.promoter_answered(self.now, &order, None);
             }
-            Use::Page => {}
+            Use::Page | Use::Follower { .. } => {}
         }
     }
 
@@ -396,8 +406,9 @@
 fn established_timeout(used_for: &Use) -> Option<Duration> {
     match used_for {
         // The engine times its work itself.
-        Use::Upstream { .. } | Use::Caller { .. } | Use::Store { call: None } => None,
-        Use::Store { call: Some((_, call, _)) } => Some(super::links::call_timeout(call)),
+        Use::Upstream { .. } | Use::Caller { .. } | Use::Store { call: None, .. } => None,
+        Use::Follower { .. } => None,
+        Use::Store { call: Some((_, call, _)), .. } => Some(super::links::call_timeout(call)),
         Use::Control { .. } => Some(super::CONTROL_TIMEOUT),
         Use::Promoter { .. } => Some(super::ORDER_TIMEOUT),
         Use::Page => Some(super::PAGE_TIMEOUT),
--- a/lib/proxy/src/event_loop/socket.rs
+++ b/lib/proxy/src/event_loop/socket.rs
@@ -11,8 +11,10 @@
 
 /// Bytes read at once.
 const READ_BYTES: usize = 16 * 1024;
-/// Unread bytes of one connection at most; a message of 1 MiB and its line.
-const INPUT_LIMIT_BYTES: usize = (1 << 20) + 64 * 1024;
+/// Unread bytes of a peer's connection at most; a message of 1 MiB and its line.
+const PEER_INPUT_LIMIT_BYTES: usize = (1 << 20) + 64 * 1024;
+/// Unread bytes of the instance's own connections at most; a list of the store.
+const OWN_INPUT_LIMIT_BYTES: usize = 9 << 20;
 /// Unacknowledged bytes of the instance's own connections end them after this.
 const UNACKNOWLEDGED_TIMEOUT_MS: u32 = 2000;
 
@@ -36,6 +38,7 @@
     /// Bytes that are to be sent.
     pub output: Vec<u8>,
     is_connected: bool,
+    input_limit_bytes: usize,
     /// Whether the connection ends when all is sent.
     pub ends_after_output: bool,
 }
@@ -49,7 +52,7 @@
     pub fn accepted(mut stream: TcpStream, registry: &Registry, token: Token) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
-        Ok(Self::new(stream, true))
+        Ok(Self::new(stream, true, PEER_INPUT_LIMIT_BYTES))
     }
 
     /// Opens a connection.
@@ -65,15 +68,16 @@
         // don't arrive after their request was given up.
         SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
         registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
-        Ok(Self::new(stream, false))
+        Ok(Self::new(stream, false, OWN_INPUT_LIMIT_BYTES))
     }
 
-    fn new(stream: TcpStream, is_connected: bool) -> Self {
+    fn new(stream: TcpStream, is_connected: bool, input_limit_bytes: usize) -> Self {
         Self {
             stream,
             input: Vec::new(),
             output: Vec::new(),
             is_connected,
+            input_limit_bytes,
             ends_after_output: false,
         }
     }
@@ -113,7 +117,7 @@
                 Ok(0) => return Condition::Ended,
                 Ok(count) => {
                     self.input.extend_from_slice(&buffer[..count]);
-                    if self.input.len() > INPUT_LIMIT_BYTES {
+                    if self.input.len() > self.input_limit_bytes {
                         return Condition::Broken;
                     }
                     // A short read has emptied the socket; the poller reports
--- a/lib/proxy/src/event_loop/store_link.rs
+++ b/lib/proxy/src/event_loop/store_link.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::mirror::Mirror;
 use crate::moment::Moment;
 use crate::protocol::StoreProtocol;
 use crate::records::{Item, StoreAnswer, StoreCall};
@@ -14,6 +15,10 @@
 /// With [`WATCH_SLACK`], a connection that went silent costs less than the
 /// three seconds in which a configuration must be in force.
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
+/// How long another instance may hold a watch without changes.
+const FOLLOWER_WAIT: Duration = Duration::from_millis(1000);
+/// The age of the picture from which a follower asks the store itself.
+const STALE_AGE: Duration = Duration::from_millis(2800);
 /// How much later than the wait a watch is given up.
 pub const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// How long a call may take; a slow store takes about 0.4 s.
@@ -69,18 +74,25 @@
         matches!(self.state, State::Watching)
     }
 
+    /// Returns whether the last answer came so late that another source is
+    /// better.
+    pub fn is_stale(&self, view: &StoreView, now: Moment) -> bool {
+        view.confirmed_at().is_none_or(|at| now.since(at) > STALE_AGE)
+    }
+
     /// Returns the next call, none while one is under way.
-    pub fn next_call(&mut self, view: &StoreView, now: Moment) -> Option<StoreCall> {
+    pub fn next_call(&mut self, view: &StoreView, now: Moment, follows: bool) -> Option<StoreCall> {
         if self.is_waiting || now < self.not_before {
             return None;
         }
         self.is_waiting = true;
         self.asked_at = now;
+        let wait = if follows { FOLLOWER_WAIT } else { WATCH_WAIT };
         Some(match &self.state {
             State::Listing { after, .. } => {
                 StoreCall::List { after: after.clone(), may_be_stale: false }
             }
-            State::Watching => StoreCall::Watch { after: view.revision(), wait: WATCH_WAIT },
+            State::Watching => StoreCall::Watch { after: view.revision(), wait },
         })
     }
 
@@ -88,6 +100,7 @@
     pub fn answered<Store>(
         &mut self,
         view: &mut StoreView,
+        mirror: &mut Mirror,
         now: Moment,
         answer: Option<StoreAnswer>,
         store: &Store,
@@ -98,12 +111,14 @@
         self.is_waiting = false;
         let mut progress = Progress::default();
         match answer {
-            Some(StoreAnswer::Page { items, is_truncated, revision }) => {
-                progress.changes = self.listed(view, items, is_truncated, revision, store);
+            Some(StoreAnswer::Page { items, is_truncated, revision, age }) => {
+                self.asked_at = self.asked_at.before(age);
+                progress.changes = self.listed(view, mirror, items, is_truncated, revision, store);
             }
-            Some(StoreAnswer::Events { events, revision }) => {
+            Some(StoreAnswer::Events { events, revision, age }) => {
+                mirror.apply(&events);
                 progress.changes = view.apply(&events, store);
-                view.confirm(self.asked_at, revision);
+                view.confirm(self.asked_at.before(age), revision);
             }
             Some(StoreAnswer::HistoryGone) => self.restart(),
             Some(_) | None => {
@@ -129,6 +144,7 @@
     fn listed<Store>(
         &mut self,
         view: &mut StoreView,
+        mirror: &mut Mirror,
         page: Vec<Item>,
         is_truncated: bool,
         revision: u64,
@@ -149,6 +165,7 @@
             return Vec::new();
         }
         let changes = view.replace(items, store);
+        mirror.replace(items, first_revision);
         view.confirm(asked_at, first_revision);
         self.state = State::Watching;
         changes
--- a/lib/proxy/src/lib.rs
+++ b/lib/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod event_loop;
 pub mod log;
 pub mod metrics;
+pub mod mirror;
 pub mod moment;
 pub mod pace;
 pub mod peers;
--- a/lib/proxy/src/records.rs
+++ b/lib/proxy/src/records.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use masticreel_base::ids::{GroupId, InstanceId, ServerId, Term};
+use masticreel_base::ids::{FailureDomain, GroupId, InstanceId, ServerId, Term};
 use serde::{Deserialize, Serialize};
 
 /// The prefix of all keys of the product.
@@ -107,6 +107,9 @@
     /// Where other instances reach it.
     #[serde(default)]
     pub address: Option<SocketAddr>,
+    /// Where it runs.
+    #[serde(default)]
+    pub domain: Option<FailureDomain>,
 }
 
 /// Why an instance doubts a primary.
@@ -136,7 +139,7 @@
 }
 
 /// An item of the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
     /// Its key.
     pub key: Arc<str>,
@@ -149,7 +152,7 @@
 }
 
 /// A change that a watch reports.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreEvent {
     /// An item as it was written.
     Written(Item),
@@ -163,7 +166,7 @@
 }
 
 /// What a transaction writes under a key.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Write {
     /// The key.
     pub key: String,
@@ -174,7 +177,7 @@
 }
 
 /// A call of the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreCall {
     /// Lists all items, a page at a time.
     List {
@@ -223,7 +226,7 @@
 }
 
 /// The store's answer to a call.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreAnswer {
     /// A page of items.
     Page {
@@ -233,6 +236,8 @@
         is_truncated: bool,
         /// The store's revision.
         revision: u64,
+        /// How old the answer was when it was given; nothing from the store.
+        age: Duration,
     },
     /// Changes, in order.
     Events {
@@ -240,6 +245,8 @@
         events: Vec<StoreEvent>,
         /// The revision from which to go on.
         revision: u64,
+        /// How old the answer was when it was given; nothing from the store.
+        age: Duration,
     },
     /// The history that a watch asked for is gone.
     HistoryGone,
--- a/lib/proxy/src/settings.rs
+++ b/lib/proxy/src/settings.rs
@@ -20,6 +20,8 @@
     pub metrics: SocketAddr,
     /// Where other instances reach this one with datagrams.
     pub peers: SocketAddr,
+    /// Where other instances ask this one about the store.
+    pub followers: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
     /// Who carries promotions out, if the platform has one.
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -1,6 +1,7 @@
 //! The instance's picture of the store.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use masticreel_base::ids::{GroupId, InstanceId, ServerId};
@@ -128,6 +129,11 @@
         self.live.contains_key(instance)
     }
 
+    /// Returns where an instance is reached.
+    pub fn address_of(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        self.member(instance)?.address
+    }
+
     /// Returns the doubts about a group's primary.
     pub fn doubts<'a>(
         &'a self,
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -190,7 +190,12 @@
         self.put(&live_key(&instance), &incarnation);
         self.put(
             &member_key(&instance),
-            &MemberRecord { incarnation, stopped: Vec::new(), address: address(instance.as_str()) },
+            &MemberRecord {
+                incarnation,
+                stopped: Vec::new(),
+                address: address(instance.as_str()),
+                domain: None,
+            },
         );
     }
 
@@ -199,6 +204,7 @@
             incarnation,
             stopped: vec![(group(), epoch)],
             address: address(instance),
+            domain: None,
         };
         self.put(&member_key(&instance.into()), &record);
     }
@@ -279,6 +285,7 @@
         OWN.into(),
         INCARNATION,
         address(OWN).expect("numbered"),
+        "domain-2".into(),
         Lease::new(Duration::from_secs(1)),
         log(),
     )
--- /dev/null
+++ b/lib/proxy/tests/test_mirror.rs
@@ -0,0 +1,76 @@
+//! What instances that watch the store tell their followers.
+
+mod support;
+
+use std::sync::Arc;
+
+use masticreel_proxy::mirror::{Mirror, watchers};
+use masticreel_proxy::records::{
+    Item, MemberRecord, StoreAnswer, StoreCall, StoreEvent, member_key,
+};
+use support::{World, ms};
+
+fn item(key: &str, revision: u64) -> Item {
+    Item { key: Arc::from(key), value: vec![1], revision, created: revision }
+}
+
+fn watch(after: u64) -> StoreCall {
+    StoreCall::Watch { after, wait: ms(1000) }
+}
+
+#[test]
+fn test_follower_gets_what_it_lacks_and_how_old_that_is() {
+    let mut world = World::serving();
+    let mut mirror = Mirror::default();
+    mirror.replace(&[item("a", 100)], 100);
+    mirror.apply(&[StoreEvent::Written(item("b", 101)), StoreEvent::Written(item("c", 102))]);
+    world.view.confirm(world.now, 102);
+    world.pass(ms(300));
+    let answer = mirror.answer(&watch(101), &world.view, world.now, true).expect("news");
+    let StoreAnswer::Events { events, age, .. } = answer else {
+        panic!("{answer:?}");
+    };
+    assert_eq!(events, [StoreEvent::Written(item("c", 102))]);
+    assert_eq!(age, ms(300), "the follower must not take it for newer");
+}
+
+#[test]
+fn test_follower_waits_for_news_and_lists_what_it_has_missed() {
+    let world = World::serving();
+    let mut mirror = Mirror::default();
+    mirror.replace(&[item("a", 100)], 100);
+    let up_to_date = watch(world.view.revision());
+    assert_eq!(mirror.answer(&up_to_date, &world.view, world.now, true), None);
+    let nothing = mirror.answer(&up_to_date, &world.view, world.now, false);
+    assert!(matches!(nothing, Some(StoreAnswer::Events { events, .. }) if events.is_empty()));
+    let behind = mirror.answer(&watch(99), &world.view, world.now, true);
+    assert_eq!(behind, Some(StoreAnswer::HistoryGone));
+}
+
+#[test]
+fn test_instance_without_a_picture_answers_nothing() {
+    let world = World::new();
+    let answer = Mirror::default().answer(&watch(0), &world.view, world.now, true);
+    assert_eq!(answer, Some(StoreAnswer::Unavailable));
+}
+
+#[test]
+fn test_two_live_members_of_a_domain_watch_the_store() {
+    let mut world = World::serving();
+    for index in 1..=40_u64 {
+        let instance = format!("proxy-{index:02}");
+        world.join(&instance, index);
+        let record = MemberRecord {
+            incarnation: index,
+            stopped: Vec::new(),
+            address: support::address(&instance),
+            domain: Some(if index % 2 == 0 { "east" } else { "west" }.into()),
+        };
+        world.put(&member_key(&instance.as_str().into()), &record);
+    }
+    world.remove("masticreel/live/proxy-02");
+    world.refresh();
+    let names: Vec<String> =
+        watchers(&world.view, &"east".into()).iter().map(ToString::to_string).collect();
+    assert_eq!(names, ["proxy-04", "proxy-06"], "proxy-02 has no lease");
+}
