coordinator: confirm directly first; let changes gather

Change: members are told of a change and confirm directly at once, and write into the store only if that has not ended it after 0.3 s; after six watches in a row with news the next waits 0.15 s; the time for which a follower's call was held is taken off its answer's age.

--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -78,7 +78,7 @@
     incarnation: u64,
     log: Logger,
     lease: Lease,
-    stopped: BTreeMap<GroupId, u64>,
+    stopped: BTreeMap<GroupId, (u64, Moment)>,
     doubts: BTreeMap<GroupId, DoubtRecord>,
     in_flight: BTreeSet<Purpose>,
     not_before: HashMap<Purpose, Moment>,
@@ -162,8 +162,11 @@
     }
 
     /// Notes that all work at a retiring primary has ended.
-    pub fn stopped(&mut self, group: &GroupId, epoch: u64) {
-        self.stopped.insert(group.clone(), epoch);
+    pub fn stopped(&mut self, now: Moment, group: &GroupId, epoch: u64) {
+        let is_known = self.stopped.get(group).is_some_and(|(known, _)| *known >= epoch);
+        if !is_known {
+            self.stopped.insert(group.clone(), (epoch, now));
+        }
         if let Some(holder) = self.asked_to_stop.remove(group) {
             let instance = self.instance.clone();
             let message = PeerMessage::Stopped { instance, group: group.clone(), epoch };
--- a/lib/proxy/src/coordinator/change.rs
+++ b/lib/proxy/src/coordinator/change.rs
@@ -53,9 +53,6 @@
 /// How long members may finish their work before the old primary is told to
 /// step down.
 const STEPPING_DELAY: Duration = Duration::from_millis(200);
-/// How long members have to confirm through the store before they are told
-/// directly.
-const TELLING_DELAY: Duration = Duration::from_millis(60);
 /// The pause between two messages to a member.
 const TELLING_PAUSE: Duration = Duration::from_millis(80);
 /// How long members that stopped without the store are told of a new primary.
@@ -455,7 +452,10 @@
         change: &Change,
         now: Moment,
     ) -> bool {
-        member.stopped.iter().any(|(of, epoch)| of == group && *epoch >= change.epoch)
+        let is_own = *instance == self.instance
+            && self.stopped.get(group).is_some_and(|(epoch, _)| *epoch >= change.epoch);
+        is_own
+            || member.stopped.iter().any(|(of, epoch)| of == group && *epoch >= change.epoch)
             || change.told_stopped.contains(instance)
             || self.is_silent_for(instance, change.entitlement(), now)
     }
@@ -469,9 +469,7 @@
         record: &GroupRecord,
         change: &mut Change,
     ) {
-        let is_due = now.since(change.blocked_at) >= TELLING_DELAY
-            && now.since(change.told_at) >= TELLING_PAUSE;
-        if !is_due {
+        if now.since(change.told_at) < TELLING_PAUSE {
             return;
         }
         change.told_at = now;
--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -18,6 +18,9 @@
 pub(super) const LONGEST_RETRY_PAUSES: u32 = 4;
 /// The time in which a watch shows what was written.
 pub(super) const SETTLE_PAUSE: Duration = Duration::from_millis(150);
+/// How long a confirmation waits for the holder to hear it directly, before it
+/// is written into the store.
+const CONFIRMATION_DELAY: Duration = Duration::from_millis(300);
 /// How long a lease lasts: three renewals may be lost.
 const LEASE_LIFETIME: Duration = Duration::from_millis(3200);
 /// The part of its lifetime after which a lease is renewed.
@@ -87,7 +90,7 @@
         if view.confirmed_at().is_none() {
             return;
         }
-        let record = self.member_record(view);
+        let record = self.member_record(view, now);
         let is_registered = view.member(&self.instance) == Some(&record);
         let is_live = view.is_live(&self.instance);
         if is_registered && is_live {
@@ -107,14 +110,16 @@
     }
 
     /// Returns the membership as it should be in the store.
-    fn member_record(&self, view: &StoreView) -> MemberRecord {
+    fn member_record(&self, view: &StoreView, now: Moment) -> MemberRecord {
         let is_current =
             |group: &_, epoch: u64| view.group(group).is_some_and(|record| record.epoch == epoch);
         let stopped: Vec<_> = self
             .stopped
             .iter()
-            .filter(|(group, epoch)| is_current(group, **epoch))
-            .map(|(group, epoch)| (group.clone(), *epoch))
+            .filter(|(group, (epoch, at))| {
+                is_current(group, *epoch) && now.since(*at) >= CONFIRMATION_DELAY
+            })
+            .map(|(group, (epoch, _))| (group.clone(), *epoch))
             .collect();
         let known = view.member(&self.instance);
         // Confirmations of changes that are over need no write of their own.
--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -23,7 +23,7 @@
 use crate::connections::ConnectionId;
 use crate::coordinator::{Coordinator, Purpose};
 use crate::engine::{Action, Context, Engine, Loss};
-use crate::event_loop::followers::Followed;
+use crate::event_loop::followers::{Followed, HeldCall};
 use crate::event_loop::socket::{Condition, Socket};
 use crate::event_loop::store_link::StoreLink;
 use crate::log::{LogBuffer, logger};
@@ -82,7 +82,7 @@
     /// Calls of the store, or of an instance that watches it.
     Store { call: Option<(StoreUse, StoreCall, Moment)>, via: Option<SocketAddr> },
     /// An instance that asks this one about the store.
-    Follower { call: Option<(StoreCall, Moment)> },
+    Follower { call: Option<HeldCall> },
     /// An order to promote.
     Promoter { order: PromotionOrder },
     /// A reader of pages.
@@ -307,7 +307,7 @@
                     self.close(token);
                 }
             }
-            Action::Stopped { group, epoch } => self.coordinator.stopped(&group, epoch),
+            Action::Stopped { group, epoch } => self.coordinator.stopped(self.now, &group, epoch),
             Action::Doubt { group, primary, kind } => {
                 self.coordinator.doubt(&self.view, &group, &primary, kind);
             }
--- a/lib/proxy/src/event_loop/followers.rs
+++ b/lib/proxy/src/event_loop/followers.rs
@@ -32,6 +32,14 @@
     failures: usize,
 }
 
+/// A follower's call that waits for news.
+#[derive(Debug)]
+pub(super) struct HeldCall {
+    asked: StoreCall,
+    since: Moment,
+    until: Moment,
+}
+
 impl Followed {
     /// Notes that the instance did not answer.
     pub(super) fn failed(&mut self, now: Moment) {
@@ -105,7 +113,7 @@
                     StoreCall::Watch { wait, .. } => *wait,
                     _ => Duration::ZERO,
                 };
-                *call = Some((asked, self.now + wait));
+                *call = Some(HeldCall { asked, since: self.now, until: self.now + wait });
             }
             Err(error) => {
                 warn!(self.log, "follower's message can't be read"; "reason" => error.reason);
@@ -120,11 +128,13 @@
             let Use::Follower { call } = &mut entry.used_for else {
                 continue;
             };
-            let Some((asked, until)) = call else {
+            let Some(HeldCall { asked, since, until }) = call else {
                 continue;
             };
             let may_wait = self.now < *until;
-            if let Some(answer) = self.mirror.answer(asked, &self.view, self.now, may_wait) {
+            let held = self.now.since(*since);
+            let answer = self.mirror.answer(asked, &self.view, self.now, held, may_wait);
+            if let Some(answer) = answer {
                 encode(&answer, &mut entry.socket.output);
                 *call = None;
                 self.dirty.insert(*token);
--- a/lib/proxy/src/event_loop/store_link.rs
+++ b/lib/proxy/src/event_loop/store_link.rs
@@ -23,6 +23,12 @@
 pub const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// How long a call may take; a slow store takes about 0.4 s.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Watches that brought news within this time follow each other closely.
+const NEWS_WINDOW: Duration = Duration::from_millis(250);
+/// How many such watches in a row are made without a pause.
+const FREE_NEWS: u32 = 6;
+/// The pause between further ones; a burst of changes then costs few calls.
+const NEWS_PAUSE: Duration = Duration::from_millis(150);
 /// The first pause after a failure.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failures.
@@ -36,6 +42,8 @@
     is_waiting: bool,
     not_before: Moment,
     failures: u32,
+    news_at: Moment,
+    news_in_row: u32,
     is_lost: bool,
 }
 
@@ -65,6 +73,8 @@
             is_waiting: false,
             not_before: Moment::default(),
             failures: 0,
+            news_at: Moment::default(),
+            news_in_row: 0,
             is_lost: false,
         }
     }
@@ -116,6 +126,7 @@
                 progress.changes = self.listed(view, mirror, items, is_truncated, revision, store);
             }
             Some(StoreAnswer::Events { events, revision, age }) => {
+                self.pace_watches(now, !events.is_empty());
                 mirror.apply(&events);
                 progress.changes = view.apply(&events, store);
                 view.confirm(self.asked_at.before(age), revision);
@@ -137,6 +148,18 @@
         progress
     }
 
+    /// Lets changes gather once several watches in a row have brought some.
+    fn pace_watches(&mut self, now: Moment, has_news: bool) {
+        let is_soon = now.since(self.news_at) < NEWS_WINDOW;
+        self.news_in_row = if has_news && is_soon { self.news_in_row + 1 } else { 0 };
+        if has_news {
+            self.news_at = now;
+        }
+        if self.news_in_row > FREE_NEWS {
+            self.not_before = now + NEWS_PAUSE;
+        }
+    }
+
     fn restart(&mut self) {
         self.state = State::Listing { after: None, items: Vec::new(), started: None };
     }
--- a/lib/proxy/src/mirror.rs
+++ b/lib/proxy/src/mirror.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use masticreel_base::ids::{FailureDomain, InstanceId};
 
@@ -60,17 +61,21 @@
     }
 
     /// Answers a follower's call, none if it has to wait for news.
+    ///
+    /// The follower reckons from the moment of its call, so the time for which
+    /// the call was held is taken off the answer's age.
     pub fn answer(
         &self,
         call: &StoreCall,
         view: &StoreView,
         now: Moment,
+        held: Duration,
         may_wait: bool,
     ) -> Option<StoreAnswer> {
         let Some(confirmed_at) = view.confirmed_at() else {
             return Some(StoreAnswer::Unavailable);
         };
-        let age = now.since(confirmed_at);
+        let age = now.since(confirmed_at).saturating_sub(held);
         let revision = view.revision();
         match call {
             StoreCall::List { .. } => Some(StoreAnswer::Page {
--- a/lib/proxy/tests/test_mirror.rs
+++ b/lib/proxy/tests/test_mirror.rs
@@ -26,12 +26,14 @@
     mirror.apply(&[StoreEvent::Written(item("b", 101)), StoreEvent::Written(item("c", 102))]);
     world.view.confirm(world.now, 102);
     world.pass(ms(300));
-    let answer = mirror.answer(&watch(101), &world.view, world.now, true).expect("news");
+    let answer = mirror.answer(&watch(101), &world.view, world.now, ms(0), true).expect("news");
     let StoreAnswer::Events { events, age, .. } = answer else {
         panic!("{answer:?}");
     };
     assert_eq!(events, [StoreEvent::Written(item("c", 102))]);
     assert_eq!(age, ms(300), "the follower must not take it for newer");
+    let held = mirror.answer(&watch(101), &world.view, world.now, ms(200), true).expect("news");
+    assert!(matches!(held, StoreAnswer::Events { age, .. } if age == ms(100)), "{held:?}");
 }
 
 #[test]
@@ -40,17 +42,17 @@
     let mut mirror = Mirror::default();
     mirror.replace(&[item("a", 100)], 100);
     let up_to_date = watch(world.view.revision());
-    assert_eq!(mirror.answer(&up_to_date, &world.view, world.now, true), None);
-    let nothing = mirror.answer(&up_to_date, &world.view, world.now, false);
+    assert_eq!(mirror.answer(&up_to_date, &world.view, world.now, ms(0), true), None);
+    let nothing = mirror.answer(&up_to_date, &world.view, world.now, ms(0), false);
     assert!(matches!(nothing, Some(StoreAnswer::Events { events, .. }) if events.is_empty()));
-    let behind = mirror.answer(&watch(99), &world.view, world.now, true);
+    let behind = mirror.answer(&watch(99), &world.view, world.now, ms(0), true);
     assert_eq!(behind, Some(StoreAnswer::HistoryGone));
 }
 
 #[test]
 fn test_instance_without_a_picture_answers_nothing() {
     let world = World::new();
-    let answer = Mirror::default().answer(&watch(0), &world.view, world.now, true);
+    let answer = Mirror::default().answer(&watch(0), &world.view, world.now, ms(0), true);
     assert_eq!(answer, Some(StoreAnswer::Unavailable));
 }
 
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -80,7 +80,7 @@
     assert!(ordered_within(&mut world, &mut holder, ms(1000)).is_empty(), "proxy-2 may write");
     world.confirm_stop("proxy-2", 1, 2);
     world.refresh();
-    holder.stopped(&group(), 2);
+    holder.stopped(world.now, &group(), 2);
     assert_eq!(ordered_within(&mut world, &mut holder, ms(1000)), ["s2"]);
 }
 
@@ -91,7 +91,7 @@
     let mut holder = holder(&mut world);
     world.server("s1", Role::Primary, true);
     world.refresh();
-    holder.stopped(&group(), 2);
+    holder.stopped(world.now, &group(), 2);
     let least = FRESHNESS + ENTITLEMENT_MARGIN;
     assert!(ordered_within(&mut world, &mut holder, least).is_empty());
     assert_eq!(ordered_within(&mut world, &mut holder, ms(500)), ["s2"]);
@@ -106,7 +106,7 @@
     let mut holder = holder(&mut world);
     world.server("s1", Role::Primary, true);
     world.refresh();
-    holder.stopped(&group(), 2);
+    holder.stopped(world.now, &group(), 2);
     let mut ordered = Vec::new();
     let start = world.now;
     while ordered.is_empty() && world.now.since(start) < ENTITLEMENT * 2 {
@@ -145,7 +145,7 @@
     }
     world.server("s1", Role::Primary, true);
     world.refresh();
-    holder.stopped(&group(), 2);
+    holder.stopped(world.now, &group(), 2);
     assert_eq!(ordered_within(&mut world, &mut holder, ms(1000)), ["s2"]);
 }
 
@@ -157,7 +157,7 @@
     let mut holder = holder(&mut world);
     world.server("s1", Role::Primary, true);
     world.refresh();
-    holder.stopped(&group(), 2);
+    holder.stopped(world.now, &group(), 2);
     let mut told = Vec::new();
     for _ in 0..20 {
         let steps = settle(&mut world, &mut holder);
@@ -203,7 +203,7 @@
     let mut holder = holder(&mut world);
     world.remove("server/s1");
     world.refresh();
-    holder.stopped(&group(), 2);
+    holder.stopped(world.now, &group(), 2);
     let start = world.now;
     let mut ordered = Vec::new();
     while ordered.is_empty() && world.now.since(start) < ms(5000) {
@@ -230,7 +230,7 @@
     let mut holder = holder(&mut world);
     world.server("s1", Role::Primary, true);
     world.refresh();
-    holder.stopped(&group(), 2);
+    holder.stopped(world.now, &group(), 2);
     assert_eq!(ordered_within(&mut world, &mut holder, ms(1000)), ["s2"]);
 }
 
@@ -240,7 +240,7 @@
     let mut holder = holder(&mut world);
     world.server("s1", Role::Primary, true);
     world.refresh();
-    holder.stopped(&group(), 2);
+    holder.stopped(world.now, &group(), 2);
     ordered_within(&mut world, &mut holder, ms(1000));
     assert_eq!(world.view.group(&group()).expect("a record").phase, Phase::Changing);
     let leader =
@@ -265,7 +265,7 @@
     let mut holder = holder(&mut world);
     world.server("s1", Role::Primary, true);
     world.refresh();
-    holder.stopped(&group(), 2);
+    holder.stopped(world.now, &group(), 2);
     assert_eq!(ordered_within(&mut world, &mut holder, ms(1000)), ["s2"]);
     world.server("s4", Role::Primary, false);
     world.refresh();
@@ -301,7 +301,7 @@
     let mut holder = holder(&mut world);
     world.server("s1", Role::Primary, true);
     world.refresh();
-    holder.stopped(&group(), 2);
+    holder.stopped(world.now, &group(), 2);
     settle(&mut world, &mut holder);
     world.pass(Duration::from_secs(7));
     holder.tick(&world.view, world.now);
