engine: lend connections where instances outnumber them

Change: where half of a server's connections is less than one an instance, connections close after 0.12 s of rest and up to three are opened for the work of the moment; the role of a primary is asked together with the start.

--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -21,10 +21,10 @@
 /// How long a confirmation waits for the holder to hear it directly, before it
 /// is written into the store.
 const CONFIRMATION_DELAY: Duration = Duration::from_millis(300);
-/// How long a lease lasts: three renewals may be lost.
+/// How long a lease lasts: two renewals may be lost.
 const LEASE_LIFETIME: Duration = Duration::from_millis(3200);
 /// The part of its lifetime after which a lease is renewed.
-const RENEWALS_PER_LIFETIME: u32 = 4;
+const RENEWALS_PER_LIFETIME: u32 = 3;
 
 /// The instance's lease.
 #[derive(Debug)]
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -30,7 +30,7 @@
 /// The longest pause between two attempts to connect.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// The pause after a server had too many connections.
-const FULL_PAUSE: Duration = Duration::from_millis(250);
+const FULL_PAUSE: Duration = Duration::from_millis(80);
 
 /// Why a connection could not be opened or ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -237,16 +237,17 @@
         let Some(connection) = self.connections.get_mut(id) else {
             return;
         };
-        let server = connection.server.clone();
-        let group = connection.group.clone();
-        let leads = context.view.group(&group).is_some_and(|record| record.primary == server);
-        if leads {
-            // A server that was deposed while it was away still accepts
-            // sessions, so its role is asked before it is used as a primary.
+        let leads = context
+            .view
+            .group(&connection.group)
+            .is_some_and(|record| record.primary == connection.server);
+        let is_asked = !connection.expected.is_empty();
+        if leads && !is_asked {
+            // It became the primary while the connection was opened.
             connection.expected.push_back(Expected::Role);
             connection.sent_at = context.now;
             self.actions.push(Action::Send(id, Command::Status));
-        } else {
+        } else if !is_asked {
             self.release(context, id);
         }
     }
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -26,6 +26,9 @@
 const READ_SILENCE: Duration = Duration::from_millis(500);
 /// How long connections to a server may rest unused.
 const IDLE_LIFETIME: Duration = Duration::from_secs(30);
+/// How long connections may rest where the instances outnumber what servers
+/// accept.
+const LENT_LIFETIME: Duration = Duration::from_millis(120);
 /// How long connections may rest beyond those that are kept.
 const SPARE_LIFETIME: Duration = Duration::from_millis(1000);
 /// The rest between statements of a transaction, where the configuration names
@@ -188,8 +191,12 @@
                 );
                 let kept = kept.entry(&connection.server).or_insert(0);
                 *kept += 1;
-                let is_spare = *kept > connections_at_rest(context, &connection.group);
-                let lifetime = if is_spare { SPARE_LIFETIME } else { IDLE_LIFETIME };
+                let at_rest = connections_at_rest(context, &connection.group);
+                let lifetime = match (at_rest, *kept > at_rest) {
+                    (0, _) => LENT_LIFETIME,
+                    (_, true) => SPARE_LIFETIME,
+                    (_, false) => IDLE_LIFETIME,
+                };
                 if rested > lifetime || !is_wanted {
                     dropped.push(id);
                 }
--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -21,6 +21,9 @@
 /// Connections to a server beyond those kept at rest that this instance opens
 /// under load.
 const EXTRA_CONNECTIONS: usize = 1;
+/// Connections to a server that an instance opens for its work of the moment
+/// where it can't keep one at rest.
+const LENT_CONNECTIONS: usize = 3;
 /// How long what a replica last said of its position is taken for its position
 /// now.
 const POSITION_MEMORY: Duration = Duration::from_millis(60);
@@ -190,13 +193,26 @@
             group: server.group.clone(),
             server: server.id.clone(),
         });
+        let leads = context.view.group(&server.group).is_some_and(|r| r.primary == server.id);
+        if leads {
+            // A server that was deposed while it was away still accepts
+            // sessions, so its role is asked before it is used as a primary.
+            if let Some(connection) = self.connections.get_mut(connection) {
+                connection.expected.push_back(Expected::Role);
+            }
+            self.actions.push(Action::Send(connection, Command::Status));
+        }
     }
 
     /// Returns how many connections this instance may hold to a server.
     pub(super) fn connection_share(&self, context: Context<'_>, server: &Server) -> usize {
+        let at_rest = connections_at_rest(context, &server.group);
+        if at_rest == 0 {
+            return LENT_CONNECTIONS;
+        }
         let limit = connection_limit(context, &server.group).saturating_sub(SPARE_CONNECTIONS);
         let share = (limit / context.view.live().count().max(1)).max(1);
-        share.min(connections_at_rest(context, &server.group) + EXTRA_CONNECTIONS)
+        share.min(at_rest + EXTRA_CONNECTIONS)
     }
 
     /// Returns the servers that may run a request, the best first.
@@ -493,10 +509,10 @@
 ///
 /// A server holds the connections of a machine that lost its power for seconds,
 /// so all instances together keep half of what it accepts: the other half is
-/// for their next lives.
+/// for their next lives. None where there are too many instances for that.
 pub(super) fn connections_at_rest(context: Context<'_>, group: &GroupId) -> usize {
     let instances = context.view.live().count().max(1);
-    (connection_limit(context, group) / 2 / instances).max(1)
+    connection_limit(context, group) / 2 / instances
 }
 
 fn connection_limit(context: Context<'_>, group: &GroupId) -> usize {
