pace: pause after refusals; keep a connection where one fits

Change: an instance keeps one connection at rest while one each fits; after a refusal it sends the server nothing for 8 to 250 ms, doubling, with a spread.

--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -10,6 +10,7 @@
 mod placing;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -131,6 +132,7 @@
     connections: Connections,
     groups: BTreeMap<GroupId, GroupState>,
     route_paces: HashMap<Arc<str>, Pace>,
+    spreads: u64,
     actions: Vec<Action>,
 }
 
@@ -146,6 +148,7 @@
             connections: Connections::default(),
             groups: BTreeMap::new(),
             route_paces: HashMap::new(),
+            spreads: 0,
             actions: Vec::new(),
         }
     }
@@ -454,6 +457,16 @@
         }
     }
 
+    /// Returns a number from 0.5 to 1.5 that differs between instances and from
+    /// time to time.
+    fn spread(&mut self) -> f64 {
+        self.spreads += 1;
+        let mut hasher = DefaultHasher::new();
+        (&self.settings.instance, self.spreads).hash(&mut hasher);
+        let thousandths = u16::try_from(hasher.finish() % 1000).unwrap_or_default();
+        0.5 + f64::from(thousandths) / 1000.0
+    }
+
     fn group(&mut self, group: &GroupId) -> &mut GroupState {
         if !self.groups.contains_key(group) {
             self.groups.insert(group.clone(), GroupState::default());
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -131,11 +131,12 @@
                 Err(failure) => self.setup_failed(context, id, failure),
             },
             Expected::Main => {
+                let spread = self.spread();
                 let health = self.connections.health(&server);
                 health.running -= 1;
                 match &outcome {
                     Err(failure) if failure.kind == FailureKind::Busy => {
-                        health.pace.refused(context.now);
+                        health.pace.refused(context.now, spread);
                     }
                     _ => health.pace.observe(context.now.since(sent_at)),
                 }
--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -21,6 +21,9 @@
 /// Connections to a server beyond those kept at rest that this instance opens
 /// under load.
 const EXTRA_CONNECTIONS: usize = 1;
+/// The part of a server's connections that is left for instances that come and
+/// go, where all together keep more than half.
+const TURNOVER_PART: usize = 8;
 /// Connections to a server that an instance opens for its work of the moment
 /// where it can't keep one at rest.
 const LENT_CONNECTIONS: usize = 3;
@@ -512,7 +515,9 @@
 /// for their next lives. None where there are too many instances for that.
 pub(super) fn connections_at_rest(context: Context<'_>, group: &GroupId) -> usize {
     let instances = context.view.live().count().max(1);
-    connection_limit(context, group) / 2 / instances
+    let limit = connection_limit(context, group);
+    let one_fits = limit.saturating_sub(limit / TURNOVER_PART) >= instances;
+    (limit / 2 / instances).max(usize::from(one_fits))
 }
 
 fn connection_limit(context: Context<'_>, group: &GroupId) -> usize {
--- a/lib/proxy/src/pace.rs
+++ b/lib/proxy/src/pace.rs
@@ -19,6 +19,14 @@
 const CROWDED_RATIO: f64 = 2.5;
 /// How long a server that turned work away gets the least.
 const REFUSAL_REST: Duration = Duration::from_millis(300);
+/// How long it gets nothing at all after the first refusal.
+const SHORTEST_PAUSE_MS: f64 = 8.0;
+/// The longest such time, reached by refusals in a row.
+const LONGEST_PAUSE_MS: f64 = 250.0;
+/// By how much a refusal lengthens the next pause.
+const PAUSE_GROWTH: f64 = 2.0;
+/// By how much an answer shortens it.
+const PAUSE_DECAY: f64 = 0.8;
 
 /// What an instance knows of the time that a server takes.
 #[derive(Debug, Default)]
@@ -27,11 +35,14 @@
     mean_ms: f64,
     usual_ms: f64,
     crowded_until: Moment,
+    pause_ms: f64,
+    closed_until: Moment,
 }
 
 impl Pace {
     /// Notes how long the server took for a statement.
     pub fn observe(&mut self, took: Duration) {
+        self.pause_ms *= PAUSE_DECAY;
         let took_ms = took.as_secs_f64() * 1000.0;
         self.observations = self.observations.saturating_add(1);
         if self.observations == 1 {
@@ -46,12 +57,21 @@
     }
 
     /// Notes that the server had no room for a statement.
-    pub fn refused(&mut self, now: Moment) {
+    ///
+    /// Many instances that each send one statement at a time still overrun a
+    /// small server, so each of them pauses, longer with every refusal. The
+    /// spread, around one, keeps them from coming back together.
+    pub fn refused(&mut self, now: Moment, spread: f64) {
         self.crowded_until = now + REFUSAL_REST;
+        self.pause_ms = (self.pause_ms * PAUSE_GROWTH).clamp(SHORTEST_PAUSE_MS, LONGEST_PAUSE_MS);
+        self.closed_until = now + Duration::from_secs_f64(self.pause_ms * spread / 1000.0);
     }
 
     /// Returns how many statements the server may have at a time.
     pub fn limit(&self, slots: usize, now: Moment) -> usize {
+        if now < self.closed_until {
+            return 0;
+        }
         let is_slow = self.observations > WARM_UP && self.mean_ms > self.usual_ms * CROWDED_RATIO;
         if is_slow || now < self.crowded_until { 1 } else { slots }
     }
