--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -80,6 +80,7 @@
     lease: Lease,
     stopped: BTreeMap<GroupId, (u64, Moment)>,
     doubts: BTreeMap<GroupId, DoubtRecord>,
+    probes: HashMap<GroupId, registration::Probe>,
     in_flight: BTreeSet<Purpose>,
     not_before: HashMap<Purpose, Moment>,
     held_since: Option<Moment>,
@@ -114,6 +115,7 @@
             lease,
             stopped: BTreeMap::new(),
             doubts: BTreeMap::new(),
+            probes: HashMap::new(),
             in_flight: BTreeSet::new(),
             not_before: HashMap::new(),
             held_since: None,
@@ -146,6 +148,7 @@
     pub fn tick(&mut self, view: &StoreView, now: Moment) {
         self.note_silent_members(view, now);
         self.keep_registered(view, now);
+        self.probe_doubted(view, now);
         self.keep_doubts(view, now);
         self.keep_duty(view, now);
         if self.holds_duty(view, now) {
@@ -250,6 +253,7 @@
         command: &Command,
         result: Result<ServerStatus, ControlFailure>,
     ) {
+        self.note_probe(group, server, &result);
         self.note_control(now, group, server, command, result);
     }
 
--- a/lib/proxy/src/coordinator/change.rs
+++ b/lib/proxy/src/coordinator/change.rs
@@ -21,7 +21,7 @@
     DoubtKind, GroupRecord, MemberRecord, Phase, StoreAnswer, StoreCall, Write, group_key,
 };
 use crate::statement::{Command, Role, ServerStatus};
-use crate::store_view::StoreView;
+use crate::store_view::{StoreView, Versioned};
 use crate::trust::{ENTITLEMENT, ENTITLEMENT_MARGIN, FRESHNESS};
 
 /// How often a server is asked for its state during a change.
@@ -299,18 +299,13 @@
         let Some(versioned) = view.versioned_group(group).cloned() else {
             return;
         };
-        let record = versioned.value;
+        let record = versioned.value.clone();
         let leaving = view.server(&record.primary).is_some_and(|server| server.is_leaving);
         change.is_planned |= leaving;
         self.survey(view, now, group, &record, change);
         self.tell_members(view, now, group, &record, change);
         if let Some(leader) = self.new_leader(view, now, group, &record, change) {
-            let told: Vec<SocketAddr> = view
-                .members()
-                .filter(|(instance, _)| change.told_stopped.contains(*instance))
-                .filter_map(|(_, member)| member.value.address)
-                .collect();
-            self.publish(view, now, group, &record, versioned.revision, leader, told);
+            self.publish(view, now, group, &versioned, change, leader);
             return;
         }
         change.has_stepped_down |=
@@ -594,11 +589,11 @@
         view: &StoreView,
         now: Moment,
         group: &GroupId,
-        record: &GroupRecord,
-        revision: u64,
+        versioned: &Versioned<GroupRecord>,
+        change: &Change,
         (leader, term): (ServerId, Term),
-        told: Vec<SocketAddr>,
     ) {
+        let record = &versioned.value;
         let Some((condition, _)) = self.duty_condition(view) else {
             return;
         };
@@ -613,14 +608,18 @@
             Deposed { group: group.clone(), term, since: now, asked_at: Moment::default() };
         self.deposed.insert(record.primary.clone(), deposed);
         let purpose = Purpose::Publish(group.clone());
-        if self.write_record(now, purpose, group, &published, revision, condition) {
+        if self.write_record(now, purpose, group, &published, versioned.revision, condition) {
             info!(self.log, "primary replaced"; "group" => %group, "old" => %record.primary,
                 "primary" => %leader, "term" => %term, "epoch" => published.epoch);
             self.announcements.retain(|known| known.group != *group);
             self.announcements.push(Announcement {
                 group: group.clone(),
                 record: published,
-                to: told,
+                to: view
+                    .members()
+                    .filter(|(instance, _)| change.told_stopped.contains(*instance))
+                    .filter_map(|(_, member)| member.value.address)
+                    .collect(),
                 since: now,
                 told_at: Moment::default(),
             });
--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -2,14 +2,16 @@
 
 use std::time::Duration;
 
-use masticreel_base::ids::GroupId;
+use masticreel_base::ids::{GroupId, ServerId};
 use slog::info;
 
-use crate::coordinator::{Coordinator, Purpose};
+use crate::coordinator::{ControlFailure, Coordinator, Purpose, Step};
 use crate::moment::Moment;
 use crate::records::{
-    DoubtKind, MemberRecord, StoreAnswer, StoreCall, Write, doubt_key, live_key, member_key,
+    DoubtKind, DoubtRecord, MemberRecord, Phase, StoreAnswer, StoreCall, Write, doubt_key,
+    live_key, member_key,
 };
+use crate::statement::{Command, ServerStatus};
 use crate::store_view::StoreView;
 
 /// The pause before a call that failed is made again.
@@ -26,6 +28,20 @@
 /// The part of its lifetime after which a lease is renewed.
 const RENEWALS_PER_LIFETIME: u32 = 3;
 
+/// How many instances look at a primary that another one doubts, beside the
+/// holder of the duty.
+const PROBING_MEMBERS: usize = 4;
+/// The pause between two such looks.
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
+
+/// A look at a primary that another instance doubts.
+#[derive(Debug)]
+pub(super) struct Probe {
+    primary: ServerId,
+    epoch: u64,
+    asked_at: Moment,
+}
+
 /// The instance's lease.
 #[derive(Debug)]
 pub struct Lease {
@@ -141,6 +157,63 @@
         }
     }
 
+    /// Looks at primaries that other instances doubt.
+    ///
+    /// One instance's doubt replaces nobody, and the others may have no traffic
+    /// that would show them what it saw.
+    pub(super) fn probe_doubted(&mut self, view: &StoreView, now: Moment) {
+        let is_chosen = self.holds_duty(view, now)
+            || view.live().take(PROBING_MEMBERS).any(|instance| *instance == self.instance);
+        if !is_chosen {
+            return;
+        }
+        for (group, record) in view.groups() {
+            let record = &record.value;
+            let is_doubted = view
+                .doubts(group)
+                .any(|(instance, doubt)| *instance != self.instance && doubt.epoch == record.epoch);
+            let is_known = self.doubts.contains_key(group) || record.phase == Phase::Changing;
+            let is_recent =
+                self.probes.get(group).is_some_and(|probe| now.since(probe.asked_at) < PROBE_PAUSE);
+            let Some(server) = view.last_known(&record.primary) else {
+                continue;
+            };
+            if !is_doubted || is_known || is_recent {
+                continue;
+            }
+            let primary = record.primary.clone();
+            self.probes.insert(
+                group.clone(),
+                Probe { primary: primary.clone(), epoch: record.epoch, asked_at: now },
+            );
+            self.steps.push(Step::Control {
+                server: primary,
+                address: server.address,
+                group: group.clone(),
+                command: Command::Status,
+            });
+        }
+    }
+
+    /// Takes what a look at a doubted primary showed.
+    pub(super) fn note_probe(
+        &mut self,
+        group: &GroupId,
+        server: &ServerId,
+        result: &Result<ServerStatus, ControlFailure>,
+    ) {
+        let Some(probe) = self.probes.get(group).filter(|probe| probe.primary == *server) else {
+            return;
+        };
+        let kind = match result {
+            Err(ControlFailure::Refused) => DoubtKind::Refused,
+            Err(ControlFailure::Silent) => DoubtKind::Silent,
+            Ok(_) | Err(ControlFailure::Rejected) => return,
+        };
+        let doubt = DoubtRecord { primary: server.clone(), epoch: probe.epoch, kind };
+        self.doubts.insert(group.clone(), doubt);
+    }
+
     pub(super) fn keep_doubts(&mut self, view: &StoreView, now: Moment) {
         let Some(lease) = self.lease.id else {
             return;
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -329,6 +329,12 @@
     Ok(Statement::Direct { access: Access::Write, text: format!("WRITE {item} x").into() })
 }
 
+impl Default for World {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// What the engine wants, sorted by kind.
 #[derive(Debug, Default)]
 pub struct Wanted {
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -7,7 +7,7 @@
 use masticreel_proxy::coordinator::{ControlFailure, Coordinator, Purpose, Step};
 use masticreel_proxy::peers::PeerMessage;
 use masticreel_proxy::protocol::PromoterAnswer;
-use masticreel_proxy::records::{Phase, live_key};
+use masticreel_proxy::records::{DoubtKind, DoubtRecord, Phase, doubt_key, live_key};
 use masticreel_proxy::statement::{Command, Role, ServerStatus};
 use masticreel_proxy::trust::{ENTITLEMENT, ENTITLEMENT_MARGIN, FRESHNESS};
 use support::{INCARNATION, OWN, World, coordinator, group, is_for, ms, position, settle};
@@ -224,6 +224,33 @@
     assert_eq!(ordered, ["s2"], "proxy-2 can't use a process that isn't running");
 }
 
+/// Only one instance had traffic: its doubt stood alone and the crashed primary
+/// was never replaced.
+#[test]
+fn test_doubt_of_another_instance_is_looked_into() {
+    let mut world = World::serving();
+    world.join("proxy-2", 1);
+    let mut holder = holder(&mut world);
+    let doubt = DoubtRecord { primary: "s1".into(), epoch: 1, kind: DoubtKind::Refused };
+    world.put(&doubt_key(&group(), &"proxy-2".into()), &doubt);
+    world.refresh();
+    let steps = settle(&mut world, &mut holder);
+    let probe = steps.iter().find_map(|step| match step {
+        Step::Control { server, command, .. } => Some((server.clone(), command.clone())),
+        _ => None,
+    });
+    let (server, command) = probe.expect("it looks itself");
+    assert_eq!(server.as_str(), "s1");
+    let refused = Err(ControlFailure::Refused);
+    holder.control_answered(world.now, &group(), &server, &command, refused);
+    for _ in 0..20 {
+        settle(&mut world, &mut holder);
+        world.pass(ms(20));
+        world.refresh();
+    }
+    assert_eq!(world.view.group(&group()).expect("a record").phase, Phase::Changing);
+}
+
 #[test]
 fn test_replica_that_received_most_takes_over() {
     let mut world = World::serving();
