--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -28,7 +28,7 @@
 const IDLE_LIFETIME: Duration = Duration::from_secs(30);
 /// How long connections may rest where the instances outnumber what servers
 /// accept.
-const LENT_LIFETIME: Duration = Duration::from_millis(120);
+const LENT_LIFETIME: Duration = Duration::from_millis(300);
 /// How long connections may rest beyond those that are kept.
 const SPARE_LIFETIME: Duration = Duration::from_millis(1000);
 /// The rest between statements of a transaction, where the configuration names
