--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -35,6 +35,12 @@
 /// in this time finds out whether it has caught up.
 const LAG_MEMORY: Duration = Duration::from_millis(250);
 
+/// How long a change of the primary may last before requests that need it are
+/// refused at once: twice the time that changes take without trouble.
+const CHANGE_PATIENCE: Duration = Duration::from_millis(2000);
+/// Failed attempts to connect in a row after which a primary is out of reach.
+const UNREACHABLE_ATTEMPTS: u32 = 2;
+
 /// A server that may run a request.
 #[derive(Debug)]
 struct Candidate {
@@ -71,7 +77,8 @@
                 return;
             }
         }
-        if candidates.is_empty() && !self.may_be_served(context, pending) {
+        let is_hopeless = candidates.is_empty() && !self.may_be_served(context, pending);
+        if is_hopeless || self.is_primary_out_of_reach(context, pending) {
             self.refuse(context, id);
             return;
         }
@@ -91,7 +98,27 @@
     fn may_be_served(&self, context: Context<'_>, pending: &Pending) -> bool {
         let is_in_touch =
             context.view.confirmed_at().is_some_and(|at| context.now < at + trust::ENTITLEMENT);
-        is_in_touch && context.view.group(&pending.route.group).is_some()
+        let group = &pending.route.group;
+        let is_hopeful = self.groups.get(group).is_none_or(|state| {
+            state
+                .retiring
+                .as_ref()
+                .is_none_or(|retiring| context.now.since(retiring.since) < CHANGE_PATIENCE)
+        });
+        is_in_touch && is_hopeful && context.view.group(group).is_some()
+    }
+
+    /// Returns whether a request waits for a primary that nobody can replace now:
+    /// it can't be reached, and the store is silent.
+    fn is_primary_out_of_reach(&self, context: Context<'_>, pending: &Pending) -> bool {
+        if pending.need != Need::Primary || trust::is_fresh(context.view, context.now) {
+            return false;
+        }
+        let primary = context.view.group(&pending.route.group).map(|record| &record.primary);
+        let health = primary.and_then(|primary| self.connections.known_health(primary));
+        health.is_some_and(|health| {
+            health.failed_opens >= UNREACHABLE_ATTEMPTS && health.connections == health.opening
+        })
     }
 
     fn group_of(&self, id: CallerId) -> Option<GroupId> {
--- a/lib/proxy/tests/test_reads.rs
+++ b/lib/proxy/tests/test_reads.rs
@@ -186,3 +186,26 @@
     let after = complete(&world, &mut engine, connection, SessionState::Idle, Some(position(1, 9)));
     assert_eq!(after.answers.len(), 1);
 }
+
+/// With the store down nobody can replace a crashed primary; requests waited for
+/// it until their time-outs.
+#[test]
+fn test_unreachable_primary_without_the_store_is_refused_at_once() {
+    let mut world = World::serving();
+    let mut engine = engine();
+    engine.open_session(world.context(), CALLER, "db".into()).expect("the database exists");
+    world.pass(masticreel_proxy::trust::FRESHNESS);
+    engine.request(world.context(), CALLER, "tag".into(), write("a"));
+    for _ in 0..2 {
+        let connects = wanted(&mut engine).connects;
+        let refused = masticreel_proxy::engine::Loss::Refused;
+        engine.connection_lost(world.context(), connects[0].0, refused);
+        world.pass(ms(150));
+        engine.tick(world.context());
+    }
+    let answers = wanted(&mut engine).answers;
+    let failure = answers[0].1.outcome.as_ref().expect_err("nothing can be done");
+    assert_eq!(failure.kind, FailureKind::Busy);
+    engine.request(world.context(), CALLER, "tag2".into(), write("a"));
+    assert_eq!(wanted(&mut engine).answers.len(), 1, "the next is refused at once");
+}
