followers: call the store for instances that it turns away

Change: after two failures in a row an instance asks another one for two seconds at a time, which calls the store for it: renewals, records and the picture.

--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -23,7 +23,7 @@
 use crate::connections::ConnectionId;
 use crate::coordinator::{Coordinator, Purpose};
 use crate::engine::{Action, Context, Engine, Loss};
-use crate::event_loop::followers::{Followed, HeldCall};
+use crate::event_loop::followers::{DirectHealth, Followed, HeldCall};
 use crate::event_loop::socket::{Condition, Socket};
 use crate::event_loop::store_link::StoreLink;
 use crate::log::{LogBuffer, logger};
@@ -96,6 +96,8 @@
     Link,
     /// The coordinator.
     Coordinator(Purpose),
+    /// An instance that the store turns away.
+    Forwarded(Token),
 }
 
 /// A connection, its use and its time-out.
@@ -149,6 +151,7 @@
     link: StoreLink,
     mirror: Mirror,
     followed: Followed,
+    direct: DirectHealth,
     engine: Engine,
     coordinator: Coordinator,
     stopping_at: Option<Moment>,
--- a/lib/proxy/src/event_loop/followers.rs
+++ b/lib/proxy/src/event_loop/followers.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
 
-use super::{Entry, EventLoop, Use};
+use super::{Entry, EventLoop, StoreUse, Use};
 use crate::event_loop::socket::Socket;
 use crate::mirror::watchers;
 use crate::moment::{Moment, SteadyClock};
@@ -32,6 +32,32 @@
     failures: usize,
 }
 
+/// Failures in a row after which the store is not called directly for a while.
+const DIRECT_FAILURES: u32 = 2;
+/// How long the store is then called through others only.
+const DIRECT_REST: Duration = Duration::from_secs(2);
+
+/// Whether the store answers this instance.
+#[derive(Debug, Default)]
+pub(super) struct DirectHealth {
+    failures: u32,
+    rests_until: Moment,
+}
+
+impl DirectHealth {
+    /// Notes how a call of the store itself ended.
+    pub(super) fn note(&mut self, is_answered: bool, now: Moment) {
+        self.failures = if is_answered { 0 } else { self.failures + 1 };
+        if self.failures >= DIRECT_FAILURES {
+            self.rests_until = now + DIRECT_REST;
+        }
+    }
+
+    fn is_resting(&self, now: Moment) -> bool {
+        now < self.rests_until
+    }
+}
+
 /// A follower's call that waits for news.
 #[derive(Debug)]
 pub(super) struct HeldCall {
@@ -55,6 +81,9 @@
 {
     /// Returns where to ask about the store, none for the store itself.
     pub(super) fn followed_address(&mut self) -> Option<SocketAddr> {
+        if self.link.is_complete() && self.direct.is_resting(self.now) {
+            return self.forwarding_address();
+        }
         if !self.link.is_complete()
             || self.now < self.followed.rests_until
             || self.link.is_stale(&self.view, self.now)
@@ -66,11 +95,33 @@
             return None;
         }
         let chosen = watchers[self.followed.failures % watchers.len()].clone();
-        let address = self.view.address_of(&chosen)?;
+        let address = self.followers_address(&chosen)?;
         if self.followed.instance.as_ref() != Some(&chosen) {
             info!(self.log, "follows another instance"; "instance_followed" => %chosen);
             self.followed.instance = Some(chosen);
         }
+        Some(address)
+    }
+
+    /// Returns another instance that calls the store for this one, while the
+    /// store turns this one away.
+    pub(super) fn forwarding_address(&self) -> Option<SocketAddr> {
+        if !self.direct.is_resting(self.now) {
+            return None;
+        }
+        let others: Vec<&InstanceId> =
+            self.view.live().filter(|other| **other != self.settings.instance).collect();
+        if others.is_empty() {
+            return None;
+        }
+        let chosen =
+            others[(self.followed.failures + self.settings.instance.as_str().len()) % others.len()];
+        self.followers_address(chosen)
+    }
+
+    /// Returns where an instance is asked about the store.
+    fn followers_address(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        let address = self.view.address_of(instance)?;
         // The port of an instance's followers is the one after its datagrams'.
         let offset = self.settings.followers.port().wrapping_sub(self.settings.peers.port());
         Some(SocketAddr::new(address.ip(), address.port().wrapping_add(offset)))
@@ -108,6 +159,11 @@
         };
         match decode::<StoreCall>(&mut socket.input) {
             Ok(None) => {}
+            Ok(Some(
+                asked @ (StoreCall::Commit { .. }
+                | StoreCall::Grant { .. }
+                | StoreCall::Renew { .. }),
+            )) => self.start_call(StoreUse::Forwarded(token), asked, None),
             Ok(Some(asked)) => {
                 let wait = match &asked {
                     StoreCall::Watch { wait, .. } => *wait,
--- a/lib/proxy/src/event_loop/links.rs
+++ b/lib/proxy/src/event_loop/links.rs
@@ -43,7 +43,12 @@
         }
     }
 
-    fn start_call(&mut self, used_for: StoreUse, call: StoreCall, via: Option<SocketAddr>) {
+    pub(super) fn start_call(
+        &mut self,
+        used_for: StoreUse,
+        call: StoreCall,
+        via: Option<SocketAddr>,
+    ) {
         let timeout = call_timeout(&call);
         let idle = self.entries.iter().find_map(|(token, entry)| {
             let is_idle = matches!(&entry.used_for,
@@ -95,6 +100,9 @@
             Ok(None) => *call = Some((used_for, asked, asked_at)),
             Ok(Some(answer)) => {
                 *deadline = None;
+                if via.is_none() {
+                    self.direct.note(answer != StoreAnswer::Unavailable, self.now);
+                }
                 self.store_answered(used_for, &asked, asked_at, Some(answer));
             }
             Err(error) => {
@@ -139,6 +147,13 @@
                     self.open_waiting_sessions();
                 }
             }
+            StoreUse::Forwarded(token) => {
+                let answer = answer.unwrap_or(StoreAnswer::Unavailable);
+                if let Some(entry) = self.entries.get_mut(&token) {
+                    followers::encode(&answer, &mut entry.socket.output);
+                    self.dirty.insert(token);
+                }
+            }
             StoreUse::Coordinator(purpose) => {
                 debug!(self.log, "store answered"; "purpose" => ?purpose, "outcome" => outcome);
                 if outcome != "ok" {
@@ -193,7 +208,8 @@
     pub(super) fn step(&mut self, step: Step) {
         match step {
             Step::Store(purpose, call) => {
-                self.start_call(StoreUse::Coordinator(purpose), call, None)
+                let via = self.forwarding_address();
+                self.start_call(StoreUse::Coordinator(purpose), call, via);
             }
             Step::Control { server, address, group, command } => {
                 let used_for = Use::Control {
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -19,6 +19,7 @@
 use crate::connections::ConnectionId;
 use crate::coordinator::Coordinator;
 use crate::engine::{Context, Engine, EngineSettings, Loss};
+use crate::event_loop::followers::DirectHealth;
 use crate::event_loop::socket::Socket;
 use crate::event_loop::store_link::StoreLink;
 use crate::log::LogBuffer;
@@ -111,6 +112,7 @@
             link: StoreLink::new(),
             mirror: Mirror::default(),
             followed: Followed::default(),
+            direct: DirectHealth::default(),
             stopping_at: None,
             is_ready: false,
             ticked_at: now,
@@ -366,6 +368,9 @@
                     self.followed.failed(self.now);
                 }
                 if let Some((used_for, call, asked_at)) = call {
+                    if via.is_none() {
+                        self.direct.note(false, self.now);
+                    }
                     self.store_answered(used_for, &call, asked_at, None);
                 }
             }
