engine: open first connections ahead of need

Change: an instance opens a connection to each primary and to the servers of its own domain, one after the other; where it can keep none it opens none.

--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -133,6 +133,8 @@
     groups: BTreeMap<GroupId, GroupState>,
     route_paces: HashMap<Arc<str>, Pace>,
     spreads: u64,
+    warmed: BTreeSet<ServerId>,
+    warm_at: Moment,
     actions: Vec<Action>,
 }
 
@@ -149,6 +151,8 @@
             groups: BTreeMap::new(),
             route_paces: HashMap::new(),
             spreads: 0,
+            warmed: BTreeSet::new(),
+            warm_at: Moment::default(),
             actions: Vec::new(),
         }
     }
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -42,6 +42,7 @@
         self.expire_connections(context);
         self.expire_transactions(context);
         self.stop_retiring(context);
+        self.warm_up(context);
         let groups: Vec<GroupId> = self
             .groups
             .iter()
--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -27,6 +27,8 @@
 /// Connections to a server that an instance opens for its work of the moment
 /// where it can't keep one at rest.
 const LENT_CONNECTIONS: usize = 3;
+/// The mean pause between two connections that are opened ahead of need.
+const WARM_UP_PAUSE: Duration = Duration::from_millis(150);
 /// How long what a replica last said of its position is taken for its position
 /// now.
 const POSITION_MEMORY: Duration = Duration::from_millis(60);
@@ -234,6 +236,36 @@
         }
     }
 
+    /// Opens a first connection to the servers that the instance will need, one
+    /// after the other, so that its first callers don't wait for them.
+    pub(super) fn warm_up(&mut self, context: Context<'_>) {
+        if context.now < self.warm_at {
+            return;
+        }
+        self.warm_at = context.now + WARM_UP_PAUSE.mul_f64(self.spread());
+        let Some(document) = context.view.document() else {
+            return;
+        };
+        let own_domain = self.settings.domain.clone();
+        let wanted = document.groups.keys().flat_map(|group| {
+            let is_kept = connections_at_rest(context, group) > 0;
+            let primary = context.view.group(group).map(|record| &record.primary);
+            let own_domain = &own_domain;
+            context.view.servers_of(group).filter(move |server| {
+                let is_near = server.domain == *own_domain;
+                is_kept && !server.is_leaving && (is_near || primary == Some(&server.id))
+            })
+        });
+        let next = wanted.filter(|server| !self.warmed.contains(&server.id)).min_by_key(|s| &s.id);
+        let Some(server) = next else {
+            return;
+        };
+        self.warmed.insert(server.id.clone());
+        if self.connections.health(&server.id).connections == 0 {
+            self.open(context, server);
+        }
+    }
+
     /// Returns how many connections this instance may hold to a server.
     pub(super) fn connection_share(&self, context: Context<'_>, server: &Server) -> usize {
         let at_rest = connections_at_rest(context, &server.group);
--- a/lib/proxy/tests/test_connections.rs
+++ b/lib/proxy/tests/test_connections.rs
@@ -46,3 +46,21 @@
     engine.tick(world.context());
     assert_eq!(wanted(&mut engine).disconnects.len(), 1, "one connection is kept");
 }
+
+/// The first second of traffic waited for connections.
+#[test]
+fn test_first_connections_are_opened_before_the_first_caller() {
+    let mut world = World::serving();
+    let mut engine = engine();
+    let mut opened = Vec::new();
+    for _ in 0..20 {
+        engine.tick(world.context());
+        let connects = wanted(&mut engine).connects;
+        assert!(connects.len() <= 1, "one after the other");
+        opened.extend(connects.into_iter().map(|(_, server)| server.to_string()));
+        world.pass(ms(250));
+        world.refresh();
+    }
+    opened.sort();
+    assert_eq!(opened, ["s1", "s2"], "the primary and the server of the own domain, once each");
+}
