--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -7,7 +7,10 @@
 
 mod answers;
 mod expiry;
+mod outcomes;
 mod placing;
+mod releases;
+mod sending;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -18,7 +21,7 @@
 use masticreel_base::ids::{FailureDomain, GroupId, InstanceId, ServerId};
 use slog::{Logger, info};
 
-pub use crate::engine::answers::Loss;
+pub use crate::engine::releases::Loss;
 
 use crate::caller::{Caller, CallerId, Need, OpenTransaction, Pending, Stage, Transaction};
 use crate::connections::{ConnectionId, Connections, Expected};
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -213,7 +213,7 @@
             self.actions.push(Action::Disconnect(id));
         }
         for id in lost {
-            self.connection_lost(context, id, super::answers::Loss::Closed);
+            self.connection_lost(context, id, super::Loss::Closed);
         }
         for (server, sent_at) in doubted {
             self.probe(context, &server, sent_at);
