store: don't give up an answer that is arriving

Cause: a call of the store was given up 0.6 s after it was sent, however much of its answer had come. Where the items are too many for the link in that time (a configuration of 3,000 routes, narrow links, or all instances listing at once) an instance began its list anew for ever; the store's link was then full of answers that nobody took.

Change: while bytes of an answer arrive, its deadline moves on, 10 s at most.

Test: test_list_that_takes_long_to_arrive_is_awaited fails before (the instance never has a picture) and passes after.

--- a/lib/proxy/src/event_loop/links.rs
+++ b/lib/proxy/src/event_loop/links.rs
@@ -22,6 +22,10 @@
 use crate::statement::Command;
 use crate::store_view::Change;
 
+/// How long an answer of the store may be arriving: a megabyte over a narrow
+/// link, several times.
+const LONGEST_ANSWER: Duration = Duration::from_secs(10);
+
 /// Returns how long a call may take on a connection that is established.
 pub(super) fn call_timeout(call: &StoreCall) -> Duration {
     match call {
@@ -97,7 +101,13 @@
             None => self.platform.store().decode(&asked, &mut socket.input),
         };
         match decoded {
-            Ok(None) => *call = Some((used_for, asked, asked_at)),
+            Ok(None) => {
+                // An answer that is arriving is not lost, however long it takes
+                // over a narrow link; giving it up would only ask for it again.
+                let arriving = (self.now + CALL_TIMEOUT).min(asked_at + LONGEST_ANSWER);
+                *deadline = (*deadline).max(Some(arriving));
+                *call = Some((used_for, asked, asked_at));
+            }
             Ok(Some(answer)) => {
                 *deadline = None;
                 if via.is_none() {
