--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use masticreel_base::ids::{GroupId, ServerId};
+use masticreel_base::ids::{GroupId, InstanceId, ServerId};
 use masticreel_base::position::TermPosition;
 
 use crate::caller::{CallerId, SessionValues};
@@ -66,6 +66,8 @@
     pub server_born_ms: u64,
     /// Its group.
     pub group: GroupId,
+    /// The instance through which it runs, none for the server itself.
+    pub via: Option<InstanceId>,
     /// Answers that are due, in order.
     pub expected: VecDeque<Expected>,
     /// The answer that is being received.
@@ -143,6 +145,7 @@
         server: &ServerId,
         server_born_ms: u64,
         group: &GroupId,
+        via: Option<InstanceId>,
         now: Moment,
     ) -> ConnectionId {
         self.next_id += 1;
@@ -154,6 +157,7 @@
             server: server.clone(),
             server_born_ms,
             group: group.clone(),
+            via,
             expected: VecDeque::from([Expected::Start]),
             partial: PartialAnswer::default(),
             unproved: None,
--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
-use masticreel_base::ids::{FailureDomain, GroupId, InstanceId, ServerId};
+use masticreel_base::ids::{GroupId, InstanceId, ServerId};
 use slog::Logger;
 
 use crate::coordinator::change::Change;
@@ -20,7 +20,7 @@
 use crate::moment::Moment;
 use crate::peers::PeerMessage;
 use crate::protocol::{PromoterAnswer, PromotionOrder};
-use crate::records::{DoubtKind, DoubtRecord, StoreAnswer, StoreCall};
+use crate::records::{DoubtKind, DoubtRecord, Placement, StoreAnswer, StoreCall};
 use crate::statement::{Command, ServerStatus};
 use crate::store_view::StoreView;
 
@@ -92,8 +92,8 @@
     changes: BTreeMap<GroupId, Change>,
     deposed: HashMap<ServerId, change::Deposed>,
     announcements: Vec<change::Announcement>,
-    address: SocketAddr,
-    domain: FailureDomain,
+    placement: Placement,
+    is_leaving: bool,
     asked_to_stop: BTreeMap<GroupId, SocketAddr>,
     steps: Vec<Step>,
 }
@@ -103,8 +103,7 @@
     pub fn new(
         instance: InstanceId,
         incarnation: u64,
-        address: SocketAddr,
-        domain: FailureDomain,
+        placement: Placement,
         lease: Lease,
         log: Logger,
     ) -> Self {
@@ -127,8 +126,8 @@
             changes: BTreeMap::new(),
             deposed: HashMap::new(),
             announcements: Vec::new(),
-            address,
-            domain,
+            placement,
+            is_leaving: false,
             asked_to_stop: BTreeMap::new(),
             steps: Vec::new(),
         }
@@ -164,6 +163,11 @@
         }
     }
 
+    /// Tells the other instances that this one is about to stop.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
     /// Notes that all work at a retiring primary has ended.
     pub fn stopped(&mut self, now: Moment, group: &GroupId, epoch: u64) {
         let is_known = self.stopped.get(group).is_some_and(|(known, _)| *known >= epoch);
--- a/lib/proxy/src/coordinator/change.rs
+++ b/lib/proxy/src/coordinator/change.rs
@@ -201,7 +201,7 @@
         if now.since(settled_at) < SETTLING_TIME {
             return None;
         }
-        let live = view.live().count().max(1);
+        let live = view.live_count().max(1);
         let count = |kind: DoubtKind| {
             view.doubts(group)
                 .filter(|(_, doubt)| doubt.primary == record.primary)
--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -142,8 +142,10 @@
         match known {
             Some(known)
                 if known.incarnation == self.incarnation
-                    && known.address == Some(self.address)
-                    && known.domain.as_ref() == Some(&self.domain)
+                    && known.address == Some(self.placement.address)
+                    && known.domain.as_ref() == Some(&self.placement.domain)
+                    && known.capacity == self.placement.capacity
+                    && known.is_leaving == self.is_leaving
                     && covers(known, &stopped) =>
             {
                 known.clone()
@@ -151,8 +153,10 @@
             _ => MemberRecord {
                 incarnation: self.incarnation,
                 stopped,
-                address: Some(self.address),
-                domain: Some(self.domain.clone()),
+                address: Some(self.placement.address),
+                domain: Some(self.placement.domain.clone()),
+                capacity: self.placement.capacity,
+                is_leaving: self.is_leaving,
             },
         }
     }
--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -8,6 +8,7 @@
 mod answers;
 mod expiry;
 mod outcomes;
+mod paths;
 mod placing;
 mod releases;
 mod sending;
@@ -21,6 +22,7 @@
 use masticreel_base::ids::{FailureDomain, GroupId, InstanceId, ServerId};
 use slog::{Logger, info};
 
+use crate::engine::paths::Paths;
 pub use crate::engine::releases::Loss;
 
 use crate::caller::{Caller, CallerId, Need, OpenTransaction, Pending, Stage, Transaction};
@@ -31,6 +33,7 @@
 use crate::pace::Pace;
 use crate::queue::WaitingQueue;
 use crate::records::DoubtKind;
+use crate::relays::Relays;
 use crate::samples::Samples;
 use crate::statement::{
     Access, Answer, Command, Failure, FailureKind, Outcome, RequestTag, SessionState, Statement,
@@ -79,6 +82,9 @@
         group: GroupId,
         /// The server that is expected at the address.
         server: ServerId,
+        /// The instance through which the server is reached, none for the
+        /// direct way.
+        via: Option<InstanceId>,
     },
     /// Send a command.
     Send(ConnectionId, Command),
@@ -110,7 +116,7 @@
 /// What the engine keeps of a group.
 #[derive(Debug, Default)]
 struct GroupState {
-    queue: WaitingQueue,
+    queue: WaitingQueue<CallerId>,
     samples: Samples,
     epoch: u64,
     retiring: Option<Retiring>,
@@ -133,6 +139,11 @@
     callers: HashMap<CallerId, Caller>,
     active: BTreeSet<CallerId>,
     connections: Connections,
+    paths: Paths,
+    /// The servers whose connections this instance owns for others.
+    pub relays: Relays,
+    /// Groups whose primary this instance doubted.
+    doubted: BTreeSet<GroupId>,
     groups: BTreeMap<GroupId, GroupState>,
     route_paces: HashMap<Arc<str>, Pace>,
     spreads: u64,
@@ -146,17 +157,20 @@
     pub fn new(settings: EngineSettings, log: Logger, metrics: Metrics) -> Self {
         Self {
             settings,
-            log,
             metrics,
             callers: HashMap::new(),
             active: BTreeSet::new(),
             connections: Connections::default(),
+            paths: Paths::default(),
+            relays: Relays::new(log.clone()),
+            doubted: BTreeSet::new(),
             groups: BTreeMap::new(),
             route_paces: HashMap::new(),
             spreads: 0,
             warmed: BTreeSet::new(),
             warm_at: Moment::default(),
             actions: Vec::new(),
+            log,
         }
     }
 
@@ -175,7 +189,7 @@
 
     /// Returns whether requests or transactions are under way.
     pub fn is_busy(&self) -> bool {
-        !self.active.is_empty()
+        !self.active.is_empty() || self.relays.is_busy()
     }
 
     /// Returns how many requests have no answer yet.
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -90,8 +90,8 @@
         let server = connection.server.clone();
         let group = connection.group.clone();
         self.note_position(context, &server, sent_at, position);
-        let is_known_to_lead = trust::is_fresh(context.view, sent_at)
-            || self.proves_lead(expected, id, partial.outcome.as_ref(), status);
+        let proves_lead = self.proves_lead(expected, id, partial.outcome.as_ref(), status);
+        let is_known_to_lead = trust::is_fresh(context.view, sent_at) || proves_lead;
         if self.usable_primary(context, &group).as_ref() == Some(&server)
             && is_known_to_lead
             && let Some(position) = position
@@ -117,6 +117,9 @@
                     }
                     _ => health.pace.observe(context.now.since(sent_at)),
                 }
+                if proves_lead && self.doubted.contains(&group) {
+                    self.trust_if_leading(context, &group, &server);
+                }
                 let ended = Ended { rows: partial.rows, outcome, state, position };
                 self.main_ended(context, id, ended);
             }
@@ -168,7 +171,12 @@
             pending.need == Need::Primary && pending.work.access() == Access::Read
         });
         let sent_at = self.connections.get(id).map(|connection| connection.sent_at);
-        let is_fresh = sent_at.is_some_and(|sent_at| trust::is_fresh(context.view, sent_at));
+        // An answer that took long may have waited for a replacement to be over,
+        // at an owner that stood still.
+        let is_fresh = sent_at.is_some_and(|sent_at| {
+            trust::is_fresh(context.view, sent_at)
+                && context.now.since(sent_at) < trust::ENTITLEMENT_MARGIN
+        });
         is_latest_read && !is_guarded && !is_fresh
     }
 
@@ -224,13 +232,13 @@
             .view
             .group(&connection.group)
             .is_some_and(|record| record.primary == connection.server);
-        let is_asked = !connection.expected.is_empty();
+        let is_asked = !connection.expected.is_empty() || connection.via.is_some();
         if leads && !is_asked {
             // It became the primary while the connection was opened.
             connection.expected.push_back(Expected::Role);
             connection.sent_at = context.now;
             self.actions.push(Action::Send(id, Command::Status));
-        } else if !is_asked {
+        } else if !is_asked || connection.via.is_some() {
             self.release(context, id);
         }
     }
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -10,9 +10,11 @@
 use super::{Action, Context, Engine, REFUSAL_LEAD, Retiring};
 use crate::caller::{CallerId, Stage, Transaction};
 use crate::connections::{ConnectionId, Expected};
+use crate::engine::paths::OWNER_START_TIMEOUT;
 use crate::engine::placing::connections_at_rest;
 use crate::moment::Moment;
 use crate::records::Phase;
+use crate::relays;
 use crate::statement::{Access, Failure, FailureKind, Work};
 
 /// How long work at a primary that is being replaced may go on.
@@ -43,6 +45,7 @@
         self.expire_transactions(context);
         self.stop_retiring(context);
         self.warm_up(context);
+        self.relays.tick(context);
         let groups: Vec<GroupId> = self
             .groups
             .iter()
@@ -180,7 +183,9 @@
             let rested = context.now.since(connection.idle_since);
             let waits = context.now.since(connection.sent_at);
             if !connection.is_open {
-                if waits > START_TIMEOUT {
+                let is_relayed = connection.via.is_some();
+                let timeout = if is_relayed { OWNER_START_TIMEOUT } else { START_TIMEOUT };
+                if waits > timeout {
                     lost.push(id);
                 }
             } else if connection.is_idle() {
@@ -193,12 +198,20 @@
                 let kept = kept.entry(&connection.server).or_insert(0);
                 *kept += 1;
                 let at_rest = connections_at_rest(context, &connection.group);
-                let lifetime = match (at_rest, *kept > at_rest) {
-                    (0, _) => LENT_LIFETIME,
-                    (_, true) => SPARE_LIFETIME,
-                    (_, false) => IDLE_LIFETIME,
+                let is_relayed = context
+                    .view
+                    .server(&connection.server)
+                    .is_some_and(|server| relays::is_relayed(context.view, server));
+                let is_left =
+                    connection.via.as_ref().is_some_and(|owner| !context.view.is_willing(owner));
+                let lifetime = match (&connection.via, at_rest) {
+                    (Some(_), _) => IDLE_LIFETIME,
+                    (None, 0) => LENT_LIFETIME,
+                    (None, _) if is_relayed => LENT_LIFETIME,
+                    (None, _) if *kept > at_rest => SPARE_LIFETIME,
+                    (None, _) => IDLE_LIFETIME,
                 };
-                if rested > lifetime || !is_wanted {
+                if rested > lifetime || is_left || !is_wanted {
                     dropped.push(id);
                 }
             } else if !connection.expected.is_empty() && waits > SILENCE {
@@ -334,8 +347,9 @@
                     self.break_off(context, id);
                 }
             }
-            let is_left =
-                self.connections.iter().any(|(_, connection)| connection.server == primary);
+            self.relays.retire(context, &primary, is_over);
+            let is_left = self.relays.uses(&primary)
+                || self.connections.iter().any(|(_, connection)| connection.server == primary);
             if !is_left {
                 self.actions.push(Action::Stopped { group, epoch });
             }
--- a/lib/proxy/src/engine/outcomes.rs
+++ b/lib/proxy/src/engine/outcomes.rs
@@ -301,8 +301,22 @@
     }
 
     pub(super) fn doubt(&mut self, group: GroupId, primary: ServerId, kind: DoubtKind) {
+        self.doubted.insert(group.clone());
         self.actions.push(Action::Doubt { group, primary, kind });
     }
+
+    /// Takes a doubt about a primary back once it has answered.
+    pub(super) fn trust_if_leading(
+        &mut self,
+        context: Context<'_>,
+        group: &GroupId,
+        server: &ServerId,
+    ) {
+        if context.view.group(group).is_some_and(|record| record.primary == *server) {
+            self.doubted.remove(group);
+            self.actions.push(Action::Trust { group: group.clone() });
+        }
+    }
 }
 
 /// How a caller's work ended at a server.
--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -11,7 +11,7 @@
 use crate::directory::Server;
 use crate::pace::Pace;
 use crate::statement::Command;
-use crate::trust;
+use crate::{relays, trust};
 
 /// Connections to a server that no instance uses, so that one that restarts
 /// finds room while the server still holds its old ones.
@@ -25,6 +25,11 @@
 /// Connections to a server that an instance opens for its work of the moment
 /// where it can't keep one at rest.
 const LENT_CONNECTIONS: usize = 3;
+/// Sessions that an instance keeps with the owner of a server's connections;
+/// they cost the server nothing.
+const RELAYED_SESSIONS: usize = 16;
+/// Statements for each slot of a server that an instance has with its owner.
+const RELAYED_PER_SLOT: usize = 2;
 /// The mean pause between two connections that are opened ahead of need.
 const WARM_UP_PAUSE: Duration = Duration::from_millis(150);
 /// How long what a replica last said of its position is taken for its position
@@ -214,17 +219,25 @@
 
     /// Opens a connection to a server.
     pub(super) fn open(&mut self, context: Context<'_>, server: &Server) {
-        let connection =
-            self.connections.open(&server.id, server.born_ms, &server.group, context.now);
+        let via = self.path(context, server);
+        let is_direct = via.is_none();
+        let connection = self.connections.open(
+            &server.id,
+            server.born_ms,
+            &server.group,
+            via.clone(),
+            context.now,
+        );
         self.metrics.connection_opened();
         self.actions.push(Action::Connect {
             connection,
             address: server.address,
             group: server.group.clone(),
             server: server.id.clone(),
+            via,
         });
         let leads = context.view.group(&server.group).is_some_and(|r| r.primary == server.id);
-        if leads {
+        if leads && is_direct {
             // A server that was deposed while it was away still accepts
             // sessions, so its role is asked before it is used as a primary.
             if let Some(connection) = self.connections.get_mut(connection) {
@@ -246,12 +259,14 @@
         };
         let own_domain = self.settings.domain.clone();
         let wanted = document.groups.keys().flat_map(|group| {
-            let is_kept = connections_at_rest(context, group) > 0;
+            let is_kept = |server: &Server| {
+                connections_at_rest(context, group) > 0 || relays::is_relayed(context.view, server)
+            };
             let primary = context.view.group(group).map(|record| &record.primary);
             let own_domain = &own_domain;
             context.view.servers_of(group).filter(move |server| {
                 let is_near = server.domain == *own_domain;
-                is_kept && !server.is_leaving && (is_near || primary == Some(&server.id))
+                is_kept(server) && !server.is_leaving && (is_near || primary == Some(&server.id))
             })
         });
         let next = wanted.filter(|server| !self.warmed.contains(&server.id)).min_by_key(|s| &s.id);
@@ -266,12 +281,15 @@
 
     /// Returns how many connections this instance may hold to a server.
     pub(super) fn connection_share(&self, context: Context<'_>, server: &Server) -> usize {
+        if self.has_owner(context, server) {
+            return RELAYED_SESSIONS;
+        }
         let at_rest = connections_at_rest(context, &server.group);
-        if at_rest == 0 {
+        if at_rest == 0 || relays::is_relayed(context.view, server) {
             return LENT_CONNECTIONS;
         }
         let limit = connection_limit(context, &server.group).saturating_sub(SPARE_CONNECTIONS);
-        let share = (limit / context.view.live().count().max(1)).max(1);
+        let share = (limit / context.view.live_count().max(1)).max(1);
         share.min(at_rest + EXTRA_CONNECTIONS)
     }
 
@@ -326,6 +344,10 @@
         let Some(health) = self.connections.known_health(&server.id) else {
             return false;
         };
+        // The owner of the server's connections orders the work of all instances.
+        if self.has_owner(context, server) {
+            return health.running >= server.slots * RELAYED_PER_SLOT;
+        }
         health.running >= health.pace.limit(server.slots, context.now)
     }
 
@@ -381,7 +403,7 @@
 /// so all instances together keep half of what it accepts: the other half is
 /// for their next lives. None where there are too many instances for that.
 pub(super) fn connections_at_rest(context: Context<'_>, group: &GroupId) -> usize {
-    let instances = context.view.live().count().max(1);
+    let instances = context.view.live_count().max(1);
     let limit = connection_limit(context, group);
     let one_fits = limit.saturating_sub(limit / TURNOVER_PART) >= instances;
     (limit / 2 / instances).max(usize::from(one_fits))
--- a/lib/proxy/src/engine/releases.rs
+++ b/lib/proxy/src/engine/releases.rs
@@ -33,7 +33,10 @@
                 "loss" => ?loss, "was_open" => connection.is_open,
                 "caller" => connection.owner.map(|owner| owner.to_string()));
         }
-        if !connection.is_open {
+        if let Some(owner) = connection.via.as_ref().filter(|_| !connection.is_open) {
+            self.owner_failed(context, owner);
+            self.try_other_path(context, &server);
+        } else if !connection.is_open {
             let health = self.connections.health(&server);
             health.failed_opens += 1;
             health.open_after =
--- a/lib/proxy/src/engine/sending.rs
+++ b/lib/proxy/src/engine/sending.rs
@@ -91,11 +91,13 @@
 
     /// Sends the caller's work once nothing is left to prepare.
     pub(super) fn continue_setup(&mut self, context: Context<'_>, connection_id: ConnectionId) {
-        let is_prepared = self
-            .connections
-            .get(connection_id)
-            .is_some_and(|connection| connection.expected.is_empty());
-        if is_prepared {
+        // The owner of a server runs nothing behind a preparation that failed, so
+        // the work need not wait for its answer.
+        let may_send = self.connections.get(connection_id).is_some_and(|connection| {
+            connection.expected.is_empty()
+                || (connection.via.is_some() && !connection.expected.contains(&Expected::Main))
+        });
+        if may_send {
             self.send_main(context, connection_id);
         }
     }
@@ -135,10 +137,9 @@
         }
         if let Work::Prepared { shape, .. } = &pending.work {
             self.prepare(connection_id, shape);
-            let must_wait = self
-                .connections
-                .get(connection_id)
-                .is_some_and(|connection| !connection.expected.is_empty());
+            let must_wait = self.connections.get(connection_id).is_some_and(|connection| {
+                !connection.expected.is_empty() && connection.via.is_none()
+            });
             if must_wait {
                 return;
             }
--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -3,6 +3,7 @@
 mod followers;
 mod links;
 mod pages;
+mod relayed;
 mod serve;
 mod socket;
 mod store_link;
@@ -23,15 +24,17 @@
 use crate::connections::ConnectionId;
 use crate::coordinator::{Coordinator, Purpose};
 use crate::engine::{Action, Context, Engine, Loss};
-use crate::event_loop::followers::{DirectHealth, Followed, HeldCall};
+use crate::event_loop::followers::{DirectHealth, Followed, HeldCall, InstanceCall};
 use crate::event_loop::socket::{Condition, Socket};
 use crate::event_loop::store_link::StoreLink;
+use crate::frames;
 use crate::log::{LogBuffer, logger};
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
 use crate::moment::{Moment, SteadyClock};
 use crate::protocol::{CallerProtocol, Platform, PromotionOrder, UpstreamProtocol};
 use crate::records::StoreCall;
+use crate::relays::{PooledId, RelayCall, RelaySessionId};
 use crate::settings::ProxySettings;
 use crate::statement::Command;
 use crate::store_view::StoreView;
@@ -70,7 +73,11 @@
     /// A caller; its session is open once its database was accepted.
     Caller { id: CallerId, is_open: bool },
     /// Work at a server.
-    Upstream { id: ConnectionId, last_row: Option<std::sync::Arc<str>> },
+    Upstream { id: ConnectionId, last_row: Option<std::sync::Arc<str>>, is_relayed: bool },
+    /// A connection to a server whose connections this instance owns.
+    Pooled { id: PooledId, last_row: Option<std::sync::Arc<str>> },
+    /// A session of another instance at such a server.
+    Relay { session: RelaySessionId },
     /// One command to a server.
     Control {
         group: GroupId,
@@ -146,6 +153,8 @@
     next_caller: u64,
     caller_tokens: HashMap<CallerId, Token>,
     upstream_tokens: HashMap<ConnectionId, Token>,
+    pooled_tokens: HashMap<PooledId, Token>,
+    relay_tokens: HashMap<RelaySessionId, Token>,
     dirty: BTreeSet<Token>,
     view: StoreView,
     link: StoreLink,
@@ -269,10 +278,14 @@
     fn carry_out(&mut self) {
         loop {
             let actions = self.engine.take_actions();
+            let relay_actions = self.engine.relays.take_actions();
             let steps = self.coordinator.take_steps();
-            if actions.is_empty() && steps.is_empty() {
+            if actions.is_empty() && relay_actions.is_empty() && steps.is_empty() {
                 return;
             }
+            for action in relay_actions {
+                self.act_for_relays(action);
+            }
             for action in actions {
                 self.act(action);
             }
@@ -293,15 +306,26 @@
                     self.dirty.insert(token);
                 }
             }
-            Action::Connect { connection, address, group, server } => {
+            Action::Connect { connection, address, group, server, via: None } => {
                 self.connect_upstream(connection, address, &group, &server);
             }
+            Action::Connect { connection, server, via: Some(owner), .. } => {
+                self.connect_owner(connection, &owner, server);
+            }
             Action::Send(id, command) => {
                 let Some(token) = self.upstream_tokens.get(&id).copied() else {
                     return;
                 };
+                let context = Context { view: &self.view, now: self.now };
                 if let Some(entry) = self.entries.get_mut(&token) {
-                    self.platform.upstreams().encode_command(&command, &mut entry.socket.output);
+                    let output = &mut entry.socket.output;
+                    if let Use::Upstream { is_relayed: true, .. } = entry.used_for {
+                        let terms = self.engine.terms(context, id);
+                        let call = RelayCall::Execute { command, terms };
+                        frames::encode(&InstanceCall::Relay(call), output);
+                    } else {
+                        self.platform.upstreams().encode_command(&command, output);
+                    }
                     self.dirty.insert(token);
                 }
             }
@@ -352,6 +376,7 @@
                 "callers" => self.caller_tokens.len(), "pending" => self.engine.pending(),
                 "grace_ms" => self.settings.stop_grace.as_millis());
             self.stopping_at = Some(self.now);
+            self.coordinator.leave();
         }
     }
 
@@ -361,7 +386,9 @@
         };
         let elapsed = self.now.since(stopping_at);
         elapsed + STOP_RESERVE >= self.settings.stop_grace
-            || (elapsed > STOP_QUIET_DELAY && self.caller_tokens.is_empty())
+            || (elapsed > STOP_QUIET_DELAY
+                && self.caller_tokens.is_empty()
+                && !self.engine.relays.is_busy())
     }
 
     fn finish(&mut self) {
--- a/lib/proxy/src/event_loop/followers.rs
+++ b/lib/proxy/src/event_loop/followers.rs
@@ -6,21 +6,18 @@
 
 use masticreel_base::ids::InstanceId;
 use mio::Token;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
 use super::{Entry, EventLoop, StoreUse, Use};
 use crate::event_loop::socket::Socket;
+use crate::frames;
 use crate::mirror::watchers;
 use crate::moment::{Moment, SteadyClock};
-use crate::protocol::{Platform, ProtocolError};
+use crate::protocol::Platform;
 use crate::records::StoreCall;
+use crate::relays::RelayCall;
 
-/// The longest message between two instances; a full list of a large fleet.
-const MESSAGE_LIMIT_BYTES: usize = 8 << 20;
-/// Bytes that state the length of a message.
-const LENGTH_BYTES: usize = 4;
 /// How long a follower asks the store itself after another instance failed it.
 const FAILURE_REST: Duration = Duration::from_secs(3);
 
@@ -58,6 +55,15 @@
     }
 }
 
+/// What another instance asks of this one.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum InstanceCall {
+    /// A call of the store, or about it.
+    Store(StoreCall),
+    /// Work for a server whose connections this instance owns.
+    Relay(RelayCall),
+}
+
 /// A follower's call that waits for news.
 #[derive(Debug)]
 pub(super) struct HeldCall {
@@ -120,7 +126,7 @@
     }
 
     /// Returns where an instance is asked about the store.
-    fn followers_address(&self, instance: &InstanceId) -> Option<SocketAddr> {
+    pub(super) fn followers_address(&self, instance: &InstanceId) -> Option<SocketAddr> {
         let address = self.view.address_of(instance)?;
         // The port of an instance's followers is the one after its datagrams'.
         let offset = self.settings.followers.port().wrapping_sub(self.settings.peers.port());
@@ -152,29 +158,39 @@
     }
 
     pub(super) fn read_follower(&mut self, token: Token) {
-        let Some(Entry { socket, used_for: Use::Follower { call }, .. }) =
-            self.entries.get_mut(&token)
+        while let Some(entry) = self.entries.get_mut(&token) {
+            match frames::decode::<InstanceCall>(&mut entry.socket.input) {
+                Ok(None) => return,
+                Ok(Some(InstanceCall::Store(call))) => self.follower_called(token, call),
+                Ok(Some(InstanceCall::Relay(call))) => self.relay_called(token, call),
+                Err(error) => {
+                    warn!(self.log, "another instance's call can't be read";
+                        "reason" => error.reason);
+                    self.ended(token, false);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn follower_called(&mut self, token: Token, asked: StoreCall) {
+        let Some(Entry { used_for: Use::Follower { call }, .. }) = self.entries.get_mut(&token)
         else {
             return;
         };
-        match decode::<StoreCall>(&mut socket.input) {
-            Ok(None) => {}
-            Ok(Some(
-                asked @ (StoreCall::Commit { .. }
-                | StoreCall::Grant { .. }
-                | StoreCall::Renew { .. }),
-            )) => self.start_call(StoreUse::Forwarded(token), asked, None),
-            Ok(Some(asked)) => {
+        match asked {
+            asked @ (StoreCall::Commit { .. }
+            | StoreCall::Grant { .. }
+            | StoreCall::Renew { .. }) => {
+                self.start_call(StoreUse::Forwarded(token), asked, None);
+            }
+            asked => {
                 let wait = match &asked {
                     StoreCall::Watch { wait, .. } => *wait,
                     _ => Duration::ZERO,
                 };
                 *call = Some(HeldCall { asked, since: self.now, until: self.now + wait });
             }
-            Err(error) => {
-                warn!(self.log, "follower's message can't be read"; "reason" => error.reason);
-                self.close(token);
-            }
         }
     }
 
@@ -191,43 +207,10 @@
             let held = self.now.since(*since);
             let answer = self.mirror.answer(asked, &self.view, self.now, held, may_wait);
             if let Some(answer) = answer {
-                encode(&answer, &mut entry.socket.output);
+                frames::encode(&answer, &mut entry.socket.output);
                 *call = None;
                 self.dirty.insert(*token);
             }
         }
     }
 }
-
-/// Appends a message.
-pub(super) fn encode<T>(message: &T, output: &mut Vec<u8>)
-where
-    T: Serialize,
-{
-    let body = postcard::to_stdvec(message).expect("a message is made of plain values");
-    let length = u32::try_from(body.len()).expect("a message is shorter than 4 GiB");
-    output.extend_from_slice(&length.to_be_bytes());
-    output.extend_from_slice(&body);
-}
-
-/// Takes a message off the front of the input, if it is whole.
-pub(super) fn decode<T>(input: &mut Vec<u8>) -> Result<Option<T>, ProtocolError>
-where
-    T: DeserializeOwned,
-{
-    let Some(length) = input.first_chunk::<LENGTH_BYTES>() else {
-        return Ok(None);
-    };
-    let length = usize::try_from(u32::from_be_bytes(*length)).unwrap_or(usize::MAX);
-    if length > MESSAGE_LIMIT_BYTES {
-        return Err(ProtocolError::too_large("the message is too long"));
-    }
-    let end = LENGTH_BYTES + length;
-    if input.len() < end {
-        return Ok(None);
-    }
-    let message = postcard::from_bytes(&input[LENGTH_BYTES..end])
-        .map_err(|_| ProtocolError::malformed("the message can't be read"))?;
-    input.drain(..end);
-    Ok(Some(message))
-}
--- a/lib/proxy/src/event_loop/links.rs
+++ b/lib/proxy/src/event_loop/links.rs
@@ -8,11 +8,12 @@
 use mio::Token;
 use slog::{debug, info, warn};
 
-use super::followers;
+use super::followers::InstanceCall;
 use super::{CONNECT_TIMEOUT, Entry, EventLoop, Loss, StoreUse, Use};
 use crate::coordinator::{ControlFailure, Step};
 use crate::engine::Context;
 use crate::event_loop::store_link::{CALL_TIMEOUT, WATCH_SLACK};
+use crate::frames;
 use crate::moment::{Moment, SteadyClock};
 use crate::peers::{MESSAGE_LIMIT_BYTES, PeerMessage};
 use crate::protocol::{
@@ -76,7 +77,10 @@
         };
         if let Some(entry) = self.entries.get_mut(&token) {
             match via {
-                Some(_) => followers::encode(&call, &mut entry.socket.output),
+                Some(_) => {
+                    let call = InstanceCall::Store(call.clone());
+                    frames::encode(&call, &mut entry.socket.output);
+                }
                 None => self.platform.store().encode(&call, &mut entry.socket.output),
             }
             let is_connected = entry.socket.is_connected();
@@ -97,7 +101,7 @@
             return;
         };
         let decoded = match via {
-            Some(_) => followers::decode(&mut socket.input),
+            Some(_) => frames::decode(&mut socket.input),
             None => self.platform.store().decode(&asked, &mut socket.input),
         };
         match decoded {
@@ -160,7 +164,7 @@
             StoreUse::Forwarded(token) => {
                 let answer = answer.unwrap_or(StoreAnswer::Unavailable);
                 if let Some(entry) = self.entries.get_mut(&token) {
-                    followers::encode(&answer, &mut entry.socket.output);
+                    frames::encode(&answer, &mut entry.socket.output);
                     self.dirty.insert(token);
                 }
             }
--- /dev/null
+++ b/lib/proxy/src/event_loop/relayed.rs
@@ -0,0 +1,184 @@
+//! Sessions of other instances at servers whose connections this one owns.
+
+use std::net::SocketAddr;
+
+use masticreel_base::ids::{GroupId, ServerId};
+use mio::Token;
+use slog::{info, warn};
+
+use super::{CONNECT_TIMEOUT, Entry, EventLoop, Use};
+use crate::engine::{Context, Loss};
+use crate::frames;
+use crate::moment::SteadyClock;
+use crate::protocol::{Platform, UpstreamMessage, UpstreamProtocol};
+use crate::relays::{PooledId, RelayAction, RelayAnswer, RelayCall};
+
+impl<Spoken, Clock> EventLoop<'_, Spoken, Clock>
+where
+    Spoken: Platform,
+    Clock: SteadyClock,
+{
+    /// Carries out what relayed sessions demand.
+    pub(super) fn act_for_relays(&mut self, action: RelayAction) {
+        match action {
+            RelayAction::Open { connection, address, group, server } => {
+                self.connect_pooled(connection, address, &group, &server);
+            }
+            RelayAction::Send(id, command) => {
+                let token = self.pooled_tokens.get(&id).copied();
+                if let Some(token) = token
+                    && let Some(entry) = self.entries.get_mut(&token)
+                {
+                    self.platform.upstreams().encode_command(&command, &mut entry.socket.output);
+                    self.dirty.insert(token);
+                }
+            }
+            RelayAction::Close(id) => {
+                if let Some(token) = self.pooled_tokens.remove(&id) {
+                    self.close(token);
+                }
+            }
+            RelayAction::Answer(session, answer) => {
+                let token = self.relay_tokens.get(&session).copied();
+                if let Some(token) = token
+                    && let Some(entry) = self.entries.get_mut(&token)
+                {
+                    frames::encode(&answer, &mut entry.socket.output);
+                    entry.socket.ends_after_output |= answer == RelayAnswer::Unreachable;
+                    self.dirty.insert(token);
+                }
+            }
+            RelayAction::End(session) => {
+                if let Some(token) = self.relay_tokens.remove(&session) {
+                    self.close(token);
+                }
+            }
+            RelayAction::Doubt { group, primary, kind } => {
+                self.coordinator.doubt(&self.view, &group, &primary, kind);
+            }
+            RelayAction::Trust { group } => self.coordinator.trust(&group),
+        }
+    }
+
+    fn connect_pooled(
+        &mut self,
+        id: PooledId,
+        address: SocketAddr,
+        group: &GroupId,
+        server: &ServerId,
+    ) {
+        let used_for = Use::Pooled { id, last_row: None };
+        match self.connect(address, used_for, CONNECT_TIMEOUT) {
+            Ok(token) => {
+                self.pooled_tokens.insert(id, token);
+                if let Some(entry) = self.entries.get_mut(&token) {
+                    let output = &mut entry.socket.output;
+                    self.platform.upstreams().encode_start(group, server, output);
+                }
+            }
+            Err(error) => {
+                warn!(self.log, "no connection can be opened"; "server" => %server,
+                    "error" => %error);
+                let context = Context { view: &self.view, now: self.now };
+                self.engine.relays.lost(context, id, Loss::Closed);
+            }
+        }
+    }
+
+    /// Takes a call of an entry instance.
+    pub(super) fn relay_called(&mut self, token: Token, call: RelayCall) {
+        let Some(Entry { used_for, .. }) = self.entries.get_mut(&token) else {
+            return;
+        };
+        let context = Context { view: &self.view, now: self.now };
+        match (call, &used_for) {
+            (RelayCall::Start { server }, Use::Follower { .. }) => {
+                let session = self.engine.relays.open_session(&server);
+                *used_for = Use::Relay { session };
+                self.relay_tokens.insert(session, token);
+            }
+            (RelayCall::Execute { command, terms }, Use::Relay { session }) => {
+                self.engine.relays.execute(context, *session, command, terms);
+            }
+            _ => {
+                warn!(self.log, "relayed call doesn't fit its session");
+                self.ended(token, false);
+            }
+        }
+    }
+
+    pub(super) fn read_pooled(&mut self, token: Token) {
+        loop {
+            let Some(Entry { socket, used_for: Use::Pooled { id, last_row }, .. }) =
+                self.entries.get_mut(&token)
+            else {
+                return;
+            };
+            let id = *id;
+            let context = Context { view: &self.view, now: self.now };
+            match self.platform.upstreams().decode(&mut socket.input) {
+                Ok(None) => return,
+                Ok(Some(message)) => {
+                    let mut status = None;
+                    match &message {
+                        UpstreamMessage::Row(row) if self.engine.relays.expects_role(id) => {
+                            *last_row = Some(row.clone());
+                        }
+                        UpstreamMessage::Ready { .. } => {
+                            let row = last_row.take();
+                            status =
+                                row.and_then(|row| self.platform.upstreams().decode_status(&row));
+                        }
+                        _ => {}
+                    }
+                    self.engine.relays.pooled_message(context, id, message, status);
+                }
+                Err(error) => {
+                    warn!(self.log, "server's message can't be read"; "reason" => error.reason);
+                    self.engine.relays.lost(context, id, Loss::Garbage);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Takes what the owner of a server answers on a relayed session.
+    pub(super) fn read_relayed(&mut self, token: Token) {
+        loop {
+            let Some(Entry { socket, used_for: Use::Upstream { id, last_row, .. }, .. }) =
+                self.entries.get_mut(&token)
+            else {
+                return;
+            };
+            let id = *id;
+            let context = Context { view: &self.view, now: self.now };
+            match frames::decode::<RelayAnswer>(&mut socket.input) {
+                Ok(None) => return,
+                Ok(Some(RelayAnswer::Message(message))) => {
+                    let mut status = None;
+                    match &message {
+                        UpstreamMessage::Row(row) if self.engine.expects_role(id) => {
+                            *last_row = Some(row.clone());
+                        }
+                        UpstreamMessage::Ready { .. } => {
+                            let row = last_row.take();
+                            status =
+                                row.and_then(|row| self.platform.upstreams().decode_status(&row));
+                        }
+                        _ => {}
+                    }
+                    self.engine.upstream_message(context, id, message, status);
+                }
+                Ok(Some(RelayAnswer::Unreachable)) => {
+                    self.engine.unreachable(context, id);
+                    return;
+                }
+                Err(error) => {
+                    info!(self.log, "owner's answer can't be read"; "reason" => error.reason);
+                    self.engine.connection_lost(context, id, Loss::Garbage);
+                    return;
+                }
+            }
+        }
+    }
+}
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use masticreel_base::ids::{GroupId, ServerId};
+use masticreel_base::ids::{GroupId, InstanceId, ServerId};
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Interest, Poll, Token};
 use slog::{Logger, debug, info, warn};
@@ -19,9 +19,10 @@
 use crate::connections::ConnectionId;
 use crate::coordinator::Coordinator;
 use crate::engine::{Context, Engine, EngineSettings, Loss};
-use crate::event_loop::followers::DirectHealth;
+use crate::event_loop::followers::{DirectHealth, InstanceCall};
 use crate::event_loop::socket::Socket;
 use crate::event_loop::store_link::StoreLink;
+use crate::frames;
 use crate::log::LogBuffer;
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
@@ -29,6 +30,8 @@
 use crate::protocol::{
     CallerMessage, CallerProtocol, Platform, ProtocolError, UpstreamMessage, UpstreamProtocol,
 };
+use crate::records::Placement;
+use crate::relays::RelayCall;
 use crate::settings::ProxySettings;
 use crate::statement::{Failure, FailureKind};
 use crate::store_view::StoreView;
@@ -79,8 +82,11 @@
         let coordinator = Coordinator::new(
             settings.instance.clone(),
             incarnation,
-            settings.peers,
-            settings.domain.clone(),
+            Placement {
+                address: settings.peers,
+                domain: settings.domain.clone(),
+                capacity: settings.capacity,
+            },
             lease,
             log.clone(),
         );
@@ -107,6 +113,8 @@
             next_caller: 0,
             caller_tokens: HashMap::new(),
             upstream_tokens: HashMap::new(),
+            pooled_tokens: HashMap::new(),
+            relay_tokens: HashMap::new(),
             dirty: BTreeSet::new(),
             view: StoreView::default(),
             link: StoreLink::new(),
@@ -157,7 +165,7 @@
         group: &GroupId,
         server: &ServerId,
     ) {
-        let used_for = Use::Upstream { id, last_row: None };
+        let used_for = Use::Upstream { id, last_row: None, is_relayed: false };
         match self.connect(address, used_for, CONNECT_TIMEOUT) {
             Ok(token) => {
                 self.upstream_tokens.insert(id, token);
@@ -175,6 +183,30 @@
         }
     }
 
+    /// Opens a session with the owner of a server's connections.
+    pub(super) fn connect_owner(&mut self, id: ConnectionId, owner: &InstanceId, server: ServerId) {
+        let used_for = Use::Upstream { id, last_row: None, is_relayed: true };
+        let opened = match self.followers_address(owner) {
+            Some(address) => self.connect(address, used_for, CONNECT_TIMEOUT),
+            None => Err(io::ErrorKind::AddrNotAvailable.into()),
+        };
+        match opened {
+            Ok(token) => {
+                self.upstream_tokens.insert(id, token);
+                if let Some(entry) = self.entries.get_mut(&token) {
+                    let call = InstanceCall::Relay(RelayCall::Start { server });
+                    frames::encode(&call, &mut entry.socket.output);
+                }
+            }
+            Err(error) => {
+                warn!(self.log, "no connection to a server's owner"; "server" => %server,
+                    "owner" => %owner, "error" => %error);
+                let context = Context { view: &self.view, now: self.now };
+                self.engine.connection_lost(context, id, Loss::Closed);
+            }
+        }
+    }
+
     pub(super) fn writable(&mut self, token: Token) {
         let Some(entry) = self.entries.get_mut(&token) else {
             return;
@@ -206,12 +238,14 @@
         let condition = entry.socket.fill();
         match entry.used_for {
             Use::Caller { .. } => self.read_caller(token),
+            Use::Upstream { is_relayed: true, .. } => self.read_relayed(token),
             Use::Upstream { .. } => self.read_upstream(token),
+            Use::Pooled { .. } => self.read_pooled(token),
             Use::Control { .. } => self.read_control(token),
             Use::Store { .. } => self.read_store(token),
             Use::Promoter { .. } => self.read_promoter(token),
             Use::Page => self.read_page(token),
-            Use::Follower { .. } => self.read_follower(token),
+            Use::Follower { .. } | Use::Relay { .. } => self.read_follower(token),
         }
         if condition != Condition::Open {
             self.ended(token, false);
@@ -303,7 +337,7 @@
 
     fn read_upstream(&mut self, token: Token) {
         loop {
-            let Some(Entry { socket, used_for: Use::Upstream { id, last_row }, .. }) =
+            let Some(Entry { socket, used_for: Use::Upstream { id, last_row, .. }, .. }) =
                 self.entries.get_mut(&token)
             else {
                 return;
@@ -377,6 +411,14 @@
             Use::Promoter { order } => {
                 self.coordinator.promoter_answered(self.now, &order, None);
             }
+            Use::Pooled { id, .. } => {
+                self.pooled_tokens.remove(&id);
+                self.engine.relays.lost(context, id, loss);
+            }
+            Use::Relay { session } => {
+                self.relay_tokens.remove(&session);
+                self.engine.relays.end_session(context, session);
+            }
             Use::Page | Use::Follower { .. } => {}
         }
     }
@@ -412,7 +454,7 @@
     match used_for {
         // The engine times its work itself.
         Use::Upstream { .. } | Use::Caller { .. } | Use::Store { call: None, .. } => None,
-        Use::Follower { .. } => None,
+        Use::Follower { .. } | Use::Pooled { .. } | Use::Relay { .. } => None,
         Use::Store { call: Some((_, call, _)), .. } => Some(super::links::call_timeout(call)),
         Use::Control { .. } => Some(super::CONTROL_TIMEOUT),
         Use::Promoter { .. } => Some(super::ORDER_TIMEOUT),
--- a/lib/proxy/src/mirror.rs
+++ b/lib/proxy/src/mirror.rs
@@ -5,6 +5,7 @@
 //! them the same questions. An answer says how old it is, so that nobody takes
 //! it for newer than it was. See `docs/design/11-relays.md`.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +19,8 @@
 /// Changes that are kept for followers that are behind.
 const HISTORY_LIMIT: usize = 4096;
 /// Instances of one failure domain that watch the store themselves: two, so
-/// that the loss of one leaves the others a second one.
+/// that the loss of one leaves the others a second one. Those with the widest
+/// links, since each change goes over them once for each follower.
 const WATCHERS_PER_DOMAIN: usize = 2;
 
 /// The store's items, and the changes since a revision.
@@ -110,11 +112,13 @@
 /// Returns the instances of a failure domain that watch the store, in the order
 /// that all instances agree on.
 pub fn watchers(view: &StoreView, domain: &FailureDomain) -> Vec<InstanceId> {
-    view.members()
+    let mut ranked: Vec<_> = view
+        .members()
         .filter(|(instance, member)| {
-            view.is_live(instance) && member.value.domain.as_ref() == Some(domain)
+            view.is_willing(instance) && member.value.domain.as_ref() == Some(domain)
         })
-        .map(|(instance, _)| instance.clone())
-        .take(WATCHERS_PER_DOMAIN)
-        .collect()
+        .map(|(instance, member)| (Reverse(member.value.capacity.link_kbps), instance))
+        .collect();
+    ranked.sort();
+    ranked.into_iter().map(|(_, instance)| instance.clone()).take(WATCHERS_PER_DOMAIN).collect()
 }
--- a/lib/proxy/src/protocol.rs
+++ b/lib/proxy/src/protocol.rs
@@ -8,6 +8,7 @@
 use derive_more::{Display, Error};
 use masticreel_base::ids::{GroupId, ServerId};
 use masticreel_base::position::TermPosition;
+use serde::{Deserialize, Serialize};
 
 use crate::directory::{Document, Server};
 use crate::records::{StoreAnswer, StoreCall};
@@ -55,7 +56,7 @@
 }
 
 /// What a server sent.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamMessage {
     /// A row of an answer.
     Row(Arc<str>),
--- a/lib/proxy/src/queue.rs
+++ b/lib/proxy/src/queue.rs
@@ -1,4 +1,5 @@
-//! The order in which waiting requests of a group get its connections.
+//! The order in which waiting requests of a group or a server get its
+//! connections.
 //!
 //! The load it answers: more requests than connections, from routes of unequal
 //! urgency, some of which any server may run and some only the primary. The
@@ -10,7 +11,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::caller::CallerId;
 use crate::moment::Moment;
 
 /// Where a request stands in the queue.
@@ -21,8 +21,8 @@
 }
 
 #[derive(Debug)]
-struct Waiting {
-    caller: CallerId,
+struct Waiting<Id> {
+    id: Id,
     wanted_by: Moment,
     expected: Duration,
 }
@@ -31,24 +31,27 @@
 const EXPECTED_STEP_MS: u128 = 4;
 
 /// Requests that wait for a connection.
-#[derive(Debug, Default)]
-pub struct WaitingQueue {
+#[derive(Debug)]
+pub struct WaitingQueue<Id> {
     next_arrival: u64,
-    waiting: BTreeMap<Turn, Waiting>,
+    waiting: BTreeMap<Turn, Waiting<Id>>,
+}
+
+impl<Id> Default for WaitingQueue<Id> {
+    fn default() -> Self {
+        Self { next_arrival: 0, waiting: BTreeMap::new() }
+    }
 }
 
-impl WaitingQueue {
+impl<Id> WaitingQueue<Id>
+where
+    Id: Copy,
+{
     /// Adds a request that is wanted by a moment and expected to take a time.
-    pub fn push(
-        &mut self,
-        urgency: u8,
-        caller: CallerId,
-        wanted_by: Moment,
-        expected: Duration,
-    ) -> Turn {
+    pub fn push(&mut self, urgency: u8, id: Id, wanted_by: Moment, expected: Duration) -> Turn {
         let turn = Turn { urgency, arrival: self.next_arrival };
         self.next_arrival += 1;
-        self.waiting.insert(turn, Waiting { caller, wanted_by, expected });
+        self.waiting.insert(turn, Waiting { id, wanted_by, expected });
         turn
     }
 
@@ -59,19 +62,19 @@
 
     /// Returns the waiting requests in their order, if one that starts now is
     /// answered at a moment.
-    pub fn in_order(&self, answered_at: Moment) -> Vec<CallerId> {
+    pub fn in_order(&self, answered_at: Moment) -> Vec<Id> {
         let mut order: Vec<_> = self
             .waiting
             .iter()
             .map(|(turn, waiting)| {
                 let is_late = answered_at > waiting.wanted_by;
                 let step = waiting.expected.as_millis() / EXPECTED_STEP_MS;
-                ((turn.urgency, is_late, step), waiting.caller)
+                ((turn.urgency, is_late, step), waiting.id)
             })
             .collect();
         // The sort is stable: arrival decides between equals.
         order.sort_by_key(|(rank, _)| *rank);
-        order.into_iter().map(|(_, caller)| caller).collect()
+        order.into_iter().map(|(_, id)| id).collect()
     }
 
     /// Returns how many requests wait.
--- a/lib/proxy/src/records.rs
+++ b/lib/proxy/src/records.rs
@@ -96,8 +96,28 @@
     pub candidate: Option<ServerId>,
 }
 
+/// What an instance's machine can carry; zero where the platform doesn't say.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Capacity {
+    /// Its processor, in thousandths of a core.
+    pub processor_millicores: u32,
+    /// Its link, in kbit/s.
+    pub link_kbps: u32,
+}
+
+/// Where an instance is and what it can carry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// Where other instances reach it.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub domain: FailureDomain,
+    /// What it can carry.
+    pub capacity: Capacity,
+}
+
 /// The entitlement of an instance, with what it has confirmed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
     /// Distinguishes two lives under one name.
     pub incarnation: u64,
@@ -110,6 +130,13 @@
     /// Where it runs.
     #[serde(default)]
     pub domain: Option<FailureDomain>,
+    /// What it can carry.
+    #[serde(default)]
+    pub capacity: Capacity,
+    /// Whether it was told to stop, so that others take over what it does for
+    /// them before it ends.
+    #[serde(default)]
+    pub is_leaving: bool,
 }
 
 /// Why an instance doubts a primary.
--- /dev/null
+++ b/lib/proxy/src/relays/sessions.rs
@@ -0,0 +1,236 @@
+//! What entry instances ask on their relayed sessions.
+
+use std::sync::Arc;
+
+use masticreel_base::ids::ServerId;
+
+use crate::caller::SessionValues;
+use crate::connections::Expected;
+use crate::engine::Context;
+use crate::protocol::UpstreamMessage;
+use crate::relays::{
+    PooledId, RelayAction, RelayAnswer, RelaySessionId, RelayTerms, Relays, Session, Waiting, idle,
+};
+use crate::statement::{Command, Failure, FailureKind, SessionState};
+
+impl Relays {
+    /// Opens a session at a server.
+    ///
+    /// It costs the server nothing before the first statement.
+    pub fn open_session(&mut self, server: &ServerId) -> RelaySessionId {
+        self.next_session += 1;
+        let id = RelaySessionId(self.next_session);
+        let session = Session {
+            server: server.clone(),
+            values: SessionValues::default(),
+            prepared: Default::default(),
+            begin: None,
+            connection: None,
+            waiting: None,
+            backlog: Default::default(),
+        };
+        self.sessions.insert(id, session);
+        self.answer(id, idle());
+        id
+    }
+
+    /// Takes a command of a session.
+    pub fn execute(
+        &mut self,
+        context: Context<'_>,
+        id: RelaySessionId,
+        command: Command,
+        terms: RelayTerms,
+    ) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        session.backlog.push_back((command, terms));
+        self.go_on(context, id);
+    }
+
+    /// Executes what a session has sent, up to the first command that waits for
+    /// the server.
+    pub(super) fn go_on(&mut self, context: Context<'_>, id: RelaySessionId) {
+        while !self.is_waiting(id) {
+            let Some(session) = self.sessions.get_mut(&id) else {
+                return;
+            };
+            let Some((command, terms)) = session.backlog.pop_front() else {
+                return;
+            };
+            match command {
+                Command::Clear => {
+                    session.values = SessionValues::default();
+                    session.prepared.clear();
+                    self.acknowledge(id);
+                }
+                Command::Set { name, value } => {
+                    Arc::make_mut(&mut session.values).insert(name, value);
+                    self.acknowledge(id);
+                }
+                Command::Prepare { handle, shape } => {
+                    session.prepared.insert(handle, shape);
+                    self.acknowledge(id);
+                }
+                Command::Begin { read_only, floor } => {
+                    session.begin = Some((read_only, floor));
+                    self.acknowledge(id);
+                }
+                Command::Rollback if session.connection.is_none() => {
+                    session.begin = None;
+                    self.acknowledge(id);
+                }
+                command => self.ask_server(context, id, command, terms),
+            }
+        }
+    }
+
+    /// Returns whether a command of the session waits for its server.
+    fn is_waiting(&self, id: RelaySessionId) -> bool {
+        let Some(session) = self.sessions.get(&id) else {
+            return false;
+        };
+        let connection = session.connection.and_then(|connection| self.pooled.get(&connection));
+        session.waiting.is_some()
+            || connection.is_some_and(|pooled| pooled.main.is_some() || !pooled.expected.is_empty())
+    }
+
+    /// Lets a command run on the session's connection, or wait for one.
+    fn ask_server(
+        &mut self,
+        context: Context<'_>,
+        id: RelaySessionId,
+        command: Command,
+        terms: RelayTerms,
+    ) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        if let Some(connection) = session.connection {
+            self.prepare_and_send(context, connection, command);
+            return;
+        }
+        let server = session.server.clone();
+        let pool = self.pools.entry(server.clone()).or_default();
+        let wanted_by = context.now + terms.wanted_within;
+        let turn = pool.queue.push(terms.urgency, id, wanted_by, terms.expected);
+        session.waiting = Some(Waiting { command, until: context.now + terms.patience, turn });
+        self.pump(context, &server);
+    }
+
+    /// Ends a session; its transaction is rolled back.
+    pub fn end_session(&mut self, context: Context<'_>, id: RelaySessionId) {
+        self.stop_waiting(id);
+        let Some(session) = self.sessions.remove(&id) else {
+            return;
+        };
+        if let Some(connection) = session.connection {
+            if let Some(pooled) = self.pooled.get_mut(&connection) {
+                pooled.session = None;
+            }
+            self.release(context, connection);
+        }
+    }
+
+    /// Refuses a command that was not sent to a server.
+    pub(super) fn refuse(&mut self, id: RelaySessionId, text: &'static str) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        session.begin = None;
+        let failure = Failure::new(FailureKind::Busy, text);
+        self.answer(id, UpstreamMessage::Error(failure));
+        self.answer(id, idle());
+    }
+
+    /// Refuses commands that have waited for as long as they may.
+    pub(super) fn expire_waiting(&mut self, context: Context<'_>) {
+        let is_over = |session: &Session| {
+            session.waiting.as_ref().is_some_and(|waiting| context.now >= waiting.until)
+        };
+        let expired: Vec<RelaySessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| is_over(session))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in expired {
+            self.stop_waiting(id);
+            self.refuse(id, "not run: the server had no room in time");
+            self.go_on(context, id);
+        }
+    }
+
+    /// Takes a session out of the queue of its server.
+    pub(super) fn stop_waiting(&mut self, id: RelaySessionId) -> Option<Command> {
+        let session = self.sessions.get_mut(&id)?;
+        let waiting = session.waiting.take()?;
+        if let Some(pool) = self.pools.get_mut(&session.server) {
+            pool.queue.remove(waiting.turn);
+        }
+        Some(waiting.command)
+    }
+
+    /// Answers a command that needs no server.
+    fn acknowledge(&mut self, id: RelaySessionId) {
+        let is_begun = self
+            .sessions
+            .get(&id)
+            .is_some_and(|session| session.begin.is_some() || session.connection.is_some());
+        let state = if is_begun { SessionState::Transaction } else { SessionState::Idle };
+        self.answer(id, UpstreamMessage::Complete(None));
+        self.answer(id, UpstreamMessage::Ready { state, position: None });
+    }
+
+    pub(super) fn answer(&mut self, id: RelaySessionId, message: UpstreamMessage) {
+        self.actions.push(RelayAction::Answer(id, RelayAnswer::Message(message)));
+    }
+
+    /// Prepares a connection for a session's command, and sends it.
+    pub(super) fn prepare_and_send(
+        &mut self,
+        context: Context<'_>,
+        connection: PooledId,
+        command: Command,
+    ) {
+        let Some(pooled) = self.pooled.get_mut(&connection) else {
+            return;
+        };
+        let Some(session) = pooled.session.and_then(|id| self.sessions.get_mut(&id)) else {
+            return;
+        };
+        let mut setup = Vec::new();
+        if pooled.values != session.values {
+            if !pooled.values.keys().all(|name| session.values.contains_key(name)) {
+                pooled.values = SessionValues::default();
+                pooled.prepared.clear();
+                setup.push((Expected::Setup, Command::Clear));
+            }
+            for (name, value) in session.values.iter() {
+                if pooled.values.get(name) != Some(value) {
+                    let command = Command::Set { name: name.clone(), value: value.clone() };
+                    setup.push((Expected::Setup, command));
+                }
+            }
+            pooled.values = session.values.clone();
+        }
+        if let Command::Run { handle: Some(handle), .. } = &command
+            && let Some(shape) = session.prepared.get(handle)
+            && pooled.prepared.insert(*handle)
+        {
+            let command = Command::Prepare { handle: *handle, shape: shape.clone() };
+            setup.push((Expected::Setup, command));
+        }
+        if let Some((read_only, floor)) = session.begin.take() {
+            setup.push((Expected::Begin, Command::Begin { read_only, floor }));
+        }
+        pooled.main = Some(command);
+        pooled.sent_at = context.now;
+        for (expected, command) in setup {
+            pooled.expected.push_back(expected);
+            self.actions.push(RelayAction::Send(connection, command));
+        }
+        self.send_main(context, connection);
+    }
+}
--- a/lib/proxy/src/settings.rs
+++ b/lib/proxy/src/settings.rs
@@ -5,6 +5,8 @@
 
 use masticreel_base::ids::{FailureDomain, InstanceId};
 
+use crate::records::Capacity;
+
 /// The settings of an instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProxySettings {
@@ -12,6 +14,8 @@
     pub instance: InstanceId,
     /// Where it runs.
     pub domain: FailureDomain,
+    /// What its machine can carry.
+    pub capacity: Capacity,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the platform asks whether the instance is ready.
--- a/lib/proxy/src/statement.rs
+++ b/lib/proxy/src/statement.rs
@@ -5,9 +5,10 @@
 use derive_more::Display;
 use masticreel_base::ids::Term;
 use masticreel_base::position::TermPosition;
+use serde::{Deserialize, Serialize};
 
 /// Says whether a statement changes data.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 pub enum Access {
     /// It only reads.
     #[display("read")]
@@ -21,7 +22,7 @@
 pub type RequestTag = Arc<str>;
 
 /// What a prepared statement does, whatever name a caller gave it.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Shape {
     /// Whether executing it changes data.
     pub access: Access,
@@ -77,7 +78,7 @@
 }
 
 /// The part of a statement that a server executes.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Work {
     /// A statement by its text.
     Direct {
@@ -109,7 +110,7 @@
 }
 
 /// What is sent to a server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
     /// Executes a caller's work under the caller's id.
     Run {
@@ -157,7 +158,7 @@
 }
 
 /// The state of a session after an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 pub enum SessionState {
     /// No transaction is open.
     #[display("idle")]
@@ -171,7 +172,7 @@
 }
 
 /// Why a request failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 pub enum FailureKind {
     /// It did not run: there is no capacity for it now.
     #[display("busy")]
@@ -218,7 +219,7 @@
 }
 
 /// A failure with its explanation for people.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failure {
     /// Why the request failed.
     pub kind: FailureKind,
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -124,11 +124,22 @@
         self.live.keys()
     }
 
+    /// Returns how many instances renew their leases.
+    pub fn live_count(&self) -> usize {
+        self.live.len()
+    }
+
     /// Returns whether an instance renews its lease.
     pub fn is_live(&self, instance: &InstanceId) -> bool {
         self.live.contains_key(instance)
     }
 
+    /// Returns whether an instance does work for others: it renews its lease and
+    /// was not told to stop.
+    pub fn is_willing(&self, instance: &InstanceId) -> bool {
+        self.is_live(instance) && self.member(instance).is_some_and(|member| !member.is_leaving)
+    }
+
     /// Returns where an instance is reached.
     pub fn address_of(&self, instance: &InstanceId) -> Option<SocketAddr> {
         self.member(instance)?.address
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -17,8 +17,8 @@
 use masticreel_proxy::moment::Moment;
 use masticreel_proxy::protocol::{Content, ProtocolError, StoreProtocol, UpstreamMessage};
 use masticreel_proxy::records::{
-    DUTY_KEY, GroupRecord, Item, MemberRecord, Phase, StoreAnswer, StoreCall, group_key, live_key,
-    member_key,
+    Capacity, DUTY_KEY, GroupRecord, Item, MemberRecord, Phase, Placement, StoreAnswer, StoreCall,
+    group_key, live_key, member_key,
 };
 use masticreel_proxy::statement::{Access, Answer, Command, Role, SessionState, Statement};
 use masticreel_proxy::store_view::StoreView;
@@ -195,6 +195,7 @@
                 stopped: Vec::new(),
                 address: address(instance.as_str()),
                 domain: None,
+                ..MemberRecord::default()
             },
         );
     }
@@ -205,6 +206,7 @@
             stopped: vec![(group(), epoch)],
             address: address(instance),
             domain: None,
+            ..MemberRecord::default()
         };
         self.put(&member_key(&instance.into()), &record);
     }
@@ -284,8 +286,11 @@
     Coordinator::new(
         OWN.into(),
         INCARNATION,
-        address(OWN).expect("numbered"),
-        "domain-2".into(),
+        Placement {
+            address: address(OWN).expect("numbered"),
+            domain: "domain-2".into(),
+            capacity: Capacity::default(),
+        },
         Lease::new(Duration::from_secs(1)),
         log(),
     )
--- a/lib/proxy/tests/test_mirror.rs
+++ b/lib/proxy/tests/test_mirror.rs
@@ -67,6 +67,7 @@
             stopped: Vec::new(),
             address: support::address(&instance),
             domain: Some(if index % 2 == 0 { "east" } else { "west" }.into()),
+            ..MemberRecord::default()
         };
         world.put(&member_key(&instance.as_str().into()), &record);
     }
--- /dev/null
+++ b/lib/proxy/tests/test_relays.rs
@@ -0,0 +1,436 @@
+//! What the owner of a server's connections does with other instances' work.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use masticreel_base::ids::{InstanceId, ServerId};
+use masticreel_proxy::caller::CallerId;
+use masticreel_proxy::directory::{Consistency, Server};
+use masticreel_proxy::engine::{Action, Loss};
+use masticreel_proxy::protocol::UpstreamMessage;
+use masticreel_proxy::records::{Capacity, MemberRecord, Phase, live_key, member_key};
+use masticreel_proxy::relays::{
+    PooledId, RelayAction, RelayAnswer, RelaySessionId, RelayTerms, Relays, is_relayed, owners,
+};
+use masticreel_proxy::statement::{
+    Access, Command, Failure, FailureKind, SessionState, Shape, Work,
+};
+use support::{World, engine, group, log, ms, position, read, write};
+
+/// Enough instances for servers of two slots to be relayed.
+const INSTANCES: u64 = 20;
+
+/// A world whose instances outnumber the servers' slots.
+fn crowded() -> World {
+    let mut world = World::serving();
+    for number in 2..=INSTANCES {
+        join(&mut world, &format!("proxy-{number}"), "domain-1", 120);
+    }
+    world.refresh();
+    world
+}
+
+fn join(world: &mut World, instance: &str, domain: &str, processor_millicores: u32) {
+    let id: InstanceId = instance.into();
+    let record = MemberRecord {
+        incarnation: 1,
+        address: support::address(instance),
+        domain: Some(domain.into()),
+        capacity: Capacity { processor_millicores, link_kbps: 10_000 },
+        ..MemberRecord::default()
+    };
+    world.put(&live_key(&id), &1);
+    world.put(&member_key(&id), &record);
+}
+
+fn server(world: &World, id: &str) -> Server {
+    world.view.server(&id.into()).cloned().expect("a server")
+}
+
+/// What the owner wants, by kind.
+#[derive(Debug, Default)]
+struct Wanted {
+    opened: Vec<PooledId>,
+    sent: Vec<(PooledId, Command)>,
+    closed: Vec<PooledId>,
+    answers: BTreeMap<RelaySessionId, Vec<RelayAnswer>>,
+    ended: Vec<RelaySessionId>,
+}
+
+fn wanted(relays: &mut Relays) -> Wanted {
+    let mut wanted = Wanted::default();
+    for action in relays.take_actions() {
+        match action {
+            RelayAction::Open { connection, .. } => wanted.opened.push(connection),
+            RelayAction::Send(id, command) => wanted.sent.push((id, command)),
+            RelayAction::Close(id) => wanted.closed.push(id),
+            RelayAction::Answer(session, answer) => {
+                wanted.answers.entry(session).or_default().push(answer);
+            }
+            RelayAction::End(session) => wanted.ended.push(session),
+            RelayAction::Doubt { .. } | RelayAction::Trust { .. } => {}
+        }
+    }
+    wanted
+}
+
+fn run(tag: &str) -> Command {
+    let work = Work::Direct { access: Access::Write, text: format!("WRITE {tag}").into() };
+    Command::Run { tag: tag.into(), work, handle: None, floor: None }
+}
+
+fn terms(urgency: u8) -> RelayTerms {
+    RelayTerms { urgency, patience: ms(500), wanted_within: ms(200), expected: ms(5) }
+}
+
+fn set(value: &str) -> Command {
+    Command::Set { name: "tenant".into(), value: value.into() }
+}
+
+fn ask(world: &World, relays: &mut Relays, session: RelaySessionId, command: Command) {
+    relays.execute(world.context(), session, command, terms(2));
+}
+
+fn end_answer(world: &World, relays: &mut Relays, id: PooledId, state: SessionState) {
+    let message = UpstreamMessage::Complete(Some("signature".into()));
+    relays.pooled_message(world.context(), id, message, None);
+    let ready = UpstreamMessage::Ready { state, position: Some(position(1, 5)) };
+    relays.pooled_message(world.context(), id, ready, None);
+}
+
+/// Lets the server accept what was opened.
+fn accept(world: &World, relays: &mut Relays, opened: &[PooledId]) -> Wanted {
+    for id in opened {
+        let ready = UpstreamMessage::Ready { state: SessionState::Idle, position: None };
+        relays.pooled_message(world.context(), *id, ready.clone(), None);
+        if relays.expects_role(*id) {
+            relays.pooled_message(world.context(), *id, ready, None);
+        }
+    }
+    wanted(relays)
+}
+
+fn is_ready_in(answers: &[RelayAnswer], wanted: SessionState) -> bool {
+    matches!(answers.last(),
+        Some(RelayAnswer::Message(UpstreamMessage::Ready { state, .. })) if *state == wanted)
+}
+
+fn failure_of(answers: &[RelayAnswer]) -> Option<FailureKind> {
+    answers.iter().find_map(|answer| match answer {
+        RelayAnswer::Message(UpstreamMessage::Error(failure)) => Some(failure.kind),
+        _ => None,
+    })
+}
+
+#[test]
+fn test_servers_are_relayed_where_instances_outnumber_their_slots() {
+    let world = World::serving();
+    assert!(!is_relayed(&world.view, &server(&world, "s1")));
+    let world = crowded();
+    assert!(is_relayed(&world.view, &server(&world, "s1")));
+}
+
+#[test]
+fn test_owner_is_near_and_wide_and_followed_by_the_next() {
+    let mut world = crowded();
+    join(&mut world, "proxy-30", "domain-1", 500);
+    join(&mut world, "proxy-31", "domain-1", 450);
+    join(&mut world, "proxy-32", "domain-3", 500);
+    world.refresh();
+    let ranked = owners(&world.view, &server(&world, "s1"));
+    assert_eq!(ranked.len(), world.view.live_count());
+    let wide: Vec<InstanceId> = vec!["proxy-30".into(), "proxy-31".into()];
+    assert!(wide.contains(&ranked[0]) && wide.contains(&ranked[1]), "{ranked:?}");
+    let far = ranked.iter().position(|instance| *instance == "proxy-32".into());
+    let narrow = ranked.iter().position(|instance| *instance == "proxy-2".into());
+    assert!(narrow < far, "an instance of the server's own domain goes first");
+    world.remove(&live_key(&ranked[0]));
+    world.refresh();
+    assert_eq!(owners(&world.view, &server(&world, "s1"))[0], ranked[1]);
+}
+
+#[test]
+fn test_sessions_share_a_connection_without_sharing_values() {
+    let world = crowded();
+    let mut relays = Relays::new(log());
+    let s2: ServerId = "s2".into();
+    let (first, second) = (relays.open_session(&s2), relays.open_session(&s2));
+    wanted(&mut relays);
+    ask(&world, &mut relays, first, set("a"));
+    ask(&world, &mut relays, first, run("1"));
+    let opened = wanted(&mut relays).opened;
+    let [connection] = opened[..] else { panic!("{opened:?}") };
+    let sent = accept(&world, &mut relays, &opened).sent;
+    assert_eq!(sent, [(connection, set("a"))], "the work waits for the preparation");
+    end_answer(&world, &mut relays, connection, SessionState::Idle);
+    assert_eq!(wanted(&mut relays).sent, [(connection, run("1"))]);
+    end_answer(&world, &mut relays, connection, SessionState::Idle);
+    let answers = wanted(&mut relays).answers;
+    assert!(is_ready_in(&answers[&first], SessionState::Idle), "{answers:?}");
+    // The other session never set the value, so the connection must not have it.
+    ask(&world, &mut relays, second, run("2"));
+    assert_eq!(wanted(&mut relays).sent, [(connection, Command::Clear)]);
+    end_answer(&world, &mut relays, connection, SessionState::Idle);
+    assert_eq!(wanted(&mut relays).sent, [(connection, run("2"))]);
+}
+
+#[test]
+fn test_prepared_statement_is_given_to_each_connection_once() {
+    let world = crowded();
+    let mut relays = Relays::new(log());
+    let session = relays.open_session(&"s2".into());
+    let shape = Shape { access: Access::Read, text: "READ q".into() };
+    let prepare = Command::Prepare { handle: 7, shape: shape.clone() };
+    let execute = |tag: &str| Command::Run {
+        tag: tag.into(),
+        work: Work::Prepared { shape: shape.clone(), arguments: "1".into() },
+        handle: Some(7),
+        floor: None,
+    };
+    ask(&world, &mut relays, session, prepare.clone());
+    ask(&world, &mut relays, session, execute("1"));
+    let opened = wanted(&mut relays).opened;
+    let connection = opened[0];
+    assert_eq!(accept(&world, &mut relays, &opened).sent, [(connection, prepare)]);
+    end_answer(&world, &mut relays, connection, SessionState::Idle);
+    end_answer(&world, &mut relays, connection, SessionState::Idle);
+    wanted(&mut relays);
+    ask(&world, &mut relays, session, execute("2"));
+    assert_eq!(wanted(&mut relays).sent, [(connection, execute("2"))]);
+}
+
+#[test]
+fn test_transaction_keeps_its_connection_and_is_rolled_back_with_its_session() {
+    let world = crowded();
+    let mut relays = Relays::new(log());
+    let session = relays.open_session(&"s2".into());
+    let begin = Command::Begin { read_only: false, floor: None };
+    ask(&world, &mut relays, session, begin.clone());
+    ask(&world, &mut relays, session, run("1"));
+    let opened = wanted(&mut relays).opened;
+    let connection = opened[0];
+    let sent = accept(&world, &mut relays, &opened).sent;
+    assert_eq!(sent, [(connection, begin)], "the work waits for the beginning");
+    end_answer(&world, &mut relays, connection, SessionState::Transaction);
+    assert_eq!(wanted(&mut relays).sent, [(connection, run("1"))]);
+    end_answer(&world, &mut relays, connection, SessionState::Transaction);
+    let other = relays.open_session(&"s2".into());
+    ask(&world, &mut relays, other, run("2"));
+    let second = wanted(&mut relays).opened;
+    assert_eq!(second.len(), 1, "another session gets another connection");
+    relays.end_session(world.context(), session);
+    assert_eq!(wanted(&mut relays).sent, [(connection, Command::Rollback)]);
+    end_answer(&world, &mut relays, connection, SessionState::Idle);
+    let sent = wanted(&mut relays).sent;
+    assert_eq!(sent, [(connection, run("2"))], "after the rollback it serves the next");
+}
+
+#[test]
+fn test_refused_beginning_runs_nothing_behind_it() {
+    let world = crowded();
+    let mut relays = Relays::new(log());
+    let session = relays.open_session(&"s2".into());
+    let begin = Command::Begin { read_only: true, floor: Some(position(1, 9)) };
+    ask(&world, &mut relays, session, begin);
+    ask(&world, &mut relays, session, run("1"));
+    let opened = wanted(&mut relays).opened;
+    accept(&world, &mut relays, &opened);
+    let failure = Failure::new(FailureKind::Lagging, "behind");
+    relays.pooled_message(world.context(), opened[0], UpstreamMessage::Error(failure), None);
+    let ready = UpstreamMessage::Ready { state: SessionState::Idle, position: None };
+    relays.pooled_message(world.context(), opened[0], ready, None);
+    let wanted = wanted(&mut relays);
+    assert_eq!(wanted.sent, []);
+    assert_eq!(failure_of(&wanted.answers[&session]), Some(FailureKind::Lagging));
+    assert!(is_ready_in(&wanted.answers[&session], SessionState::Idle));
+}
+
+/// More work than the server does at a time: the urgent waits for one
+/// statement, and what has waited too long is refused without being run.
+#[test]
+fn test_urgent_work_goes_first_and_late_work_is_refused_unrun() {
+    let mut world = crowded();
+    let mut relays = Relays::new(log());
+    let sessions: Vec<RelaySessionId> =
+        (0..12).map(|_| relays.open_session(&"s2".into())).collect();
+    for (index, session) in sessions.iter().enumerate() {
+        ask(&world, &mut relays, *session, run(&format!("usual-{index}")));
+    }
+    let mut running = Vec::new();
+    let mut opened = 0;
+    loop {
+        let step = wanted(&mut relays);
+        opened += step.opened.len();
+        running.extend(step.sent.into_iter().map(|(id, _)| id));
+        if step.opened.is_empty() {
+            break;
+        }
+        let step = accept(&world, &mut relays, &step.opened);
+        running.extend(step.sent.into_iter().map(|(id, _)| id));
+        relays.tick(world.context());
+    }
+    assert_eq!(running.len(), 3, "the server's two slots and one statement more");
+    assert_eq!(opened, 3, "an opening takes a slot, so none is opened in vain");
+    let urgent = relays.open_session(&"s2".into());
+    relays.execute(world.context(), urgent, run("urgent"), terms(1));
+    assert_eq!(wanted(&mut relays).sent, []);
+    end_answer(&world, &mut relays, running[0], SessionState::Idle);
+    assert_eq!(wanted(&mut relays).sent, [(running[0], run("urgent"))]);
+    world.pass(ms(600));
+    relays.tick(world.context());
+    let late = wanted(&mut relays);
+    assert_eq!(late.sent, []);
+    let refused = late.answers.values().filter(|a| failure_of(a) == Some(FailureKind::Busy));
+    assert_eq!(refused.count(), 9, "all that was not sent");
+    for id in running {
+        end_answer(&world, &mut relays, id, SessionState::Idle);
+    }
+    assert_eq!(wanted(&mut relays).sent, [], "what was refused never runs");
+}
+
+#[test]
+fn test_broken_connection_is_told_by_whether_the_work_was_sent() {
+    let world = crowded();
+    let mut relays = Relays::new(log());
+    let (sent, unsent) = (relays.open_session(&"s2".into()), relays.open_session(&"s2".into()));
+    ask(&world, &mut relays, sent, run("1"));
+    let opened = wanted(&mut relays).opened;
+    accept(&world, &mut relays, &opened);
+    relays.lost(world.context(), opened[0], Loss::Closed);
+    assert_eq!(wanted(&mut relays).ended, [sent], "nobody knows whether it ran");
+    ask(&world, &mut relays, unsent, set("a"));
+    ask(&world, &mut relays, unsent, run("2"));
+    let opened = wanted(&mut relays).opened;
+    accept(&world, &mut relays, &opened);
+    relays.lost(world.context(), opened[0], Loss::Closed);
+    let wanted = wanted(&mut relays);
+    assert_eq!(wanted.ended, []);
+    assert_eq!(failure_of(&wanted.answers[&unsent]), Some(FailureKind::Busy));
+}
+
+#[test]
+fn test_retiring_primary_is_left_by_relayed_work_too() {
+    let mut world = crowded();
+    let mut engine = engine();
+    engine.group_changed(world.context(), &group());
+    let s1: ServerId = "s1".into();
+    let (running, waiting) = (engine.relays.open_session(&s1), engine.relays.open_session(&s1));
+    engine.relays.execute(world.context(), running, run("1"), terms(2));
+    let opened = wanted(&mut engine.relays).opened;
+    accept(&world, &mut engine.relays, &opened);
+    engine.relays.execute(world.context(), waiting, run("2"), terms(2));
+    wanted(&mut engine.relays);
+    world.record(2, Phase::Changing, "s1");
+    world.refresh();
+    engine.group_changed(world.context(), &group());
+    let refused = wanted(&mut engine.relays);
+    assert_eq!(failure_of(&refused.answers[&waiting]), Some(FailureKind::Busy));
+    let is_stopped = |engine: &mut masticreel_proxy::engine::Engine| {
+        let actions = engine.take_actions();
+        actions.iter().any(|action| matches!(action, Action::Stopped { epoch: 2, .. }))
+    };
+    assert!(!is_stopped(&mut engine), "work is still with the old primary");
+    world.pass(ms(160));
+    engine.tick(world.context());
+    let left = wanted(&mut engine.relays);
+    assert_eq!((left.closed, left.ended), (opened, vec![running]));
+    assert!(is_stopped(&mut engine));
+    engine.relays.execute(world.context(), waiting, run("3"), terms(2));
+    engine.tick(world.context());
+    assert_eq!(wanted(&mut engine.relays).opened, [], "nobody goes back to it");
+}
+
+/// An entry instance tries the owner, then the next, then the server itself.
+#[test]
+fn test_entry_goes_round_an_owner_that_does_not_answer() {
+    let mut world = crowded();
+    world.document(Consistency::Latest);
+    world.refresh();
+    let mut engine = engine();
+    engine.group_changed(world.context(), &group());
+    let caller = CallerId(1);
+    engine.open_session(world.context(), caller, "db".into()).expect("known");
+    let ranked = owners(&world.view, &server(&world, "s1"));
+    engine.request(world.context(), caller, "t".into(), read("a"));
+    for owner in [Some(&ranked[0]), Some(&ranked[1]), None] {
+        let connection = path_to_primary(&mut engine, owner);
+        engine.connection_lost(world.context(), connection, Loss::Silent);
+        world.pass(ms(25));
+        engine.tick(world.context());
+    }
+}
+
+/// The owner's word that it can't reach the server is a true "not run": the
+/// write is tried again, on the direct way.
+#[test]
+fn test_write_that_the_owner_could_not_pass_on_runs_directly() {
+    let mut world = crowded();
+    let mut engine = engine();
+    engine.group_changed(world.context(), &group());
+    let caller = CallerId(1);
+    engine.open_session(world.context(), caller, "db".into()).expect("known");
+    engine.request(world.context(), caller, "t".into(), write("a"));
+    let owner = owners(&world.view, &server(&world, "s1"))[0].clone();
+    let connection = path_to_primary(&mut engine, Some(&owner));
+    let ready = UpstreamMessage::Ready { state: SessionState::Idle, position: None };
+    engine.upstream_message(world.context(), connection, ready, None);
+    let sent = engine
+        .take_actions()
+        .into_iter()
+        .any(|action| matches!(action, Action::Send(id, Command::Run { .. }) if id == connection));
+    assert!(sent);
+    engine.unreachable(world.context(), connection);
+    world.pass(Duration::from_millis(60));
+    engine.tick(world.context());
+    path_to_primary(&mut engine, None);
+}
+
+#[test]
+fn test_sessions_leave_an_owner_that_was_told_to_stop() {
+    let mut world = crowded();
+    let mut engine = engine();
+    engine.group_changed(world.context(), &group());
+    let caller = CallerId(1);
+    engine.open_session(world.context(), caller, "db".into()).expect("known");
+    engine.request(world.context(), caller, "t".into(), read("a"));
+    let owner = owners(&world.view, &server(&world, "s1"))[0].clone();
+    let connection = path_to_primary(&mut engine, Some(&owner));
+    let ready = UpstreamMessage::Ready { state: SessionState::Idle, position: None };
+    engine.upstream_message(world.context(), connection, ready, None);
+    support::complete(&world, &mut engine, connection, SessionState::Idle, Some(position(1, 5)));
+    for _ in 0..4 {
+        // Lets the connections that are opened ahead of need be opened.
+        world.pass(ms(400));
+        engine.tick(world.context());
+    }
+    support::wanted(&mut engine);
+    let leaving =
+        MemberRecord { is_leaving: true, ..world.view.member(&owner).cloned().expect("a member") };
+    world.put(&member_key(&owner), &leaving);
+    world.refresh();
+    engine.tick(world.context());
+    assert_eq!(support::wanted(&mut engine).disconnects, [connection]);
+    engine.request(world.context(), caller, "u".into(), read("a"));
+    let next = owners(&world.view, &server(&world, "s1"))[0].clone();
+    assert_ne!(next, owner);
+    path_to_primary(&mut engine, Some(&next));
+}
+
+/// Returns the connection that is opened to the primary, over the expected path.
+fn path_to_primary(
+    engine: &mut masticreel_proxy::engine::Engine,
+    expected: Option<&InstanceId>,
+) -> masticreel_proxy::connections::ConnectionId {
+    let actions = engine.take_actions();
+    let opened = actions.into_iter().find_map(|action| match action {
+        Action::Connect { connection, via, server, .. } if server == "s1".into() => {
+            Some((connection, via))
+        }
+        _ => None,
+    });
+    let (connection, via) = opened.expect("a connection is opened");
+    assert_eq!(via.as_ref(), expected);
+    connection
+}
