mirror: one watcher of the store in each failure domain

Change: one watcher a domain, the one with the widest link. The second was for the loss of the first; a follower whose source fails asks the store itself anyway, and takes the next watcher once the lease of the first has ended. test_two_live_members_of_a_domain_watch_the_store fixed the number two; it is replaced by test_widest_live_member_of_a_domain_watches_the_store, which checks the choice by lease, link and leaving.

--- a/lib/proxy/src/mirror.rs
+++ b/lib/proxy/src/mirror.rs
@@ -1,8 +1,8 @@
 //! What an instance that watches the store passes on to others.
 //!
 //! All instances watching the store would cost calls in proportion to their
-//! number. So a few of each failure domain watch it, and the others ask one of
-//! them the same questions. An answer says how old it is, so that nobody takes
+//! number. So one of each failure domain watches it, and the others ask that one
+//! the same questions. An answer says how old it is, so that nobody takes
 //! it for newer than it was. See `docs/design/11-relays.md`.
 
 use std::cmp::Reverse;
@@ -18,10 +18,10 @@
 
 /// Changes that are kept for followers that are behind.
 const HISTORY_LIMIT: usize = 4096;
-/// Instances of one failure domain that watch the store themselves: two, so
-/// that the loss of one leaves the others a second one. Those with the widest
-/// links, since each change goes over them once for each follower.
-const WATCHERS_PER_DOMAIN: usize = 2;
+/// Instances of one failure domain that watch the store themselves: the one
+/// with the widest link, since each change goes over it once for each follower.
+/// Where it fails, its followers ask the store until its lease has ended.
+const WATCHERS_PER_DOMAIN: usize = 1;
 
 /// The store's items, and the changes since a revision.
 #[derive(Debug, Default)]
--- a/lib/proxy/tests/test_mirror.rs
+++ b/lib/proxy/tests/test_mirror.rs
@@ -57,7 +57,7 @@
 }
 
 #[test]
-fn test_two_live_members_of_a_domain_watch_the_store() {
+fn test_widest_live_member_of_a_domain_watches_the_store() {
     let mut world = World::serving();
     for index in 1..=40_u64 {
         let instance = format!("proxy-{index:02}");
@@ -71,9 +71,20 @@
         };
         world.put(&member_key(&instance.as_str().into()), &record);
     }
+    let names = |world: &World| -> Vec<String> {
+        watchers(&world.view, &"east".into()).iter().map(ToString::to_string).collect()
+    };
     world.remove("masticreel/live/proxy-02");
     world.refresh();
-    let names: Vec<String> =
-        watchers(&world.view, &"east".into()).iter().map(ToString::to_string).collect();
-    assert_eq!(names, ["proxy-04", "proxy-06"], "proxy-02 has no lease");
+    assert_eq!(names(&world), ["proxy-04"], "proxy-02 has no lease");
+    let key = member_key(&"proxy-38".into());
+    let mut wide = world.view.member(&"proxy-38".into()).cloned().expect("a member");
+    wide.capacity.link_kbps = 200_000;
+    world.put(&key, &wide);
+    world.refresh();
+    assert_eq!(names(&world), ["proxy-38"], "it has the widest link");
+    wide.is_leaving = true;
+    world.put(&key, &wide);
+    world.refresh();
+    assert_eq!(names(&world), ["proxy-04"], "proxy-38 was told to stop");
 }
