relays: keep owners over a power failure; less work at each wake-up

Change: the fleet's size counts members, whose records outlive their leases; while most leases are gone the owners are chosen among all members; an owner whose process is not running is tried again after 0.2 s; a former owner closes its pool; an instance opens one connection at most round an owner. Whom to ask is found out only when a call is due, missing leases are counted each 0.1 s, the history and the doubts are searched by their order.

Tests: test_owner_stays_the_same_while_all_come_back, test_former_owner_keeps_no_connections.

--- a/lib/proxy/src/coordinator/duty.rs
+++ b/lib/proxy/src/coordinator/duty.rs
@@ -15,6 +15,8 @@
 
 /// What must be left of the lease for the duty to count as held.
 const DUTY_RESERVE: Duration = Duration::from_millis(500);
+/// How often an instance looks which of the members are without their leases.
+const COUNTING_INTERVAL: Duration = Duration::from_millis(100);
 /// Spreads the attempts of all instances to take a vacant duty.
 const VACANCY_SPREAD_MS: u64 = 400;
 
@@ -65,9 +67,10 @@
 
     /// Notes since when members have been without their leases.
     pub(super) fn note_silent_members(&mut self, view: &StoreView, now: Moment) {
-        if view.confirmed_at().is_none() {
+        if view.confirmed_at().is_none() || now.since(self.counted_at) < COUNTING_INTERVAL {
             return;
         }
+        self.counted_at = now;
         self.silent_members
             .retain(|instance, _| view.member(instance).is_some() && !view.is_live(instance));
         for (instance, _) in view.members() {
--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -156,13 +156,12 @@
     /// Creates an engine without callers.
     pub fn new(settings: EngineSettings, log: Logger, metrics: Metrics) -> Self {
         Self {
-            settings,
             metrics,
             callers: HashMap::new(),
             active: BTreeSet::new(),
             connections: Connections::default(),
             paths: Paths::default(),
-            relays: Relays::new(log.clone()),
+            relays: Relays::new(settings.instance.clone(), log.clone()),
             doubted: BTreeSet::new(),
             groups: BTreeMap::new(),
             route_paces: HashMap::new(),
@@ -170,6 +169,7 @@
             warmed: BTreeSet::new(),
             warm_at: Moment::default(),
             actions: Vec::new(),
+            settings,
             log,
         }
     }
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -203,7 +203,7 @@
                     .server(&connection.server)
                     .is_some_and(|server| relays::is_relayed(context.view, server));
                 let is_left =
-                    connection.via.as_ref().is_some_and(|owner| !context.view.is_willing(owner));
+                    connection.via.as_ref().is_some_and(|owner| !context.view.may_own(owner));
                 let lifetime = match (&connection.via, at_rest) {
                     (Some(_), _) => IDLE_LIFETIME,
                     (None, 0) => LENT_LIFETIME,
--- a/lib/proxy/src/engine/paths.rs
+++ b/lib/proxy/src/engine/paths.rs
@@ -10,6 +10,7 @@
 use super::{Action, Context, Engine};
 use crate::connections::ConnectionId;
 use crate::directory::Server;
+use crate::engine::releases::Loss;
 use crate::moment::Moment;
 use crate::pace::Pace;
 use crate::relays::{self, RelayTerms};
@@ -19,6 +20,9 @@
 const OWNERS_TRIED: usize = 2;
 /// How long an owner that did not answer is not tried again.
 const OWNER_REST: Duration = Duration::from_secs(3);
+/// How long an owner whose process is not running is not tried again; processes
+/// that end are started again at once.
+const OWNER_RESTART: Duration = Duration::from_millis(200);
 /// How long a server that its owner can't reach is tried directly.
 const DIRECT_TIME: Duration = Duration::from_secs(2);
 /// How long an owner may take to accept a session.
@@ -58,9 +62,10 @@
     }
 
     /// Follows the failure of an owner to accept a session.
-    pub(super) fn owner_failed(&mut self, context: Context<'_>, owner: &InstanceId) {
+    pub(super) fn owner_failed(&mut self, context: Context<'_>, owner: &InstanceId, loss: Loss) {
+        let rest = if loss == Loss::Refused { OWNER_RESTART } else { OWNER_REST };
         let is_known = self.paths.avoided.get(owner).is_some_and(|until| context.now < *until);
-        self.paths.avoided.insert(owner.clone(), context.now + OWNER_REST);
+        self.paths.avoided.insert(owner.clone(), context.now + rest);
         if !is_known {
             info!(self.log, "owner of servers does not answer"; "owner" => %owner);
         }
--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -25,6 +25,9 @@
 /// Connections to a server that an instance opens for its work of the moment
 /// where it can't keep one at rest.
 const LENT_CONNECTIONS: usize = 3;
+/// Connections that an instance opens itself to a server whose owner can't reach
+/// it; all instances may do so at the same time.
+const UNOWNED_CONNECTIONS: usize = 1;
 /// Sessions that an instance keeps with the owner of a server's connections;
 /// they cost the server nothing.
 const RELAYED_SESSIONS: usize = 16;
@@ -285,7 +288,10 @@
             return RELAYED_SESSIONS;
         }
         let at_rest = connections_at_rest(context, &server.group);
-        if at_rest == 0 || relays::is_relayed(context.view, server) {
+        if relays::is_relayed(context.view, server) {
+            return UNOWNED_CONNECTIONS;
+        }
+        if at_rest == 0 {
             return LENT_CONNECTIONS;
         }
         let limit = connection_limit(context, &server.group).saturating_sub(SPARE_CONNECTIONS);
--- a/lib/proxy/src/engine/releases.rs
+++ b/lib/proxy/src/engine/releases.rs
@@ -34,7 +34,7 @@
                 "caller" => connection.owner.map(|owner| owner.to_string()));
         }
         if let Some(owner) = connection.via.as_ref().filter(|_| !connection.is_open) {
-            self.owner_failed(context, owner);
+            self.owner_failed(context, owner, loss);
             self.try_other_path(context, &server);
         } else if !connection.is_open {
             let health = self.connections.health(&server);
--- a/lib/proxy/src/event_loop/links.rs
+++ b/lib/proxy/src/event_loop/links.rs
@@ -42,6 +42,10 @@
 {
     /// Makes the calls of the store that are due.
     pub(super) fn call_store(&mut self) {
+        // Whom to ask is found out among all members, so not at each wake-up.
+        if !self.link.is_due(self.now) {
+            return;
+        }
         let via = self.followed_address();
         if let Some(call) = self.link.next_call(&self.view, self.now, via.is_some()) {
             self.start_call(StoreUse::Link, call, via);
--- a/lib/proxy/src/event_loop/store_link.rs
+++ b/lib/proxy/src/event_loop/store_link.rs
@@ -90,9 +90,14 @@
         view.confirmed_at().is_none_or(|at| now.since(at) > STALE_AGE)
     }
 
+    /// Returns whether a call is due.
+    pub fn is_due(&self, now: Moment) -> bool {
+        !self.is_waiting && now >= self.not_before
+    }
+
     /// Returns the next call, none while one is under way.
     pub fn next_call(&mut self, view: &StoreView, now: Moment, follows: bool) -> Option<StoreCall> {
-        if self.is_waiting || now < self.not_before {
+        if !self.is_due(now) {
             return None;
         }
         self.is_waiting = true;
--- a/lib/proxy/src/mirror.rs
+++ b/lib/proxy/src/mirror.rs
@@ -90,12 +90,9 @@
                 Some(StoreAnswer::HistoryGone)
             }
             StoreCall::Watch { after, .. } => {
-                let events: Vec<StoreEvent> = self
-                    .history
-                    .iter()
-                    .filter(|(revision, _)| revision > after)
-                    .map(|(_, event)| event.clone())
-                    .collect();
+                let first = self.history.partition_point(|(revision, _)| revision <= after);
+                let news = self.history.range(first..);
+                let events: Vec<StoreEvent> = news.map(|(_, event)| event.clone()).collect();
                 if events.is_empty() && may_wait {
                     return None;
                 }
--- a/lib/proxy/src/relays.rs
+++ b/lib/proxy/src/relays.rs
@@ -180,11 +180,15 @@
     open_after: Moment,
     answered_at: Moment,
     pace: Pace,
+    /// Whether this instance owned the server at the last look.
+    is_owned: bool,
+    looked_at: Moment,
 }
 
 /// The servers whose connections this instance owns.
 #[derive(Debug)]
 pub struct Relays {
+    instance: InstanceId,
     log: Logger,
     sessions: HashMap<RelaySessionId, Session>,
     pooled: BTreeMap<PooledId, Pooled>,
@@ -196,8 +200,9 @@
 
 impl Relays {
     /// Creates an owner of nothing.
-    pub fn new(log: Logger) -> Self {
+    pub fn new(instance: InstanceId, log: Logger) -> Self {
         Self {
+            instance,
             log,
             sessions: HashMap::new(),
             pooled: BTreeMap::new(),
@@ -234,7 +239,7 @@
 /// Returns whether statements for a server go through the owner of its
 /// connections.
 pub fn is_relayed(view: &StoreView, server: &Server) -> bool {
-    view.live_count() > server.slots * RELAY_RATIO
+    view.fleet_size() > server.slots * RELAY_RATIO
 }
 
 /// Returns the instances that stay by their claim to a server's connections, the
@@ -244,19 +249,19 @@
 /// server has two owners for a moment, which costs connections but breaks
 /// nothing.
 pub fn owners(view: &StoreView, server: &Server) -> Vec<InstanceId> {
-    let capacity = |instance: &InstanceId| {
-        view.member(instance).map_or(0, |member| member.capacity.processor_millicores)
-    };
-    let widest = view.live().map(&capacity).max().unwrap_or_default();
-    let mut ranked: Vec<_> = view
-        .live()
-        .filter(|instance| view.is_willing(instance))
-        .filter_map(|instance| {
-            let member = view.member(instance)?;
+    let willing = || view.members().filter(|(instance, _)| view.may_own(instance));
+    let widest = willing()
+        .map(|(_, member)| member.value.capacity.processor_millicores)
+        .max()
+        .unwrap_or_default();
+    let mut ranked: Vec<_> = willing()
+        .map(|(instance, member)| {
+            let member = &member.value;
             let is_far = member.domain.as_ref() != Some(&server.domain);
-            let is_narrow = capacity(instance).saturating_mul(CAPABLE_PART) < widest;
+            let millicores = member.capacity.processor_millicores;
+            let is_narrow = millicores.saturating_mul(CAPABLE_PART) < widest;
             let claim = xxhash(server.id.as_str(), instance.as_str());
-            Some((is_far, is_narrow, claim, instance))
+            (is_far, is_narrow, claim, instance)
         })
         .collect();
     ranked.sort();
--- a/lib/proxy/src/relays/pool.rs
+++ b/lib/proxy/src/relays/pool.rs
@@ -13,7 +13,9 @@
 use crate::moment::Moment;
 use crate::protocol::UpstreamMessage;
 use crate::records::{DoubtKind, Phase};
-use crate::relays::{Pooled, PooledId, RelayAction, RelayAnswer, RelaySessionId, Relays, idle};
+use crate::relays::{
+    Pooled, PooledId, RelayAction, RelayAnswer, RelaySessionId, Relays, idle, owners,
+};
 use crate::statement::{Command, Failure, Role, ServerStatus, SessionState};
 
 /// Statements beyond a server's slots that are sent to it, so that a slot does
@@ -26,6 +28,8 @@
 /// the next owner, since a server holds those of a machine that lost its power
 /// for seconds.
 const OWNER_PART: usize = 2;
+/// How often an instance looks whether it still owns a server.
+const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(500);
 /// How long connections beyond those at rest are kept.
 const SPARE_LIFETIME: Duration = Duration::from_millis(1000);
 /// A server that answers nothing for this long while work is with it is tried
@@ -43,6 +47,7 @@
     /// Does what is due.
     pub fn tick(&mut self, context: Context<'_>) {
         self.expire_waiting(context);
+        self.look_at_ownership(context);
         self.expire_connections(context);
         let servers: Vec<ServerId> = self
             .pools
@@ -438,12 +443,26 @@
         }
     }
 
+    /// Looks from time to time which servers this instance owns.
+    fn look_at_ownership(&mut self, context: Context<'_>) {
+        for (server, pool) in &mut self.pools {
+            if context.now.since(pool.looked_at) >= OWNERSHIP_INTERVAL {
+                pool.looked_at = context.now;
+                pool.is_owned = context
+                    .view
+                    .server(server)
+                    .is_some_and(|s| owners(context.view, s).first() == Some(&self.instance));
+            }
+        }
+    }
+
     fn expire_connections(&mut self, context: Context<'_>) {
         let mut unused = Vec::new();
         let mut lost = Vec::new();
         let mut silent = Vec::new();
         for (server, pool) in &self.pools {
             let slots = context.view.server(server).map_or(0, |server| server.slots);
+            let at_rest = if pool.is_owned { slots + CONNECTIONS_BEYOND_SLOTS } else { 0 };
             let mut idle = 0;
             for id in &pool.connections {
                 let Some(pooled) = self.pooled.get(id) else {
@@ -452,8 +471,8 @@
                 let waits = context.now.since(pooled.sent_at);
                 if is_idle(pooled) {
                     idle += 1;
-                    let is_spare = idle > slots + CONNECTIONS_BEYOND_SLOTS
-                        && context.now.since(pooled.idle_since) > SPARE_LIFETIME;
+                    let is_spare =
+                        idle > at_rest && context.now.since(pooled.idle_since) > SPARE_LIFETIME;
                     if is_spare || is_unwanted(context, pooled) {
                         unused.push(*id);
                     }
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -134,12 +134,28 @@
         self.live.contains_key(instance)
     }
 
+    /// Returns how many instances there are, with those that are restarting.
+    pub fn fleet_size(&self) -> usize {
+        self.live.len().max(self.members.len())
+    }
+
     /// Returns whether an instance does work for others: it renews its lease and
     /// was not told to stop.
     pub fn is_willing(&self, instance: &InstanceId) -> bool {
         self.is_live(instance) && self.member(instance).is_some_and(|member| !member.is_leaving)
     }
 
+    /// Returns whether an instance may own servers' connections.
+    ///
+    /// While most leases are gone, as after a power failure, an instance without
+    /// one is about to come back; without it all servers would get other owners
+    /// for a moment.
+    pub fn may_own(&self, instance: &InstanceId) -> bool {
+        let is_coming_back = self.live.len() * 2 < self.members.len();
+        self.is_willing(instance)
+            || (is_coming_back && self.member(instance).is_some_and(|member| !member.is_leaving))
+    }
+
     /// Returns where an instance is reached.
     pub fn address_of(&self, instance: &InstanceId) -> Option<SocketAddr> {
         self.member(instance)?.address
@@ -150,9 +166,10 @@
         &'a self,
         group: &'a GroupId,
     ) -> impl Iterator<Item = (&'a InstanceId, &'a DoubtRecord)> {
+        let first = (group.clone(), InstanceId::from(""));
         self.doubts
-            .iter()
-            .filter(move |((of, _), _)| of == group)
+            .range(first..)
+            .take_while(move |((of, _), _)| of == group)
             .map(|((_, instance), doubt)| (instance, &doubt.value))
     }
 
--- a/lib/proxy/tests/test_relays.rs
+++ b/lib/proxy/tests/test_relays.rs
@@ -17,7 +17,7 @@
 use masticreel_proxy::statement::{
     Access, Command, Failure, FailureKind, SessionState, Shape, Work,
 };
-use support::{World, engine, group, log, ms, position, read, write};
+use support::{OWN, World, engine, group, log, ms, position, read, write};
 
 /// Enough instances for servers of two slots to be relayed.
 const INSTANCES: u64 = 20;
@@ -154,7 +154,7 @@
 #[test]
 fn test_sessions_share_a_connection_without_sharing_values() {
     let world = crowded();
-    let mut relays = Relays::new(log());
+    let mut relays = Relays::new(OWN.into(), log());
     let s2: ServerId = "s2".into();
     let (first, second) = (relays.open_session(&s2), relays.open_session(&s2));
     wanted(&mut relays);
@@ -179,7 +179,7 @@
 #[test]
 fn test_prepared_statement_is_given_to_each_connection_once() {
     let world = crowded();
-    let mut relays = Relays::new(log());
+    let mut relays = Relays::new(OWN.into(), log());
     let session = relays.open_session(&"s2".into());
     let shape = Shape { access: Access::Read, text: "READ q".into() };
     let prepare = Command::Prepare { handle: 7, shape: shape.clone() };
@@ -204,7 +204,7 @@
 #[test]
 fn test_transaction_keeps_its_connection_and_is_rolled_back_with_its_session() {
     let world = crowded();
-    let mut relays = Relays::new(log());
+    let mut relays = Relays::new(OWN.into(), log());
     let session = relays.open_session(&"s2".into());
     let begin = Command::Begin { read_only: false, floor: None };
     ask(&world, &mut relays, session, begin.clone());
@@ -230,7 +230,7 @@
 #[test]
 fn test_refused_beginning_runs_nothing_behind_it() {
     let world = crowded();
-    let mut relays = Relays::new(log());
+    let mut relays = Relays::new(OWN.into(), log());
     let session = relays.open_session(&"s2".into());
     let begin = Command::Begin { read_only: true, floor: Some(position(1, 9)) };
     ask(&world, &mut relays, session, begin);
@@ -252,7 +252,7 @@
 #[test]
 fn test_urgent_work_goes_first_and_late_work_is_refused_unrun() {
     let mut world = crowded();
-    let mut relays = Relays::new(log());
+    let mut relays = Relays::new(OWN.into(), log());
     let sessions: Vec<RelaySessionId> =
         (0..12).map(|_| relays.open_session(&"s2".into())).collect();
     for (index, session) in sessions.iter().enumerate() {
@@ -293,7 +293,7 @@
 #[test]
 fn test_broken_connection_is_told_by_whether_the_work_was_sent() {
     let world = crowded();
-    let mut relays = Relays::new(log());
+    let mut relays = Relays::new(OWN.into(), log());
     let (sent, unsent) = (relays.open_session(&"s2".into()), relays.open_session(&"s2".into()));
     ask(&world, &mut relays, sent, run("1"));
     let opened = wanted(&mut relays).opened;
@@ -434,3 +434,43 @@
     assert_eq!(via.as_ref(), expected);
     connection
 }
+
+/// After a power failure the leases of all have ended, and the instances come
+/// back one after the other.
+#[test]
+fn test_owner_stays_the_same_while_all_come_back() {
+    let mut world = crowded();
+    let before = owners(&world.view, &server(&world, "s1"));
+    for number in 1..=INSTANCES {
+        world.remove(&live_key(&format!("proxy-{number}").as_str().into()));
+    }
+    let early: Vec<&InstanceId> = before.iter().rev().take(5).collect();
+    for instance in early {
+        world.put(&live_key(instance), &2);
+    }
+    world.refresh();
+    let s1 = server(&world, "s1");
+    assert!(is_relayed(&world.view, &s1), "the others are about to come back");
+    assert_eq!(owners(&world.view, &s1), before);
+}
+
+#[test]
+fn test_former_owner_keeps_no_connections() {
+    let mut world = crowded();
+    let s1 = server(&world, "s1");
+    let mut relays = Relays::new(owners(&world.view, &s1)[0].clone(), log());
+    let session = relays.open_session(&"s1".into());
+    ask(&world, &mut relays, session, run("1"));
+    let opened = wanted(&mut relays).opened;
+    accept(&world, &mut relays, &opened);
+    end_answer(&world, &mut relays, opened[0], SessionState::Idle);
+    relays.tick(world.context());
+    world.pass(ms(1500));
+    relays.tick(world.context());
+    assert_eq!(wanted(&mut relays).closed, [], "the owner keeps it for the next statement");
+    join(&mut world, "proxy-40", "domain-1", 900);
+    world.refresh();
+    world.pass(ms(1500));
+    relays.tick(world.context());
+    assert_eq!(wanted(&mut relays).closed, opened, "proxy-40 owns the server now");
+}
