coordinator: go by the records that the store has acknowledged

Change: a record that the store acknowledges is noted with its revision at once.

Test: test_holder_without_news_of_the_store_completes_its_change (fails without the note).

--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -20,9 +20,9 @@
 use crate::moment::Moment;
 use crate::peers::PeerMessage;
 use crate::protocol::{PromoterAnswer, PromotionOrder};
-use crate::records::{DoubtKind, DoubtRecord, Placement, StoreAnswer, StoreCall};
+use crate::records::{DoubtKind, DoubtRecord, GroupRecord, Placement, StoreAnswer, StoreCall};
 use crate::statement::{Command, ServerStatus};
-use crate::store_view::StoreView;
+use crate::store_view::{StoreView, Versioned};
 
 /// What a call of the store is for. One call of each kind is under way at most.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -96,6 +96,9 @@
     placement: Placement,
     is_leaving: bool,
     asked_to_stop: BTreeMap<GroupId, SocketAddr>,
+    /// Records that the store has not answered for yet.
+    offered: HashMap<Purpose, (GroupId, GroupRecord)>,
+    written: Vec<(GroupId, Versioned<GroupRecord>)>,
     steps: Vec<Step>,
 }
 
@@ -131,6 +134,8 @@
             placement,
             is_leaving: false,
             asked_to_stop: BTreeMap::new(),
+            offered: HashMap::new(),
+            written: Vec::new(),
             steps: Vec::new(),
         }
     }
@@ -140,6 +145,14 @@
         std::mem::take(&mut self.steps)
     }
 
+    /// Returns the records that the store has taken since the last call.
+    ///
+    /// Their writer need not wait for a watch to show them, which may take long
+    /// where the store turns it away.
+    pub fn take_written(&mut self) -> Vec<(GroupId, Versioned<GroupRecord>)> {
+        std::mem::take(&mut self.written)
+    }
+
     /// Returns whether something is under way that wants frequent ticks.
     pub fn is_busy(&self) -> bool {
         !self.changes.is_empty()
@@ -227,6 +240,11 @@
         answer: Option<&StoreAnswer>,
     ) {
         self.in_flight.remove(purpose);
+        let offered = self.offered.remove(purpose);
+        if let (Some(StoreAnswer::Committed { revision }), Some((group, value))) = (answer, offered)
+        {
+            self.written.push((group, Versioned { revision: *revision, value }));
+        }
         match purpose {
             Purpose::Grant | Purpose::Renew => self.lease.answered(asked_at, now, answer),
             Purpose::Register if answer == Some(&StoreAnswer::LeaseGone) => self.lease.ended(),
--- a/lib/proxy/src/coordinator/change.rs
+++ b/lib/proxy/src/coordinator/change.rs
@@ -232,7 +232,11 @@
         let value = serde_json::to_vec(record).expect("a record is made of plain values");
         let expected = vec![condition, (key.clone(), revision)];
         let writes = vec![Write { key, value: Some(value), lease: None }];
-        self.call(now, purpose, StoreCall::Commit { expected, writes })
+        let is_called = self.call(now, purpose.clone(), StoreCall::Commit { expected, writes });
+        if is_called {
+            self.offered.insert(purpose, (group.clone(), record.clone()));
+        }
+        is_called
     }
 
     pub(super) fn record_written(
--- a/lib/proxy/src/event_loop/links.rs
+++ b/lib/proxy/src/event_loop/links.rs
@@ -180,6 +180,10 @@
                         "took_ms" => self.now.since(asked_at).as_millis());
                 }
                 self.coordinator.store_answered(self.now, asked_at, &purpose, answer.as_ref());
+                for (group, record) in self.coordinator.take_written() {
+                    let changes = self.view.written_record(&group, record);
+                    self.follow(changes);
+                }
                 self.coordinator.tick(&self.view, self.now);
             }
         }
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -320,6 +320,17 @@
         changes
     }
 
+    /// Notes a group's record that the store has taken from this instance.
+    pub fn written_record(
+        &mut self,
+        group: &GroupId,
+        record: Versioned<GroupRecord>,
+    ) -> Vec<Change> {
+        let mut changes = Vec::new();
+        self.note_record(group, record, &mut changes);
+        changes
+    }
+
     /// Keeps the record of the highest epoch.
     fn note_record(
         &mut self,
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -75,6 +75,8 @@
     pub revision: u64,
     pub now: Moment,
     pub view: StoreView,
+    /// Whether the instance sees nothing that the store shows.
+    pub is_blind: bool,
 }
 
 impl World {
@@ -85,6 +87,7 @@
             revision: 100,
             now: Moment::from_start(Duration::from_secs(1000)),
             view: StoreView::default(),
+            is_blind: false,
         }
     }
 
@@ -217,6 +220,9 @@
 
     /// Shows the instance the newest state.
     pub fn refresh(&mut self) {
+        if self.is_blind {
+            return;
+        }
         let items: Vec<Item> = self.items.values().cloned().collect();
         self.view.replace(&items, &self.store);
         self.view.confirm(self.now, self.revision);
@@ -312,6 +318,9 @@
                 };
                 let now = world.now;
                 coordinator.store_answered(now, now, &purpose, Some(&answer));
+                for (group, record) in coordinator.take_written() {
+                    world.view.written_record(&group, record);
+                }
                 world.refresh();
                 others.push(Step::Store(purpose, call));
             }
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -261,6 +261,20 @@
     assert_eq!(ordered_within(&mut world, &mut holder, ms(1000)), ["s2"]);
 }
 
+/// The store takes the holder's records, and its watches show them late or not
+/// at all: it goes by what was acknowledged.
+#[test]
+fn test_holder_without_news_of_the_store_completes_its_change() {
+    let mut world = World::serving();
+    let mut holder = holder(&mut world);
+    world.server("s1", Role::Primary, true);
+    world.refresh();
+    world.is_blind = true;
+    settle(&mut world, &mut holder);
+    holder.stopped(world.now, &group(), 2);
+    assert_eq!(ordered_within(&mut world, &mut holder, ms(1000)), ["s2"]);
+}
+
 #[test]
 fn test_new_primary_is_published_only_when_it_leads() {
     let mut world = World::serving();
