engine: a read keeps its turn at the owner of its server

Change: only a direct connection counts as silent while the server answers others.

Test: test_read_keeps_its_turn_at_the_owner (fails before).

--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -167,8 +167,11 @@
         };
         let is_read = caller.pending.as_ref().is_some_and(|p| p.work.access() == Access::Read)
             && matches!(caller.transaction, Transaction::None);
-        // Another connection may still work where this one went silent.
-        let is_lone = !is_silent && context.now.since(sent_at) > READ_SILENCE + STOP_GRACE;
+        // Another connection may still work where this one went silent. A read
+        // that waits at a server's owner has its turn there.
+        let is_lone = !is_silent
+            && connection.via.is_none()
+            && context.now.since(sent_at) > READ_SILENCE + STOP_GRACE;
         if is_old && is_read && (is_silent || is_lone) {
             self.break_off(context, on);
         }
--- a/lib/proxy/tests/test_relays.rs
+++ b/lib/proxy/tests/test_relays.rs
@@ -474,3 +474,34 @@
     relays.tick(world.context());
     assert_eq!(wanted(&mut relays).closed, opened, "proxy-40 owns the server now");
 }
+
+/// A read that waits for its turn at the owner keeps it, as long as the owner
+/// answers other work for the server.
+#[test]
+fn test_read_keeps_its_turn_at_the_owner() {
+    let mut world = crowded();
+    let mut engine = engine();
+    engine.group_changed(world.context(), &group());
+    let owner = owners(&world.view, &server(&world, "s1"))[0].clone();
+    let ready = UpstreamMessage::Ready { state: SessionState::Idle, position: None };
+    let connections: Vec<_> = [CallerId(1), CallerId(2)]
+        .into_iter()
+        .map(|caller| {
+            engine.open_session(world.context(), caller, "db".into()).expect("known");
+            engine.request(world.context(), caller, "t".into(), read("a"));
+            let connection = path_to_primary(&mut engine, Some(&owner));
+            engine.upstream_message(world.context(), connection, ready.clone(), None);
+            connection
+        })
+        .collect();
+    support::wanted(&mut engine);
+    world.pass(ms(400));
+    support::complete(&world, &mut engine, connections[0], SessionState::Idle, None);
+    for _ in 0..3 {
+        world.pass(ms(100));
+        world.refresh();
+        engine.tick(world.context());
+    }
+    let disconnects = support::wanted(&mut engine).disconnects;
+    assert!(!disconnects.contains(&connections[1]), "{disconnects:?}");
+}
