relays: refuse at once what would not have its turn in time

Change: each tick the owner reckons when each waiting command has its turn, from its place in the order, the slots and the mean time of a statement, and refuses at once, as not run, those whose turn would come after their patience.

Test: test_work_whose_turn_would_come_too_late_is_refused_at_once.

--- a/lib/proxy/src/relays/sessions.rs
+++ b/lib/proxy/src/relays/sessions.rs
@@ -144,18 +144,24 @@
         self.answer(id, idle());
     }
 
-    /// Refuses commands that have waited for as long as they may.
+    /// Refuses commands that have waited for as long as they may, and at once
+    /// those whose turn would not come before.
     pub(super) fn expire_waiting(&mut self, context: Context<'_>) {
-        let is_over = |session: &Session| {
-            session.waiting.as_ref().is_some_and(|waiting| context.now >= waiting.until)
-        };
-        let expired: Vec<RelaySessionId> = self
-            .sessions
-            .iter()
-            .filter(|(_, session)| is_over(session))
-            .map(|(id, _)| *id)
-            .collect();
-        for id in expired {
+        let mut hopeless = Vec::new();
+        for (server, pool) in self.pools.iter().filter(|(_, pool)| !pool.queue.is_empty()) {
+            let slots = context.view.server(server).map_or(1, |server| server.slots);
+            let mean = pool.pace.mean();
+            let order = pool.queue.in_order(context.now + pool.pace.usual());
+            for (index, id) in order.into_iter().enumerate() {
+                let turns = u32::try_from(index / slots).unwrap_or(u32::MAX);
+                let starts_at = context.now + mean.saturating_mul(turns);
+                let waiting = self.sessions.get(&id).and_then(|s| s.waiting.as_ref());
+                if waiting.is_some_and(|waiting| starts_at >= waiting.until) {
+                    hopeless.push(id);
+                }
+            }
+        }
+        for id in hopeless {
             self.stop_waiting(id);
             self.refuse(id, "not run: the server had no room in time");
             self.go_on(context, id);
--- a/lib/proxy/tests/test_relays.rs
+++ b/lib/proxy/tests/test_relays.rs
@@ -505,3 +505,28 @@
     let disconnects = support::wanted(&mut engine).disconnects;
     assert!(!disconnects.contains(&connections[1]), "{disconnects:?}");
 }
+
+/// A crowd at a server whose statements take 10 ms: what can't have its turn in
+/// time is told so at once, and keeps nobody else from it.
+#[test]
+fn test_work_whose_turn_would_come_too_late_is_refused_at_once() {
+    let mut world = crowded();
+    let mut relays = Relays::new(OWN.into(), log());
+    let first = relays.open_session(&"s2".into());
+    ask(&world, &mut relays, first, run("first"));
+    let opened = wanted(&mut relays).opened;
+    accept(&world, &mut relays, &opened);
+    world.pass(ms(10));
+    end_answer(&world, &mut relays, opened[0], SessionState::Idle);
+    wanted(&mut relays);
+    // 500 ms are 50 turns of two slots.
+    for index in 0..150 {
+        let session = relays.open_session(&"s2".into());
+        ask(&world, &mut relays, session, run(&format!("crowd-{index}")));
+    }
+    wanted(&mut relays);
+    relays.tick(world.context());
+    let answers = wanted(&mut relays).answers;
+    let refused = answers.values().filter(|a| failure_of(a) == Some(FailureKind::Busy)).count();
+    assert_eq!(refused, 150 - 1 - 100, "one runs, a hundred have their turn in time");
+}
