relays: leave direct connections once a server has an owner

Instances that had opened direct connections while the fleet was small went on using them for as long as traffic kept them from resting, beside the owner's: the server's connections were shared by both, and the owner ordered only a part of the work.

Change: a direct connection is closed when its work ends, if an owner of its server can be reached.

The log says when ownership changes.

--- a/lib/proxy/src/engine/releases.rs
+++ b/lib/proxy/src/engine/releases.rs
@@ -181,9 +181,17 @@
         let server = connection.server.clone();
         let group = connection.group.clone();
         let born_ms = connection.server_born_ms;
-        if !self.is_wanted(context, &group, &server, born_ms) {
+        let is_direct = connection.via.is_none();
+        // Traffic would keep a direct connection for ever, once the instances
+        // have come to outnumber what the server accepts.
+        let is_needless = is_direct
+            && context.view.server(&server).is_some_and(|s| self.path(context, s).is_some());
+        if is_needless || !self.is_wanted(context, &group, &server, born_ms) {
             self.connections.remove(id);
             self.actions.push(Action::Disconnect(id));
+            if is_needless {
+                self.pump(context, &group, true);
+            }
             return;
         }
         self.pump(context, &group, false);
--- a/lib/proxy/src/relays/pool.rs
+++ b/lib/proxy/src/relays/pool.rs
@@ -448,10 +448,18 @@
         for (server, pool) in &mut self.pools {
             if context.now.since(pool.looked_at) >= OWNERSHIP_INTERVAL {
                 pool.looked_at = context.now;
+                let was_owned = pool.is_owned;
                 pool.is_owned = context
                     .view
                     .server(server)
                     .is_some_and(|s| owners(context.view, s).first() == Some(&self.instance));
+                if pool.is_owned != was_owned {
+                    info!(self.log, "ownership of a server's connections changed";
+                        "server" => %server, "owned" => pool.is_owned,
+                        "connections" => pool.connections.len(),
+                        "waiting" => pool.queue.len(),
+                        "fleet" => context.view.fleet_size());
+                }
             }
         }
     }
--- a/lib/proxy/tests/test_relays.rs
+++ b/lib/proxy/tests/test_relays.rs
@@ -354,12 +354,18 @@
     engine.open_session(world.context(), caller, "db".into()).expect("known");
     let ranked = owners(&world.view, &server(&world, "s1"));
     engine.request(world.context(), caller, "t".into(), read("a"));
-    for owner in [Some(&ranked[0]), Some(&ranked[1]), None] {
-        let connection = path_to_primary(&mut engine, owner);
+    for owner in [&ranked[0], &ranked[1]] {
+        let connection = path_to_primary(&mut engine, Some(owner));
         engine.connection_lost(world.context(), connection, Loss::Silent);
         world.pass(ms(25));
         engine.tick(world.context());
     }
+    let connection = path_to_primary(&mut engine, None);
+    let sent = support::accept(&world, &mut engine, connection).sent;
+    assert!(
+        matches!(sent[..], [(id, Command::Run { .. })] if id == connection),
+        "the direct connection is used while no owner answers: {sent:?}"
+    );
 }
 
 /// The owner's word that it can't reach the server is a true "not run": the
