relays: log refusals at the owner and the path of served requests

Cause: a request that the owner of its server refused left no line there, and the line of a served one did not say through whom it ran.

--- a/lib/proxy/src/engine/outcomes.rs
+++ b/lib/proxy/src/engine/outcomes.rs
@@ -191,7 +191,9 @@
             self.route_paces.entry(Arc::clone(&route.name)).or_default().observe(sent);
             let sent_ms = sent.as_millis();
             info!(self.log, #SERVED, "request served"; "request" => %tag, "route" => %route.name,
-                "server" => %connection.server, "position" => position.map(|at| at.to_string()),
+                "server" => %connection.server,
+                "via" => connection.via.as_ref().map(|owner| owner.to_string()),
+                "position" => position.map(|at| at.to_string()),
                 "sample_ms_ago" => self.sample_ms_ago(context, &group),
                 "attempts" => attempts, "server_ms" => sent_ms, "took_ms" => took_ms);
         }
--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -442,6 +442,8 @@
             .map_or(-1, |at| i64::try_from(self.now.since(at).as_millis()).unwrap_or(i64::MAX));
         metrics.confirmed_ms_ago.set(confirmed);
         metrics.holds_duty.set(i64::from(self.coordinator.holds_duty(&self.view, self.now)));
+        metrics.relayed_waiting.set(gauge(self.engine.relays.waiting_commands()));
+        metrics.pooled_connections.set(gauge(self.engine.relays.pooled_connections()));
         let dropped = i64::try_from(self.buffer.dropped()).unwrap_or(i64::MAX);
         metrics.log_lines_dropped.set(dropped);
     }
--- a/lib/proxy/src/metrics.rs
+++ b/lib/proxy/src/metrics.rs
@@ -29,6 +29,10 @@
     pub confirmed_ms_ago: IntGauge,
     /// Whether this instance replaces primaries.
     pub holds_duty: IntGauge,
+    /// Commands of other instances that wait for a server's connection.
+    pub relayed_waiting: IntGauge,
+    /// Connections to servers that are held for other instances.
+    pub pooled_connections: IntGauge,
     /// Log lines that were dropped.
     pub log_lines_dropped: IntGauge,
 }
@@ -88,6 +92,14 @@
                 "Time since the store showed the newest records, in ms; -1 for never.",
             ),
             holds_duty: gauge("masticreel_holds_duty", "Whether it replaces primaries."),
+            relayed_waiting: gauge(
+                "masticreel_relayed_waiting",
+                "Commands of other instances that wait for a server's connection.",
+            ),
+            pooled_connections: gauge(
+                "masticreel_pooled_connections",
+                "Connections to servers held for other instances.",
+            ),
             log_lines_dropped: gauge("masticreel_log_lines_dropped", "Log lines dropped."),
             registry,
         }
--- a/lib/proxy/src/queue.rs
+++ b/lib/proxy/src/queue.rs
@@ -20,6 +20,13 @@
     arrival: u64,
 }
 
+impl Turn {
+    /// Returns how urgent the request is; the lower, the more.
+    pub fn urgency(self) -> u8 {
+        self.urgency
+    }
+}
+
 #[derive(Debug)]
 struct Waiting<Id> {
     id: Id,
--- a/lib/proxy/src/relays.rs
+++ b/lib/proxy/src/relays.rs
@@ -8,6 +8,7 @@
 //!
 //! Pure: messages and the time go in, [`RelayAction`]s come out.
 
+mod answers;
 mod pool;
 mod sessions;
 
@@ -129,6 +130,7 @@
 #[derive(Debug)]
 struct Waiting {
     command: Command,
+    since: Moment,
     until: Moment,
     turn: Turn,
 }
@@ -224,6 +226,16 @@
             || self.pooled.values().any(|pooled| pooled.session.is_some())
     }
 
+    /// Returns how many commands of other instances wait for a connection.
+    pub fn waiting_commands(&self) -> usize {
+        self.pools.values().map(|pool| pool.queue.len()).sum()
+    }
+
+    /// Returns how many connections this instance holds for other instances.
+    pub fn pooled_connections(&self) -> usize {
+        self.pooled.len()
+    }
+
     /// Returns whether any connection to a server is left.
     pub fn uses(&self, server: &ServerId) -> bool {
         self.pools.get(server).is_some_and(|pool| !pool.connections.is_empty())
--- a/lib/proxy/src/relays/sessions.rs
+++ b/lib/proxy/src/relays/sessions.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use masticreel_base::ids::ServerId;
+use slog::info;
 
 use crate::caller::SessionValues;
 use crate::connections::Expected;
@@ -115,7 +116,12 @@
         let pool = self.pools.entry(server.clone()).or_default();
         let wanted_by = context.now + terms.wanted_within;
         let turn = pool.queue.push(terms.urgency, id, wanted_by, terms.expected);
-        session.waiting = Some(Waiting { command, until: context.now + terms.patience, turn });
+        session.waiting = Some(Waiting {
+            command,
+            since: context.now,
+            until: context.now + terms.patience,
+            turn,
+        });
         self.pump(context, &server);
     }
 
@@ -162,12 +168,34 @@
             }
         }
         for id in hopeless {
-            self.stop_waiting(id);
-            self.refuse(id, "not run: the server had no room in time");
-            self.go_on(context, id);
+            self.refuse_waiting(context, id, "not run: the server had no room in time");
         }
     }
 
+    /// Refuses the command with which a session waits.
+    pub(super) fn refuse_waiting(
+        &mut self,
+        context: Context<'_>,
+        id: RelaySessionId,
+        reason: &'static str,
+    ) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        if let Some(Waiting { command: Command::Run { tag, .. }, since, until, turn }) =
+            &session.waiting
+        {
+            let waiting = self.pools.get(&session.server).map_or(0, |pool| pool.queue.len());
+            info!(self.log, "relayed request refused"; "request" => %tag,
+                "server" => %session.server, "reason" => reason, "urgency" => turn.urgency(),
+                "waited_ms" => context.now.since(*since).as_millis(),
+                "left_ms" => until.since(context.now).as_millis(), "waiting" => waiting);
+        }
+        self.stop_waiting(id);
+        self.refuse(id, reason);
+        self.go_on(context, id);
+    }
+
     /// Takes a session out of the queue of its server.
     pub(super) fn stop_waiting(&mut self, id: RelaySessionId) -> Option<Command> {
         let session = self.sessions.get_mut(&id)?;
