--- a/lib/proxy/src/relays/pool.rs
+++ b/lib/proxy/src/relays/pool.rs
@@ -11,9 +11,7 @@
 use crate::engine::{Context, Loss};
 use crate::moment::Moment;
 use crate::records::{DoubtKind, Phase};
-use crate::relays::{
-    Pooled, PooledId, RelayAction, RelayAnswer, RelaySessionId, Relays, idle, owners,
-};
+use crate::relays::{Pooled, PooledId, RelayAction, RelayAnswer, RelaySessionId, Relays, owners};
 use crate::statement::Command;
 
 /// Statements beyond a server's slots that are sent to it, so that a slot does
