proxy: one copy of preparing a connection and of reading a role

What gives a connection a session's values stood in the engine and in the relays, what takes a server's role from its answer three times. No change of behaviour; the tests of both pass as they are.

--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -11,7 +11,7 @@
 use crate::caller::{CallerId, SessionValues};
 use crate::moment::Moment;
 use crate::pace::Pace;
-use crate::statement::Failure;
+use crate::statement::{Command, Failure};
 
 /// Distinguishes the connections of one process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
@@ -95,11 +95,50 @@
     pub fn is_idle(&self) -> bool {
         self.is_open && !self.is_held && self.owner.is_none() && self.expected.is_empty()
     }
+}
+
+/// Returns whether values differ only by ones that can be added.
+fn can_add(known: &SessionValues, wanted: &SessionValues) -> bool {
+    known.keys().all(|name| wanted.contains_key(name))
+}
+
+/// Returns how much must be done until a connection has a session's values; the
+/// least is best.
+pub fn setup_cost(known: &SessionValues, wanted: &SessionValues) -> u8 {
+    if known == wanted {
+        0
+    } else if can_add(known, wanted) {
+        1
+    } else {
+        2
+    }
+}
 
-    /// Returns whether the values differ only by ones that can be added.
-    pub fn can_add_values(&self, wanted: &SessionValues) -> bool {
-        self.values.keys().all(|name| wanted.contains_key(name))
+/// Returns the commands that give a connection a session's values.
+///
+/// Values can't be taken back one by one, so a connection with others than
+/// wanted loses them all, and its prepared statements with them.
+pub fn adopt_values(
+    known: &mut SessionValues,
+    prepared: &mut HashSet<u64>,
+    wanted: &SessionValues,
+) -> Vec<Command> {
+    let mut commands = Vec::new();
+    if known == wanted {
+        return commands;
+    }
+    if !can_add(known, wanted) {
+        *known = SessionValues::default();
+        prepared.clear();
+        commands.push(Command::Clear);
     }
+    for (name, value) in wanted.iter() {
+        if known.get(name) != Some(value) {
+            commands.push(Command::Set { name: name.clone(), value: value.clone() });
+        }
+    }
+    *known = wanted.clone();
+    commands
 }
 
 /// What the instance knows of a server from its own traffic.
@@ -238,15 +277,7 @@
             .connections
             .iter()
             .filter(|(_, connection)| connection.server == *server && connection.is_idle());
-        let cost = |connection: &Connection| {
-            if connection.values == *values {
-                0
-            } else if connection.can_add_values(values) {
-                1
-            } else {
-                2
-            }
-        };
-        idle.min_by_key(|(id, connection)| (cost(connection), **id)).map(|(id, _)| *id)
+        idle.min_by_key(|(id, connection)| (setup_cost(&connection.values, values), **id))
+            .map(|(id, _)| *id)
     }
 }
--- a/lib/proxy/src/engine/sending.rs
+++ b/lib/proxy/src/engine/sending.rs
@@ -8,7 +8,7 @@
 
 use super::{Action, Context, Engine};
 use crate::caller::{CallerId, Need, Stage, Transaction};
-use crate::connections::{ConnectionId, Expected};
+use crate::connections::{ConnectionId, Expected, adopt_values};
 use crate::statement::{Access, Command, Failure, FailureKind, Shape, Work};
 
 impl Engine {
@@ -44,21 +44,9 @@
         };
         connection.is_held = begin.is_some();
         connection.sent_at = context.now;
-        if connection.values != values {
-            if !connection.can_add_values(&values) {
-                connection.values = Default::default();
-                connection.prepared.clear();
-                connection.expected.push_back(Expected::Setup);
-                self.actions.push(Action::Send(connection_id, Command::Clear));
-            }
-            for (name, value) in values.iter() {
-                if connection.values.get(name) != Some(value) {
-                    let command = Command::Set { name: name.clone(), value: value.clone() };
-                    connection.expected.push_back(Expected::Setup);
-                    self.actions.push(Action::Send(connection_id, command));
-                }
-            }
-            connection.values = values;
+        for command in adopt_values(&mut connection.values, &mut connection.prepared, &values) {
+            connection.expected.push_back(Expected::Setup);
+            self.actions.push(Action::Send(connection_id, command));
         }
         if let Some(shape) = shape {
             self.prepare(connection_id, &shape);
--- a/lib/proxy/src/event_loop/relayed.rs
+++ b/lib/proxy/src/event_loop/relayed.rs
@@ -8,9 +8,10 @@
 
 use super::{CONNECT_TIMEOUT, Entry, EventLoop, Use};
 use crate::engine::{Context, Loss};
+use crate::event_loop::serve::take_status;
 use crate::frames;
 use crate::moment::SteadyClock;
-use crate::protocol::{Platform, UpstreamMessage, UpstreamProtocol};
+use crate::protocol::{Platform, UpstreamProtocol};
 use crate::relays::{PooledId, RelayAction, RelayAnswer, RelayCall};
 
 impl<Spoken, Clock> EventLoop<'_, Spoken, Clock>
@@ -119,18 +120,9 @@
             match self.platform.upstreams().decode(&mut socket.input) {
                 Ok(None) => return,
                 Ok(Some(message)) => {
-                    let mut status = None;
-                    match &message {
-                        UpstreamMessage::Row(row) if self.engine.relays.expects_role(id) => {
-                            *last_row = Some(row.clone());
-                        }
-                        UpstreamMessage::Ready { .. } => {
-                            let row = last_row.take();
-                            status =
-                                row.and_then(|row| self.platform.upstreams().decode_status(&row));
-                        }
-                        _ => {}
-                    }
+                    let expects_role = self.engine.relays.expects_role(id);
+                    let upstreams = self.platform.upstreams();
+                    let status = take_status(upstreams, last_row, &message, expects_role);
                     self.engine.relays.pooled_message(context, id, message, status);
                 }
                 Err(error) => {
@@ -155,18 +147,9 @@
             match frames::decode::<RelayAnswer>(&mut socket.input) {
                 Ok(None) => return,
                 Ok(Some(RelayAnswer::Message(message))) => {
-                    let mut status = None;
-                    match &message {
-                        UpstreamMessage::Row(row) if self.engine.expects_role(id) => {
-                            *last_row = Some(row.clone());
-                        }
-                        UpstreamMessage::Ready { .. } => {
-                            let row = last_row.take();
-                            status =
-                                row.and_then(|row| self.platform.upstreams().decode_status(&row));
-                        }
-                        _ => {}
-                    }
+                    let expects_role = self.engine.expects_role(id);
+                    let upstreams = self.platform.upstreams();
+                    let status = take_status(upstreams, last_row, &message, expects_role);
                     self.engine.upstream_message(context, id, message, status);
                 }
                 Ok(Some(RelayAnswer::Unreachable)) => {
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -4,6 +4,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use masticreel_base::ids::{GroupId, InstanceId, ServerId};
@@ -33,7 +34,7 @@
 use crate::records::Placement;
 use crate::relays::RelayCall;
 use crate::settings::ProxySettings;
-use crate::statement::{Failure, FailureKind};
+use crate::statement::{Failure, FailureKind, ServerStatus};
 use crate::store_view::StoreView;
 
 /// How long a session may wait for the first configuration.
@@ -347,18 +348,9 @@
             match self.platform.upstreams().decode(&mut socket.input) {
                 Ok(None) => return,
                 Ok(Some(message)) => {
-                    let mut status = None;
-                    match &message {
-                        UpstreamMessage::Row(row) if self.engine.expects_role(id) => {
-                            *last_row = Some(row.clone());
-                        }
-                        UpstreamMessage::Ready { .. } => {
-                            let row = last_row.take();
-                            status =
-                                row.and_then(|row| self.platform.upstreams().decode_status(&row));
-                        }
-                        _ => {}
-                    }
+                    let expects_role = self.engine.expects_role(id);
+                    let upstreams = self.platform.upstreams();
+                    let status = take_status(upstreams, last_row, &message, expects_role);
                     self.engine.upstream_message(context, id, message, status);
                 }
                 Err(error) => {
@@ -449,6 +441,28 @@
     }
 }
 
+/// Returns the role that a server tells with the end of its answer.
+pub(super) fn take_status<Upstreams>(
+    upstreams: &Upstreams,
+    last_row: &mut Option<Arc<str>>,
+    message: &UpstreamMessage,
+    expects_role: bool,
+) -> Option<ServerStatus>
+where
+    Upstreams: UpstreamProtocol,
+{
+    match message {
+        UpstreamMessage::Row(row) if expects_role => {
+            *last_row = Some(row.clone());
+            None
+        }
+        UpstreamMessage::Ready { .. } => {
+            last_row.take().and_then(|row| upstreams.decode_status(&row))
+        }
+        _ => None,
+    }
+}
+
 /// Returns the time-out of a connection once it is established.
 fn established_timeout(used_for: &Use) -> Option<Duration> {
     match used_for {
--- a/lib/proxy/src/relays/pool.rs
+++ b/lib/proxy/src/relays/pool.rs
@@ -6,7 +6,7 @@
 use masticreel_base::ids::ServerId;
 use slog::info;
 
-use crate::connections::Expected;
+use crate::connections::{Expected, setup_cost};
 use crate::directory::Server;
 use crate::engine::{Context, Loss};
 use crate::moment::Moment;
@@ -102,19 +102,10 @@
     /// Chooses the idle connection on which least must be prepared.
     fn best_idle(&self, server: &ServerId, session: RelaySessionId) -> Option<PooledId> {
         let wanted = &self.sessions.get(&session)?.values;
-        let cost = |pooled: &Pooled| {
-            if pooled.values == *wanted {
-                0
-            } else if pooled.values.keys().all(|name| wanted.contains_key(name)) {
-                1
-            } else {
-                2
-            }
-        };
         let pool = self.pools.get(server)?;
         let idle = pool.connections.iter().filter_map(|id| {
             let pooled = self.pooled.get(id)?;
-            is_idle(pooled).then_some((cost(pooled), *id))
+            is_idle(pooled).then_some((setup_cost(&pooled.values, wanted), *id))
         });
         idle.min().map(|(_, id)| id)
     }
--- a/lib/proxy/src/relays/sessions.rs
+++ b/lib/proxy/src/relays/sessions.rs
@@ -6,7 +6,7 @@
 use slog::info;
 
 use crate::caller::SessionValues;
-use crate::connections::Expected;
+use crate::connections::{Expected, adopt_values};
 use crate::engine::Context;
 use crate::protocol::UpstreamMessage;
 use crate::relays::{
@@ -234,21 +234,9 @@
         let Some(session) = pooled.session.and_then(|id| self.sessions.get_mut(&id)) else {
             return;
         };
-        let mut setup = Vec::new();
-        if pooled.values != session.values {
-            if !pooled.values.keys().all(|name| session.values.contains_key(name)) {
-                pooled.values = SessionValues::default();
-                pooled.prepared.clear();
-                setup.push((Expected::Setup, Command::Clear));
-            }
-            for (name, value) in session.values.iter() {
-                if pooled.values.get(name) != Some(value) {
-                    let command = Command::Set { name: name.clone(), value: value.clone() };
-                    setup.push((Expected::Setup, command));
-                }
-            }
-            pooled.values = session.values.clone();
-        }
+        let values = adopt_values(&mut pooled.values, &mut pooled.prepared, &session.values);
+        let mut setup: Vec<_> =
+            values.into_iter().map(|command| (Expected::Setup, command)).collect();
         if let Command::Run { handle: Some(handle), .. } = &command
             && let Some(shape) = session.prepared.get(handle)
             && pooled.prepared.insert(*handle)
