store_view: find servers by their group; pass over groups that are well

Change: servers are kept by group; at most 64 connections are opened ahead of need, found in order; doubts, and groups whose primary is well, cost nothing while there are none; ownership is looked at each second; a list's servers have one line together.

--- a/lib/proxy/src/coordinator/change.rs
+++ b/lib/proxy/src/coordinator/change.rs
@@ -137,8 +137,17 @@
 impl Coordinator {
     /// Starts a change where the primary leaves, is gone or is doubted.
     pub(super) fn watch_primaries(&mut self, view: &StoreView, now: Moment) {
+        // Most groups are well, and there may be many of them.
         let groups: Vec<(GroupId, GroupRecord, u64)> = view
             .groups()
+            .filter(|(group, record)| {
+                let primary = view.server(&record.value.primary);
+                record.value.phase == Phase::Changing
+                    || primary.is_none_or(|primary| primary.is_leaving)
+                    || self.changes.contains_key(*group)
+                    || self.absent.contains_key(&record.value.primary)
+                    || view.doubts(group).next().is_some()
+            })
             .map(|(group, record)| (group.clone(), record.value.clone(), record.revision))
             .collect();
         for (group, record, revision) in groups {
--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -166,6 +166,9 @@
     /// One instance's doubt replaces nobody, and the others may have no traffic
     /// that would show them what it saw.
     pub(super) fn probe_doubted(&mut self, view: &StoreView, now: Moment) {
+        if !view.has_doubts() {
+            return;
+        }
         let is_chosen = self.holds_duty(view, now)
             || view.live().take(PROBING_MEMBERS).any(|instance| *instance == self.instance);
         if !is_chosen {
@@ -222,6 +225,9 @@
         let Some(lease) = self.lease.id else {
             return;
         };
+        if self.doubts.is_empty() && !view.has_doubts() {
+            return;
+        }
         let mut calls = Vec::new();
         self.doubts.retain(|group, doubt| {
             view.group(group).is_some_and(|record| record.epoch == doubt.epoch)
--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -35,6 +35,11 @@
 const RELAYED_PER_SLOT: usize = 2;
 /// The mean pause between two connections that are opened ahead of need.
 const WARM_UP_PAUSE: Duration = Duration::from_millis(150);
+/// How long nothing is looked for after all wanted connections were opened.
+const WARM_REST: Duration = Duration::from_secs(1);
+/// Servers to which a connection is opened ahead of need at most; an instance of
+/// a large fleet works at few of its servers.
+const WARMED_SERVERS: usize = 64;
 /// How long what a replica last said of its position is taken for its position
 /// now.
 const POSITION_MEMORY: Duration = Duration::from_millis(60);
@@ -253,27 +258,24 @@
     /// Opens a first connection to the servers that the instance will need, one
     /// after the other, so that its first callers don't wait for them.
     pub(super) fn warm_up(&mut self, context: Context<'_>) {
-        if context.now < self.warm_at {
+        if context.now < self.warm_at || self.warmed.len() >= WARMED_SERVERS {
             return;
         }
         self.warm_at = context.now + WARM_UP_PAUSE.mul_f64(self.spread());
-        let Some(document) = context.view.document() else {
-            return;
-        };
         let own_domain = self.settings.domain.clone();
-        let wanted = document.groups.keys().flat_map(|group| {
+        let mut wanted = context.view.groups().flat_map(|(group, record)| {
             let is_kept = |server: &Server| {
                 connections_at_rest(context, group) > 0 || relays::is_relayed(context.view, server)
             };
-            let primary = context.view.group(group).map(|record| &record.primary);
             let own_domain = &own_domain;
             context.view.servers_of(group).filter(move |server| {
                 let is_near = server.domain == *own_domain;
-                is_kept(server) && !server.is_leaving && (is_near || primary == Some(&server.id))
+                let leads = record.value.primary == server.id;
+                is_kept(server) && !server.is_leaving && (is_near || leads)
             })
         });
-        let next = wanted.filter(|server| !self.warmed.contains(&server.id)).min_by_key(|s| &s.id);
-        let Some(server) = next else {
+        let Some(server) = wanted.find(|server| !self.warmed.contains(&server.id)) else {
+            self.warm_at = context.now + WARM_REST;
             return;
         };
         self.warmed.insert(server.id.clone());
--- a/lib/proxy/src/event_loop/links.rs
+++ b/lib/proxy/src/event_loop/links.rs
@@ -23,6 +23,8 @@
 use crate::statement::Command;
 use crate::store_view::Change;
 
+/// Changes at a time from which on servers' entries have no lines of their own.
+const LISTED_CHANGES: usize = 200;
 /// How long an answer of the store may be arriving: a megabyte over a narrow
 /// link, several times.
 const LONGEST_ANSWER: Duration = Duration::from_secs(10);
@@ -194,6 +196,11 @@
         if changes.is_empty() {
             return;
         }
+        let is_list = changes.len() > LISTED_CHANGES;
+        if is_list {
+            info!(self.log, "many entries changed"; "changes" => changes.len(),
+                "revision" => self.view.revision());
+        }
         for change in changes {
             let context = Context { view: &self.view, now: self.now };
             match change {
@@ -206,6 +213,7 @@
                 }
                 Change::Server(id) => {
                     match self.view.server(&id) {
+                        _ if is_list => {}
                         Some(server) => info!(self.log, "server's entry"; "server" => %id,
                             "group" => %server.group, "address" => %server.address,
                             "leaving" => server.is_leaving,
--- a/lib/proxy/src/relays/pool.rs
+++ b/lib/proxy/src/relays/pool.rs
@@ -25,7 +25,7 @@
 /// for seconds.
 const OWNER_PART: usize = 2;
 /// How often an instance looks whether it still owns a server.
-const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(500);
+const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(1000);
 /// How long connections beyond those at rest are kept.
 const SPARE_LIFETIME: Duration = Duration::from_millis(1000);
 /// A server that answers nothing for this long while work is with it is tried
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -1,6 +1,6 @@
 //! The instance's picture of the store.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -53,6 +53,7 @@
 pub struct StoreView {
     document: Option<Arc<Document>>,
     servers: HashMap<ServerId, Server>,
+    servers_by_group: HashMap<GroupId, BTreeSet<ServerId>>,
     server_keys: HashMap<Arc<str>, ServerId>,
     /// Primaries whose entries are gone, as they were last known.
     departed: HashMap<ServerId, Server>,
@@ -81,6 +82,12 @@
         self.servers.get(id).or_else(|| self.departed.get(id))
     }
 
+    fn forget_in_group(&mut self, server: &Server) {
+        if let Some(ids) = self.servers_by_group.get_mut(&server.group) {
+            ids.remove(&server.id);
+        }
+    }
+
     /// Keeps what is known of a server that is a group's primary.
     fn depart(&mut self, server: Server) {
         self.departed.retain(|id, _| self.groups.values().any(|group| group.value.primary == *id));
@@ -91,7 +98,8 @@
 
     /// Returns the servers of a group.
     pub fn servers_of<'a>(&'a self, group: &'a GroupId) -> impl Iterator<Item = &'a Server> {
-        self.servers.values().filter(move |server| server.group == *group)
+        let ids = self.servers_by_group.get(group).into_iter().flatten();
+        ids.filter_map(|id| self.servers.get(id))
     }
 
     /// Returns a group's record.
@@ -104,6 +112,11 @@
         self.groups.get(group)
     }
 
+    /// Returns whether any instance doubts a primary.
+    pub fn has_doubts(&self) -> bool {
+        !self.doubts.is_empty()
+    }
+
     /// Returns the groups that have a record.
     pub fn groups(&self) -> impl Iterator<Item = (&GroupId, &Versioned<GroupRecord>)> {
         self.groups.iter()
@@ -207,6 +220,7 @@
         let before: Vec<ServerId> = servers.keys().cloned().collect();
         let groups = std::mem::take(&mut self.groups);
         self.server_keys.clear();
+        self.servers_by_group.clear();
         self.members.clear();
         self.live.clear();
         self.doubts.clear();
@@ -264,7 +278,13 @@
             Content::Server(server) => {
                 changes.push(Change::Server(server.id.clone()));
                 self.server_keys.insert(item.key.clone(), server.id.clone());
-                self.servers.insert(server.id.clone(), server);
+                let of_group = self.servers_by_group.entry(server.group.clone()).or_default();
+                of_group.insert(server.id.clone());
+                if let Some(known) = self.servers.insert(server.id.clone(), server.clone())
+                    && known.group != server.group
+                {
+                    self.forget_in_group(&known);
+                }
             }
             Content::Own => self.write_own(item, changes),
             Content::Foreign => {}
@@ -351,6 +371,7 @@
     fn remove(&mut self, key: &Arc<str>, changes: &mut Vec<Change>) {
         if let Some(id) = self.server_keys.remove(key) {
             if let Some(server) = self.servers.remove(&id) {
+                self.forget_in_group(&server);
                 self.depart(server);
             }
             changes.push(Change::Server(id));
