coordinator: let those who looked judge a silent primary

Change: the primary is also replaced when all the instances chosen to look (four of the fleet by rendezvous over the group, so of different domains) and the holder of the duty find it silent. A cut of some instances alone still replaces nobody. The first four by name looked before, mostly one domain.

Test: test_silence_is_judged_by_those_who_looked (fails before).

--- a/lib/proxy/src/coordinator/change.rs
+++ b/lib/proxy/src/coordinator/change.rs
@@ -14,6 +14,7 @@
 use masticreel_base::ids::{GroupId, InstanceId, ServerId, Term};
 use slog::{info, warn};
 
+use crate::coordinator::registration::{PROBING_MEMBERS, probing_members};
 use crate::coordinator::{Coordinator, Purpose, Step};
 use crate::moment::Moment;
 use crate::protocol::{PromoterAnswer, PromotionOrder};
@@ -225,7 +226,22 @@
         if count(DoubtKind::Deposed) > 0 {
             return Some("deposed");
         }
-        (refused + silent >= live.min((live / 2).max(2))).then_some("silent")
+        if refused + silent >= live.min((live / 2).max(2)) {
+            return Some("silent");
+        }
+        // Where servers have owners, few instances meet a silence by themselves;
+        // those that looked because of another's doubt stand for the rest.
+        let is_unseen = |instance: &InstanceId| {
+            view.doubts(group).any(|(of, doubt)| {
+                of == instance
+                    && doubt.primary == record.primary
+                    && doubt.epoch == record.epoch
+                    && doubt.kind != DoubtKind::Deposed
+            })
+        };
+        let probing = probing_members(view, group);
+        let all_looked = probing.len() >= PROBING_MEMBERS && probing.iter().all(is_unseen);
+        (all_looked && is_unseen(&self.instance)).then_some("silent_to_those_who_looked")
     }
 
     fn write_record(
--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use masticreel_base::ids::{GroupId, ServerId};
+use masticreel_base::ids::{GroupId, InstanceId, ServerId};
 use slog::info;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::coordinator::{ControlFailure, Coordinator, Purpose, Step};
 use crate::moment::Moment;
@@ -30,7 +31,7 @@
 
 /// How many instances look at a primary that another one doubts, beside the
 /// holder of the duty.
-const PROBING_MEMBERS: usize = 4;
+pub(super) const PROBING_MEMBERS: usize = 4;
 /// The pause between two such looks.
 const PROBE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -169,11 +170,7 @@
         if !view.has_doubts() {
             return;
         }
-        let is_chosen = self.holds_duty(view, now)
-            || view.live().take(PROBING_MEMBERS).any(|instance| *instance == self.instance);
-        if !is_chosen {
-            return;
-        }
+        let is_chosen = self.holds_duty(view, now) || view.live_count() <= PROBING_MEMBERS;
         for (group, record) in view.groups() {
             let record = &record.value;
             let is_doubted = view
@@ -188,6 +185,9 @@
             if !is_doubted || is_known || is_recent {
                 continue;
             }
+            if !is_chosen && !probing_members(view, group).contains(&self.instance) {
+                continue;
+            }
             let primary = record.primary.clone();
             self.probes.insert(
                 group.clone(),
@@ -271,6 +271,18 @@
     }
 }
 
+/// Returns the instances that look at a group's primary when others doubt it,
+/// the same in every instance's eyes and spread over the fleet.
+pub(super) fn probing_members(view: &StoreView, group: &GroupId) -> Vec<InstanceId> {
+    let seed = xxh3_64(group.as_str().as_bytes());
+    let mut ranked: Vec<_> = view
+        .live()
+        .map(|instance| (xxh3_64_with_seed(instance.as_str().as_bytes(), seed), instance))
+        .collect();
+    ranked.sort();
+    ranked.into_iter().take(PROBING_MEMBERS).map(|(_, instance)| instance.clone()).collect()
+}
+
 /// Returns whether a record has at least these confirmations.
 fn covers(known: &MemberRecord, stopped: &[(GroupId, u64)]) -> bool {
     stopped
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -289,11 +289,15 @@
 }
 
 pub fn coordinator() -> Coordinator {
+    coordinator_of(OWN)
+}
+
+pub fn coordinator_of(instance: &str) -> Coordinator {
     Coordinator::new(
-        OWN.into(),
+        instance.into(),
         INCARNATION,
         Placement {
-            address: address(OWN).expect("numbered"),
+            address: address(instance).expect("numbered"),
             domain: "domain-2".into(),
             capacity: Capacity::default(),
         },
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -10,7 +10,9 @@
 use masticreel_proxy::records::{DoubtKind, DoubtRecord, Phase, doubt_key, live_key};
 use masticreel_proxy::statement::{Command, Role, ServerStatus};
 use masticreel_proxy::trust::{ENTITLEMENT, ENTITLEMENT_MARGIN, FRESHNESS};
-use support::{INCARNATION, OWN, World, coordinator, group, is_for, ms, position, settle};
+use support::{
+    INCARNATION, OWN, World, coordinator, coordinator_of, group, is_for, ms, position, settle,
+};
 
 /// A holder of the duty whose first order would be allowed at once.
 fn holder(world: &mut World) -> Coordinator {
@@ -251,6 +253,54 @@
     assert_eq!(world.view.group(&group()).expect("a record").phase, Phase::Changing);
 }
 
+/// In a large fleet few instances have work at a primary; the few that look
+/// because of a doubt decide, and a cut of some instances alone does not.
+#[test]
+fn test_silence_is_judged_by_those_who_looked() {
+    let mut world = World::serving();
+    for number in 2..=40 {
+        world.join(&format!("proxy-{number}"), 1);
+    }
+    let mut holder = holder(&mut world);
+    world.refresh();
+    let silent = DoubtRecord { primary: "s1".into(), epoch: 1, kind: DoubtKind::Silent };
+    let asked_by = |world: &mut World, instance: &str| {
+        let steps = settle(world, &mut coordinator_of(instance));
+        steps.iter().any(|step| matches!(step, Step::Control { .. }))
+    };
+    // A first doubt makes the chosen instances and the holder look.
+    world.put(&doubt_key(&group(), &"proxy-40".into()), &silent);
+    world.refresh();
+    let looking: Vec<String> = (2..40)
+        .map(|number| format!("proxy-{number}"))
+        .filter(|instance| asked_by(&mut world, instance))
+        .collect();
+    assert!((3..=4).contains(&looking.len()), "{looking:?}");
+    let others = (2..40).map(|number| format!("proxy-{number}"));
+    for other in others.filter(|other| !looking.contains(other)).take(8) {
+        world.put(&doubt_key(&group(), &other.as_str().into()), &silent);
+    }
+    world.refresh();
+    settle(&mut world, &mut holder);
+    holder.doubt(&world.view, &group(), &"s1".into(), DoubtKind::Silent);
+    for _ in 0..20 {
+        settle(&mut world, &mut holder);
+        world.pass(ms(20));
+        world.refresh();
+    }
+    assert_eq!(world.view.group(&group()).expect("a record").phase, Phase::Serving);
+    for instance in &looking {
+        world.put(&doubt_key(&group(), &instance.as_str().into()), &silent);
+    }
+    world.refresh();
+    for _ in 0..20 {
+        settle(&mut world, &mut holder);
+        world.pass(ms(20));
+        world.refresh();
+    }
+    assert_eq!(world.view.group(&group()).expect("a record").phase, Phase::Changing);
+}
+
 #[test]
 fn test_replica_that_received_most_takes_over() {
     let mut world = World::serving();
