--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -11,6 +11,7 @@
 mod paths;
 mod placing;
 mod releases;
+mod report;
 mod sending;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -20,7 +21,7 @@
 use std::time::Duration;
 
 use masticreel_base::ids::{FailureDomain, GroupId, InstanceId, ServerId};
-use slog::{Logger, info};
+use slog::Logger;
 
 use crate::engine::paths::Paths;
 pub use crate::engine::releases::Loss;
@@ -36,8 +37,7 @@
 use crate::relays::Relays;
 use crate::samples::Samples;
 use crate::statement::{
-    Access, Answer, Command, Failure, FailureKind, Outcome, RequestTag, SessionState, Statement,
-    Work,
+    Access, Answer, Command, Failure, FailureKind, Outcome, RequestTag, Statement, Work,
 };
 use crate::store_view::StoreView;
 
@@ -443,41 +443,6 @@
         self.answer(context, id, tag, Vec::new(), Err(failure));
     }
 
-    fn report(
-        &self,
-        context: Context<'_>,
-        id: CallerId,
-        tag: &RequestTag,
-        pending: Option<&Pending>,
-        outcome: &Outcome,
-        state: SessionState,
-    ) {
-        let result = match outcome {
-            Ok(_) => "ok".to_owned(),
-            Err(failure) => failure.kind.to_string(),
-        };
-        let Some(pending) = pending else {
-            self.metrics.answered_locally(&result);
-            if let Err(failure) = outcome {
-                info!(self.log, "request refused"; "request" => %tag, "caller" => %id,
-                    "outcome" => result, "reason" => %failure.text, "state" => %state);
-            }
-            return;
-        };
-        let took = context.now.since(pending.received_at);
-        self.metrics.answered(pending.route.urgency, &result, took);
-        if let Err(failure) = outcome {
-            info!(self.log, "request failed"; "request" => %tag, "caller" => %id,
-                "outcome" => result, "reason" => %failure.text, "state" => %state,
-                "route" => %pending.route.name, "group" => %pending.route.group,
-                "attempts" => pending.attempts, "took_ms" => took.as_millis(),
-                "waiting" => self.waiting(&pending.route.group),
-                "config" => context.view.document().map_or(0, |document| document.version),
-                "confirmed_ms_ago" => confirmed_ms_ago(context),
-                "record" => describe_record(context, &pending.route.group));
-        }
-    }
-
     /// Returns a number from 0.5 to 1.5 that differs between instances and from
     /// time to time.
     fn spread(&mut self) -> f64 {
@@ -522,21 +487,3 @@
         own_commit.filter(|(group, _)| *group == route.group).map(|(_, position)| *position);
     Need::NotOlder { than: now.before(age) + STALENESS_MARGIN, own_commit }
 }
-
-fn confirmed_ms_ago(context: Context<'_>) -> i64 {
-    context.view.confirmed_at().map_or(-1, |confirmed_at| {
-        i64::try_from(context.now.since(confirmed_at).as_millis()).unwrap_or(i64::MAX)
-    })
-}
-
-fn describe_record(context: Context<'_>, group: &GroupId) -> String {
-    context.view.group(group).map_or_else(
-        || "none".to_owned(),
-        |record| {
-            format!(
-                "{} {} term {} epoch {}",
-                record.phase, record.primary, record.term, record.epoch
-            )
-        },
-    )
-}
--- a/lib/proxy/src/relays.rs
+++ b/lib/proxy/src/relays.rs
@@ -21,15 +21,17 @@
 use masticreel_base::position::TermPosition;
 use serde::{Deserialize, Serialize};
 use slog::Logger;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::caller::SessionValues;
 use crate::connections::Expected;
 use crate::directory::Server;
 use crate::moment::Moment;
 use crate::pace::Pace;
+use crate::protocol::UpstreamMessage;
 use crate::queue::{Turn, WaitingQueue};
 use crate::records::DoubtKind;
-use crate::statement::{Command, SessionState, Shape};
+use crate::statement::{Command, Failure, SessionState, Shape};
 use crate::store_view::StoreView;
 
 /// Instances that outnumber a server's slots this many times relay their work:
@@ -82,7 +84,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RelayAnswer {
     /// A message as the server would send it.
-    Message(crate::protocol::UpstreamMessage),
+    Message(UpstreamMessage),
     /// The owner can't reach the server; nothing of the session's work that was
     /// not answered has been sent to it.
     Unreachable,
@@ -161,7 +163,7 @@
     /// What is sent once the connection is prepared.
     main: Option<Command>,
     /// The failure of the answer that is being received.
-    failure: Option<crate::statement::Failure>,
+    failure: Option<Failure>,
     /// Whether a transaction is open on it.
     in_transaction: bool,
     values: SessionValues,
@@ -272,24 +274,21 @@
             let is_far = member.domain.as_ref() != Some(&server.domain);
             let millicores = member.capacity.processor_millicores;
             let is_narrow = millicores.saturating_mul(CAPABLE_PART) < widest;
-            let claim = xxhash(server.id.as_str(), instance.as_str());
-            (is_far, is_narrow, claim, instance)
+            (is_far, is_narrow, claim(&server.id, instance), instance)
         })
         .collect();
     ranked.sort();
     ranked.into_iter().map(|(_, _, _, instance)| instance.clone()).collect()
 }
 
-/// Returns how strongly an instance claims a server: the same number in every
-/// process.
-fn xxhash(server: &str, instance: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64_with_seed(
-        instance.as_bytes(),
-        xxhash_rust::xxh3::xxh3_64(server.as_bytes()),
-    )
+/// Returns how strongly an instance claims a server (the lower, the more): the
+/// same number in every process.
+fn claim(server: &ServerId, instance: &InstanceId) -> u64 {
+    let seed = xxh3_64(server.as_str().as_bytes());
+    xxh3_64_with_seed(instance.as_str().as_bytes(), seed)
 }
 
 /// Returns a state without a transaction as servers report it.
-fn idle() -> crate::protocol::UpstreamMessage {
-    crate::protocol::UpstreamMessage::Ready { state: SessionState::Idle, position: None }
+fn idle() -> UpstreamMessage {
+    UpstreamMessage::Ready { state: SessionState::Idle, position: None }
 }
