engine: don't say 'not run' of a read that may have run

A read whose connection broke is tried again; when no time was left it was refused as 'not run', though an attempt had been sent. The code was true (nothing of a read is kept), the text was not.

Change: such a refusal says that an attempt may have run.

Test: test_refusal_of_a_read_that_may_have_run_does_not_say_not_run (fails before).

--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -96,7 +96,12 @@
                 FailureKind::Busy,
                 format!("not run: no server could take it in time; the last said {}", failure.kind),
             ),
-            _ => Failure::new(FailureKind::Busy, "not run: no server could take it in time"),
+            // Only a read is tried again after an attempt that may have run.
+            Some(_) => Failure::new(
+                FailureKind::Busy,
+                "no answer in time; an attempt may have run, and nothing of it is kept",
+            ),
+            None => Failure::new(FailureKind::Busy, "not run: no server could take it in time"),
         };
         if matches!(caller.transaction, Transaction::Open(_)) {
             self.abort(context, id, failure);
--- a/lib/proxy/tests/test_reads.rs
+++ b/lib/proxy/tests/test_reads.rs
@@ -5,11 +5,11 @@
 use masticreel_proxy::caller::CallerId;
 use masticreel_proxy::connections::ConnectionId;
 use masticreel_proxy::directory::Consistency;
-use masticreel_proxy::engine::Engine;
+use masticreel_proxy::engine::{Engine, Loss};
 use masticreel_proxy::protocol::UpstreamMessage;
 use masticreel_proxy::records::Phase;
-use masticreel_proxy::statement::{Command, Failure, FailureKind, SessionState};
-use support::{World, accept, complete, engine, ms, position, read, ready, wanted, write};
+use masticreel_proxy::statement::{Answer, Command, Failure, FailureKind, SessionState};
+use support::{World, accept, complete, engine, group, ms, position, read, ready, wanted, write};
 
 const CALLER: CallerId = CallerId(1);
 
@@ -209,3 +209,25 @@
     engine.request(world.context(), CALLER, "tag2".into(), write("a"));
     assert_eq!(wanted(&mut engine).answers.len(), 1, "the next is refused at once");
 }
+
+/// A read whose connection broke may have run, so its refusal must not deny it.
+#[test]
+fn test_refusal_of_a_read_that_may_have_run_does_not_say_not_run() {
+    let mut world = World::serving();
+    let mut engine = engine();
+    engine.group_changed(world.context(), &group());
+    let caller = CallerId(1);
+    engine.open_session(world.context(), caller, "db".into()).expect("known");
+    engine.request(world.context(), caller, "t".into(), read("a"));
+    let connection = wanted(&mut engine).connects[0].0;
+    assert_eq!(accept(&world, &mut engine, connection).sent.len(), 1, "the read was sent");
+    engine.connection_lost(world.context(), connection, Loss::Closed);
+    world.pass(ms(900));
+    engine.tick(world.context());
+    let answers = wanted(&mut engine).answers;
+    let Some((_, Answer { outcome: Err(failure), .. })) = answers.first() else {
+        panic!("{answers:?}");
+    };
+    assert_eq!(failure.kind, FailureKind::Busy);
+    assert!(!failure.text.contains("not run"), "{}", failure.text);
+}
