owner: commits wait for their majority when another instance becomes the observer

Change: a request holds its group from before it runs until it is answered (ConfirmationHold, passed on within a transaction). A group that is no longer watched but held is polled on, takes no new requests and no part in failovers, and is stopped once nothing holds it. Also: a request whose connection's thread has ended is answered as not run instead of being dropped; the actions after a thread that can't be started are carried out.

Ruled out: polling every retired group for the longest request timeout: servers reserve few control connections. The dropped request could not be provoked: workers leave the table under the lock before their thread ends; the answer is there in case one is missed.

--- a/daemon/src/owner/guard.rs
+++ b/daemon/src/owner/guard.rs
@@ -1,6 +1,8 @@
 //! Decides before a request whether its server may serve it, and after it whether
 //! the result is safe.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use masticreel_base::failure::{Failure, FailureKind};
@@ -41,6 +43,46 @@
     }
 }
 
+/// Counts the requests whose commits may still have to be confirmed.
+#[derive(Debug, Clone, Default)]
+pub struct ConfirmationCounter {
+    holds: Arc<AtomicUsize>,
+}
+
+impl ConfirmationCounter {
+    /// Counts a request until the returned value is dropped.
+    pub fn hold(&self) -> ConfirmationHold {
+        self.holds.fetch_add(1, Ordering::AcqRel);
+        ConfirmationHold { counter: Some(self.clone()) }
+    }
+
+    /// Returns whether any request is counted.
+    pub fn is_held(&self) -> bool {
+        self.holds.load(Ordering::Acquire) > 0
+    }
+}
+
+/// Keeps what confirms a request's commit while the request may run or waits for the
+/// confirmation, also if the instance stops watching the group meanwhile.
+#[derive(Debug, Default)]
+pub struct ConfirmationHold {
+    counter: Option<ConfirmationCounter>,
+}
+
+impl Clone for ConfirmationHold {
+    fn clone(&self) -> Self {
+        self.counter.as_ref().map(ConfirmationCounter::hold).unwrap_or_default()
+    }
+}
+
+impl Drop for ConfirmationHold {
+    fn drop(&mut self) {
+        if let Some(counter) = &self.counter {
+            counter.holds.fetch_sub(1, Ordering::AcqRel);
+        }
+    }
+}
+
 /// Decides whether a server may serve a request, and when a commit is safe. (It is no
 /// lock guard.)
 ///
@@ -53,8 +95,13 @@
     /// Fails if the server can't serve the request; the request has not run.
     fn check_request(&self, request: &UpstreamRequest) -> Option<Result<CheckedTerm, Failure>>;
 
+    /// Keeps what [`Self::check_commit`] needs for a request that is about to run.
+    fn hold_confirmation(&self, request: &UpstreamRequest) -> ConfirmationHold;
+
     /// Checks whether a commit is safe, that is, can't be lost by a promotion.
     ///
+    /// The caller has held the confirmation since before the request ran.
+    ///
     /// # Errors
     ///
     /// Fails if this can no longer be determined; the request may have run.
@@ -78,6 +125,10 @@
         Some(Ok(CheckedTerm { term: Term(u64::MAX) }))
     }
 
+    fn hold_confirmation(&self, _request: &UpstreamRequest) -> ConfirmationHold {
+        ConfirmationHold::default()
+    }
+
     fn check_commit(
         &self,
         _request: &UpstreamRequest,
--- a/daemon/src/owner/job.rs
+++ b/daemon/src/owner/job.rs
@@ -8,6 +8,7 @@
 use masticreel_wire::message::{UpstreamAnswer, UpstreamRequest, UpstreamResponse};
 
 use crate::link::sender::LinkSender;
+use crate::owner::guard::ConfirmationHold;
 
 /// The result of a request.
 pub type Outcome = Result<UpstreamAnswer, Failure>;
@@ -49,6 +50,8 @@
     pub arrived_at: Instant,
     /// When the request's timeout ends, counted from its arrival at this instance.
     pub deadline: Instant,
+    /// Keeps the confirmation of its commit possible until it is answered.
+    pub confirmation: ConfirmationHold,
 }
 
 impl Job {
@@ -56,6 +59,7 @@
     pub fn new(request: UpstreamRequest, reply: Reply) -> Self {
         let arrived_at = Instant::now();
         let deadline = arrived_at + Duration::from_millis(request.deadline_ms);
-        Self { request, reply, arrived_at, deadline }
+        let confirmation = ConfirmationHold::default();
+        Self { request, reply, arrived_at, deadline, confirmation }
     }
 }
--- a/daemon/src/owner/server.rs
+++ b/daemon/src/owner/server.rs
@@ -4,7 +4,7 @@
 //! performs the [`ServerAction`]s that it returns: it opens and closes connections,
 //! hands requests to the thread of a connection and refuses requests.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
@@ -360,9 +360,12 @@
     /// Performs actions, and sends refusals after the state is unlocked.
     fn carry_out(self: &Arc<Self>, mut state: MutexGuard<'_, State>, actions: Actions) {
         let mut refused = Vec::new();
-        for action in actions {
+        let mut actions = VecDeque::from(actions);
+        while let Some(action) = actions.pop_front() {
             match action {
-                ServerAction::Open(id, address) => self.spawn_worker(&mut state, id, address),
+                ServerAction::Open(id, address) => {
+                    actions.extend(self.spawn_worker(&mut state, id, address));
+                }
                 ServerAction::Close(id) => {
                     if let Some(worker) = state.workers.remove(&id) {
                         let _ = worker.send(WorkerTask::Close);
@@ -372,7 +375,14 @@
                     if let Some(job) = state.jobs.get(&id) {
                         self.metrics().record_wait(job);
                     }
-                    state.start(id, connection);
+                    if let Err(job) = state.start(id, connection) {
+                        let message = "the thread of the connection has ended";
+                        let failure = Failure::not_run(FailureKind::Unavailable, message);
+                        refused.push((*job, failure));
+                        let outcome = ConnectionOutcome::Closed;
+                        let now = Instant::now();
+                        actions.extend(state.admission.finished(id, outcome, None, now));
+                    }
                 }
                 ServerAction::Refuse(id, failure) => {
                     refused.extend(state.jobs.remove(&id).map(|job| (job, failure)));
@@ -387,12 +397,13 @@
         }
     }
 
+    /// Starts the thread of a connection; returns the actions that follow if that fails.
     fn spawn_worker(
         self: &Arc<Self>,
         state: &mut State,
         id: ConnectionId,
         address: UpstreamAddress,
-    ) {
+    ) -> Actions {
         let (sender, tasks) = unbounded();
         state.workers.insert(id, sender);
         let server = Arc::clone(self);
@@ -404,8 +415,9 @@
             warn!(self.context.logger, "connection to server not opened: thread not started"; "server" => %self.spec.name, "error" => %error);
             state.workers.remove(&id);
             // The next tick plans the connection again.
-            let _ = state.admission.connection_failed(id, Instant::now());
+            return state.admission.connection_failed(id, Instant::now());
         }
+        Actions::new()
     }
 
     fn metrics(&self) -> ServerMetrics<'_> {
@@ -435,11 +447,20 @@
 
 impl State {
     /// Hands a request to the thread of its connection.
-    fn start(&mut self, id: RequestId, connection: ConnectionId) {
-        let (Some(job), Some(worker)) = (self.jobs.remove(&id), self.workers.get(&connection))
-        else {
-            return;
+    ///
+    /// # Errors
+    ///
+    /// Returns the request, which has not run, if the thread has ended.
+    fn start(&mut self, id: RequestId, connection: ConnectionId) -> Result<(), Box<Job>> {
+        let Some(job) = self.jobs.remove(&id) else {
+            return Ok(());
+        };
+        let Some(worker) = self.workers.get(&connection) else {
+            return Err(Box::new(job));
         };
-        let _ = worker.send(WorkerTask::Run(id, job));
+        worker.send(WorkerTask::Run(id, job)).map_err(|error| match error.into_inner() {
+            WorkerTask::Run(_, job) => Box::new(job),
+            WorkerTask::RollBack(_) | WorkerTask::Close => unreachable!("a request was sent"),
+        })
     }
 }
--- a/daemon/src/owner/worker.rs
+++ b/daemon/src/owner/worker.rs
@@ -23,7 +23,7 @@
 };
 use slog::warn;
 
-use crate::owner::guard::{CheckedTerm, ServerGuard};
+use crate::owner::guard::{CheckedTerm, ConfirmationHold, ServerGuard};
 use crate::owner::job::{Job, Outcome};
 use crate::owner::keyed::KeyedRun;
 use crate::owner::pending::{Pending, not_ready};
@@ -56,6 +56,8 @@
 struct OpenTransaction {
     session: SessionKey,
     idle_since: Instant,
+    /// Passed on to the requests of the transaction.
+    confirmation: ConfirmationHold,
 }
 
 impl<Guard> Worker<Guard>
@@ -104,16 +106,19 @@
     }
 
     /// Runs one request, frees its slot and replies.
-    fn serve(&mut self, request: RequestId, job: Job) {
+    fn serve(&mut self, request: RequestId, mut job: Job) {
         let session = job.request.session;
         let position_before = self.position();
-        let (outcome, execution_time) = match self.prepare(&job) {
+        let (outcome, execution_time) = match self.prepare(&mut job) {
             Ok(checked) => self.execute(&job, checked),
             Err(failure) => (Err(failure), None),
         };
         let is_open = matches!(&outcome, Ok(answer) if answer.state != WireState::Idle);
-        self.open_transaction =
-            is_open.then(|| OpenTransaction { session, idle_since: Instant::now() });
+        self.open_transaction = is_open.then(|| OpenTransaction {
+            session,
+            idle_since: Instant::now(),
+            confirmation: job.confirmation.clone(),
+        });
         let connection_outcome = self.connection_outcome();
         self.server.request_finished(request, self.id, connection_outcome, execution_time);
         self.reply(job, outcome, position_before);
@@ -166,19 +171,21 @@
     ///
     /// Returns the term in which the server met the request's requirements, or `None` in
     /// an open transaction, whose first request was checked already.
-    fn prepare(&mut self, job: &Job) -> Result<Option<CheckedTerm>, Failure> {
-        let request = &job.request;
+    fn prepare(&mut self, job: &mut Job) -> Result<Option<CheckedTerm>, Failure> {
         if job.deadline <= Instant::now() {
             return Err(Failure::not_run(
                 FailureKind::Overloaded,
                 "the deadline passed in the queue",
             ));
         }
-        if request.pinning == Pinning::Pinned {
-            return self.check_open_transaction(request.session).map(|()| None);
+        if job.request.pinning == Pinning::Pinned {
+            let open = self.open_transaction_of(job.request.session)?;
+            job.confirmation = open.confirmation.clone();
+            return Ok(None);
         }
-        let checked = self.check_requirements(request)?;
-        self.connect(request)?;
+        job.confirmation = self.server.context().guard.hold_confirmation(&job.request);
+        let checked = self.check_requirements(&job.request)?;
+        self.connect(&job.request)?;
         Ok(Some(checked))
     }
 
@@ -189,14 +196,12 @@
         guard.check_request(request).unwrap_or_else(|| Err(not_ready(request)))
     }
 
-    /// Checks that the session's transaction is still open.
+    /// Returns the session's transaction, if it is still open.
     ///
     /// It may have been rolled back while the request was on its way.
-    fn check_open_transaction(&self, session: SessionKey) -> Result<(), Failure> {
-        if self.open_transaction.as_ref().is_some_and(|open| open.session == session) {
-            return Ok(());
-        }
-        Err(transaction_lost())
+    fn open_transaction_of(&self, session: SessionKey) -> Result<&OpenTransaction, Failure> {
+        let open = self.open_transaction.as_ref().filter(|open| open.session == session);
+        open.ok_or_else(transaction_lost)
     }
 
     /// Runs the request and measures how long it took.
--- a/daemon/src/watch.rs
+++ b/daemon/src/watch.rs
@@ -52,6 +52,9 @@
     groups: Groups,
     directory: Directory,
     watched: Mutex<HashMap<GroupId, Arc<WatchedGroup>>>,
+    /// Groups that this instance no longer watches, while commits made before wait for
+    /// their confirmation. They take no part in failovers.
+    retired: Mutex<HashMap<GroupId, Arc<WatchedGroup>>>,
     replaced: Sender<ServerId>,
     logger: Logger,
     cancellation: CancellationToken,
@@ -77,7 +80,9 @@
         cancellation: CancellationToken,
     ) -> io::Result<Arc<Self>> {
         let watched = Mutex::new(HashMap::new());
-        let watch = Self { identity, groups, directory, watched, replaced, logger, cancellation };
+        let retired = Mutex::new(HashMap::new());
+        let watch =
+            Self { identity, groups, directory, watched, retired, replaced, logger, cancellation };
         let watch = Arc::new(watch);
         watch.update_watched_groups();
         let updater = watch.clone();
@@ -100,6 +105,12 @@
         self.lock().get(name).cloned()
     }
 
+    /// Returns a group by name if its servers are polled, also if that is only to
+    /// confirm commits.
+    pub fn polled_group(&self, name: &GroupId) -> Option<Arc<WatchedGroup>> {
+        self.group(name).or_else(|| self.lock_retired().get(name).cloned())
+    }
+
     /// Returns this instance's current finding about the primary of each watched group.
     pub fn findings(&self) -> Vec<(GroupId, Finding)> {
         let now = Instant::now();
@@ -118,14 +129,19 @@
         let document = self.groups.document();
         let observed: Vec<&GroupSpec> =
             document.groups().iter().filter(|group| self.is_observer(group)).collect();
+        // Each group is in one of the maps at any time, for readers that look into
+        // `watched` first.
+        let mut retired = self.lock_retired();
         let mut watched = self.lock();
-        watched.retain(|_, known| {
-            let stays = observed.iter().any(|group| **group == *known.spec());
-            if !stays {
-                known.stop();
+        for (name, group) in
+            watched.extract_if(|_, known| !observed.iter().any(|group| **group == *known.spec()))
+        {
+            info!(self.logger, "stopped watching group"; "group" => %name,
+                "has_unconfirmed_requests" => group.is_held());
+            if let Some(previous) = retired.insert(name, group) {
+                previous.stop();
             }
-            stays
-        });
+        }
         for group in observed {
             watched.entry(group.name.clone()).or_insert_with(|| {
                 info!(self.logger, "started watching group"; "group" => %group.name);
@@ -133,6 +149,14 @@
                 WatchedGroup::start(group.clone(), &self.identity, self.logger.clone(), token)
             });
         }
+        drop(watched);
+        retired.retain(|_, group| {
+            let stays = group.is_held();
+            if !stays {
+                group.stop();
+            }
+            stays
+        });
     }
 
     fn is_observer(&self, group: &GroupSpec) -> bool {
@@ -153,6 +177,10 @@
         }
     }
 
+    fn lock_retired(&self) -> MutexGuard<'_, HashMap<GroupId, Arc<WatchedGroup>>> {
+        self.retired.lock().expect("no thread panics while it holds the retired groups lock")
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<GroupId, Arc<WatchedGroup>>> {
         self.watched.lock().expect("no thread panics while it holds the watched groups lock")
     }
--- a/daemon/src/watch/group.rs
+++ b/daemon/src/watch/group.rs
@@ -20,6 +20,7 @@
 use masticreel_group::view::GroupView;
 use slog::{Logger, debug, info, warn};
 
+use crate::owner::guard::{ConfirmationCounter, ConfirmationHold};
 use crate::watch::ObserverIdentity;
 use crate::watch::poller;
 
@@ -37,6 +38,8 @@
     reported: Condvar,
     /// Notified when a poll or a command is due earlier than the pollers expected.
     task_due: Condvar,
+    /// Requests that have begun here and whose commits this group's polls confirm.
+    confirmations: ConfirmationCounter,
     logger: Logger,
     cancellation: CancellationToken,
 }
@@ -110,6 +113,7 @@
             state: Mutex::new(state),
             reported: Condvar::new(),
             task_due: Condvar::new(),
+            confirmations: ConfirmationCounter::default(),
             logger,
             cancellation,
         });
@@ -129,6 +133,16 @@
         &self.spec
     }
 
+    /// Keeps the group polled until the returned value is dropped.
+    pub fn hold_confirmation(&self) -> ConfirmationHold {
+        self.confirmations.hold()
+    }
+
+    /// Returns whether a commit may still have to be confirmed by the group's polls.
+    pub(super) fn is_held(&self) -> bool {
+        self.confirmations.is_held()
+    }
+
     /// Returns what the polls have shown about the group.
     pub fn view(&self) -> GroupView {
         self.lock().observer.view()
--- a/daemon/src/watch/guard.rs
+++ b/daemon/src/watch/guard.rs
@@ -12,7 +12,7 @@
 use masticreel_wire::message::{Target, UpstreamRequest};
 
 use crate::directory::OwnerDirectory;
-use crate::owner::guard::{CheckedTerm, ServerGuard};
+use crate::owner::guard::{CheckedTerm, ConfirmationHold, ServerGuard};
 use crate::watch::Watch;
 use crate::watch::group::{AwaitedServers, WatchedGroup};
 
@@ -74,12 +74,16 @@
         }
     }
 
+    fn hold_confirmation(&self, request: &UpstreamRequest) -> ConfirmationHold {
+        self.group(request).map(|group| group.hold_confirmation()).unwrap_or_default()
+    }
+
     fn check_commit(
         &self,
         request: &UpstreamRequest,
         position: TermPosition,
     ) -> Option<Result<(), Failure>> {
-        match self.group(request) {
+        match self.watch.polled_group(&request.group) {
             Some(group) => group.with_observer(|observer| check_commit(observer, position)),
             None => Some(Err(unconfirmed("the group is not watched here any more"))),
         }
@@ -90,7 +94,7 @@
             Target::Primary => AwaitedServers::AllServers,
             Target::Read { .. } => AwaitedServers::Server(request.server.clone()),
         };
-        match self.group(request) {
+        match self.watch.polled_group(&request.group) {
             Some(group) => group.wait_for_report(&awaited, timeout),
             None => std::thread::sleep(timeout),
         }
