testutils: a stopped process has stopped before the test goes on

Cause: test_thawed_primary_acknowledges_nothing of KNOWN-RED.txt. SIGSTOP reaches one thread, which stops the others only when it is scheduled. Measured with a stand-in: in 130 of 200 trials a thread still ran when kill had returned, for up to 28 ms on a quiet machine and 41 ms beside 24 busy loops. So the insert that the test expects elsewhere could run at the old primary, which then was rightly never replaced: three entries of term 1, as was seen.

Change: Process::signal waits after a stop until /proc shows all threads as stopped. The test is unchanged, and stricter, since its primary now is frozen when it says so.

Ruled out: a fault of the failover: with the process really stopped it replaced the primary each time.

--- a/testutils/src/processes.rs
+++ b/testutils/src/processes.rs
@@ -15,6 +15,12 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long a process may take to stop after [`Signal::Stop`], on a busy machine too.
+const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Signals that a test sends to a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -97,7 +103,8 @@
         words.find_map(|word| word.strip_prefix(&prefix)?.parse().ok())
     }
 
-    /// Sends a signal; after [`Signal::Kill`] also waits until the process has exited.
+    /// Sends a signal; after [`Signal::Kill`] also waits until the process has exited,
+    /// after [`Signal::Stop`] until all of its threads are stopped.
     ///
     /// # Errors
     ///
@@ -111,11 +118,28 @@
         let status = Command::new("kill")
             .args(["-s", signal.name(), &self.child.id().to_string()])
             .status()?;
-        if status.success() {
-            Ok(())
-        } else {
-            Err(io::Error::other("the signal could not be sent: the process has exited"))
+        if !status.success() {
+            return Err(io::Error::other("the signal could not be sent: the process has exited"));
+        }
+        if signal == Signal::Stop {
+            self.wait_until_stopped()?;
         }
+        Ok(())
+    }
+
+    /// Waits until no thread of the process runs any more.
+    ///
+    /// The signal reaches one thread, which stops the others only once it is scheduled;
+    /// until then they continue to serve requests.
+    fn wait_until_stopped(&self) -> io::Result<()> {
+        let deadline = Instant::now() + STOP_TIMEOUT;
+        while !is_stopped(self.child.id())? {
+            if Instant::now() >= deadline {
+                return Err(io::Error::other("the process did not stop in time"));
+            }
+            thread::sleep(STOP_CHECK_INTERVAL);
+        }
+        Ok(())
     }
 
     /// Waits until the process exits; returns whether it exited successfully.
@@ -136,6 +160,19 @@
     }
 }
 
+/// Returns whether all threads of a process are stopped, according to `/proc`.
+fn is_stopped(process: u32) -> io::Result<bool> {
+    for thread in std::fs::read_dir(format!("/proc/{process}/task"))? {
+        let status = std::fs::read_to_string(thread?.path().join("stat"))?;
+        // The state follows the name of the program, which is in parentheses.
+        let state = status.rsplit_once(") ").and_then(|(_, rest)| rest.chars().next());
+        if state != Some('T') {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 /// Returns the path of a program of this workspace as cargo built it.
 ///
 /// # Errors
