event loop: an instance serves at once when the store is back

Three things came together: the call for the lease waited out its own backoff; an answered call did not end the time for which the store is called through others; and two instances followed each other, each holding the other's watch until it learned of changes itself.

Change: an answer ends the direct backoff and all backoffs of failed calls. An instance whose own view is older than 4.4 s answers Unavailable to other instances, and one that gets this, or a lost answer, goes on to the next. While the items are not listed the backoff is 0.3 s at most. A forwarded call whose answer was lost is answered so (StoreAnswer::Lost), no longer as not done. A server that accepts a coordinator's connection and does not open the session counts as silent. 'settings reloaded' says whether a restart is needed.

--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -197,6 +197,8 @@
     /// The instance through which the view of the store is kept up to date.
     followed: FollowedInstance,
     direct_store_calls: DirectHealth,
+    /// Whether the last call to the store, also one through another instance, failed.
+    is_store_failing: bool,
     engine: Engine,
     coordinator: Coordinator,
     /// When the shutdown of the process began.
@@ -414,9 +416,11 @@
         if signal == SIGHUP {
             match reload() {
                 Ok(settings) => {
-                    info!(self.log, "settings reloaded";
-                        "changed" => settings != self.settings);
+                    let previous = self.settings.shutdown_timeout;
                     self.settings.shutdown_timeout = settings.shutdown_timeout;
+                    info!(self.log, "settings reloaded";
+                        "changed" => settings.shutdown_timeout != previous,
+                        "restart_needed" => settings != self.settings);
                 }
                 Err(reason) => {
                     error!(self.log, "settings not reloaded; the previous ones stay active";
--- a/lib/proxy/src/event_loop/followers.rs
+++ b/lib/proxy/src/event_loop/followers.rs
@@ -15,6 +15,7 @@
 use mio::Token;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Connection, EventLoop, StoreUse, Use};
 use crate::event_loop::socket::Socket;
@@ -55,8 +56,15 @@
 
 impl DirectHealth {
     /// Records whether a direct call to the store was answered.
+    ///
+    /// An answer ends the backoff: other instances may still be without the store, and
+    /// two that call it through each other would learn nothing.
     pub(super) fn record_call(&mut self, is_answered: bool, now: Moment) {
-        self.failures = if is_answered { 0 } else { self.failures + 1 };
+        if is_answered {
+            *self = Self::default();
+            return;
+        }
+        self.failures += 1;
         if self.failures >= DIRECT_FAILURES_LIMIT {
             self.backoff_until = now + DIRECT_BACKOFF;
         }
@@ -86,7 +94,8 @@
 }
 
 impl FollowedInstance {
-    /// Records that a call through another instance was not answered.
+    /// Records that a call through another instance was not answered, or that the
+    /// instance could not serve it.
     pub(super) fn record_failure(&mut self, now: Moment) {
         self.backoff_until = now + FOLLOWED_BACKOFF;
         self.failures += 1;
@@ -136,9 +145,8 @@
         if others.is_empty() {
             return None;
         }
-        // Instances whose names differ in length choose different forwarders.
-        let chosen =
-            others[(self.followed.failures + self.settings.instance.as_str().len()) % others.len()];
+        let first = xxh3_64(self.settings.instance.as_str().as_bytes()) as usize;
+        let chosen = others[first.wrapping_add(self.followed.failures) % others.len()];
         self.instance_address(chosen)
     }
 
--- a/lib/proxy/src/event_loop/outbound.rs
+++ b/lib/proxy/src/event_loop/outbound.rs
@@ -135,11 +135,14 @@
             }
             Ok(Some(answer)) => {
                 *deadline = None;
+                let is_served = !matches!(answer, StoreAnswer::Unavailable | StoreAnswer::Lost);
                 if via.is_none() {
-                    self.direct_store_calls
-                        .record_call(answer != StoreAnswer::Unavailable, self.now);
+                    self.direct_store_calls.record_call(is_served, self.now);
+                } else if !is_served {
+                    self.followed.record_failure(self.now);
                 }
-                self.store_answered(store_use, &store_call, called_at, Some(answer));
+                let answer = (answer != StoreAnswer::Lost).then_some(answer);
+                self.store_answered(store_use, &store_call, called_at, answer);
             }
             Err(error) => {
                 warn!(self.log, "answer to a store call can't be read"; "call" => store_call.name(),
@@ -153,8 +156,7 @@
     /// Passes the answer to a call to the store, `None` if it was lost, to the
     /// component or the other instance that made the call.
     ///
-    /// Another instance can't tell a lost answer from a call that the store could
-    /// not serve: it gets [`StoreAnswer::Unavailable`] for both.
+    /// An instance whose call was forwarded gets [`StoreAnswer::Lost`] for a lost answer.
     pub(super) fn store_answered(
         &mut self,
         store_use: StoreUse,
@@ -164,12 +166,19 @@
     ) {
         let outcome = match &answer {
             None => "lost",
+            Some(StoreAnswer::Lost) => "lost",
             Some(StoreAnswer::Unavailable) => "unavailable",
             Some(StoreAnswer::Conflict) => "conflict",
             Some(StoreAnswer::Rejected) => "rejected",
             Some(_) => "ok",
         };
         self.metrics.store_called(call.name(), outcome);
+        let is_answered = !matches!(answer, None | Some(StoreAnswer::Unavailable));
+        if is_answered && self.is_store_failing {
+            self.store_sync.store_is_back(self.now);
+            self.coordinator.store_is_back(self.now);
+        }
+        self.is_store_failing = !is_answered;
         match store_use {
             StoreUse::Sync => {
                 let store = self.platform.store();
@@ -191,7 +200,7 @@
                 }
             }
             StoreUse::Forwarded(token) => {
-                let answer = answer.unwrap_or(StoreAnswer::Unavailable);
+                let answer = answer.unwrap_or(StoreAnswer::Lost);
                 if let Some(connection) = self.connections.get_mut(&token) {
                     frames::encode(&answer, &mut connection.socket.output);
                     self.dirty.insert(token);
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -135,6 +135,7 @@
             store_cache: StoreCache::default(),
             followed: FollowedInstance::default(),
             direct_store_calls: DirectHealth::default(),
+            is_store_failing: false,
             stopping_at: None,
             is_ready: false,
             ticked_at: now,
@@ -463,8 +464,26 @@
                     connection.socket.flush();
                 }
             }
-            self.connection_ended(token, false);
+            self.connection_timed_out(token);
+        }
+    }
+
+    /// Removes a connection whose deadline has passed.
+    ///
+    /// A server that accepted a coordinator's connection and has not even opened the
+    /// session counts as silent: its machine accepts connections also for a process
+    /// that hangs.
+    fn connection_timed_out(&mut self, token: Token) {
+        if let Some(Connection { socket, used_for, .. }) = self.connections.get(&token)
+            && socket.is_connected()
+            && let Use::Control { group, server, command, stage: 0, .. } = used_for
+        {
+            let (group, server, command) = (group.clone(), server.clone(), command.clone());
+            self.close(token);
+            self.control_failed(&group, &server, &command, Loss::Silent);
+            return;
         }
+        self.connection_ended(token, false);
     }
 }
 
--- a/lib/proxy/src/event_loop/store_sync.rs
+++ b/lib/proxy/src/event_loop/store_sync.rs
@@ -39,6 +39,9 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// The longest backoff after consecutive failures.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
+/// The longest backoff while the items have not been listed, so that the instance can't
+/// serve anything.
+const MAX_LISTING_BACKOFF: Duration = Duration::from_millis(300);
 
 /// Decides which call updates the view of the store next, and applies the
 /// answers.
@@ -167,7 +170,8 @@
                 self.failures += 1;
                 // Eight times the initial backoff is `MAX_BACKOFF`.
                 let backoff = INITIAL_BACKOFF * self.failures.min(8);
-                self.not_before = now + backoff.min(MAX_BACKOFF);
+                let longest = if self.is_complete() { MAX_BACKOFF } else { MAX_LISTING_BACKOFF };
+                self.not_before = now + backoff.min(longest);
                 effect.is_newly_failing = !std::mem::replace(&mut self.is_failing, true);
                 if !self.is_complete() {
                     self.restart();
@@ -180,6 +184,14 @@
         effect
     }
 
+    /// Ends the backoff after failed calls, because another call has shown that the
+    /// store answers again.
+    pub fn store_is_back(&mut self, now: Moment) {
+        if self.is_failing {
+            self.not_before = self.not_before.min(now);
+        }
+    }
+
     /// Delays the next watch call once several in a row have returned changes.
     fn throttle_watches(&mut self, now: Moment, has_changes: bool) {
         let is_burst = now.since(self.last_change_at) < BURST_WINDOW;
--- a/lib/proxy/src/records.rs
+++ b/lib/proxy/src/records.rs
@@ -304,10 +304,11 @@
     /// The lease has expired.
     LeaseGone,
     /// The store, or the instance through which it was called, could not serve the
-    /// call, which may be retried later. A commit may have taken effect nevertheless:
-    /// an instance that forwards calls also answers this if the store's own answer
-    /// was lost.
+    /// call, which may be retried later. Nothing was done.
     Unavailable,
     /// The store rejects the call.
     Rejected,
+    /// The instance that forwarded the call got no answer from the store; a commit may
+    /// have taken effect, or may still do so.
+    Lost,
 }
--- a/lib/proxy/src/store_cache.rs
+++ b/lib/proxy/src/store_cache.rs
@@ -20,6 +20,14 @@
 /// How many changes are kept for followers; a follower that is further behind has to
 /// list all items.
 const MAX_HISTORY_CHANGES: usize = 4096;
+/// The age of the view from which other instances' calls are not answered from the
+/// cache.
+///
+/// An instance that is itself without the store would let those that call it wait for
+/// changes that it does not learn of either. The view of one that reaches the store is
+/// confirmed with each answer to its watch, as of when that watch began: two watches and
+/// their timeouts ago at most.
+pub const MAX_SERVED_AGE: Duration = Duration::from_millis(4400);
 /// How many instances of a failure domain watch the store.
 ///
 /// The one with the widest link is chosen, since each change is sent over it once per
@@ -84,6 +92,11 @@
         let Some(confirmed_at) = view.confirmed_at() else {
             return Some(StoreAnswer::Unavailable);
         };
+        if now.since(confirmed_at) >= MAX_SERVED_AGE
+            && !matches!(call, StoreCall::List { may_be_stale: true, .. })
+        {
+            return Some(StoreAnswer::Unavailable);
+        }
         let age = now.since(confirmed_at).saturating_sub(held_for);
         let revision = view.revision();
         match call {
--- a/lib/proxy/tests/test_mirror.rs
+++ b/lib/proxy/tests/test_mirror.rs
@@ -8,7 +8,7 @@
 use masticreel_proxy::records::{
     Item, MemberRecord, StoreAnswer, StoreCall, StoreEvent, member_key,
 };
-use masticreel_proxy::store_cache::{StoreCache, watchers};
+use masticreel_proxy::store_cache::{MAX_SERVED_AGE, StoreCache, watchers};
 use support::{Fixture, ms};
 
 fn item(key: &str, revision: u64) -> Item {
@@ -60,6 +60,19 @@
     assert_eq!(answer, Some(StoreAnswer::Unavailable));
 }
 
+/// Guards against two instances that were both without the store and waited for each
+/// other's changes, though the store had long been back.
+#[test]
+fn test_instance_that_is_itself_without_the_store_lets_nobody_wait() {
+    let mut fixture = Fixture::serving();
+    let mut store_cache = StoreCache::default();
+    store_cache.replace(&[item("a", 100)], 100);
+    let up_to_date = watch(fixture.view.revision());
+    fixture.advance(MAX_SERVED_AGE);
+    let answer = store_cache.answer(&up_to_date, &fixture.view, fixture.now, ms(0), true);
+    assert_eq!(answer, Some(StoreAnswer::Unavailable));
+}
+
 #[test]
 fn test_widest_live_member_of_a_domain_watches_the_store() {
     let mut fixture = Fixture::serving();
