engine: refusals say 'not run' only of work that has not run

Cause: found by reading. A read whose role check was outstanding at its deadline, or whose server turned out to be replaced, was refused as 'not run'. A write that five times was refused and then lost its connection before it was sent was answered in doubt. An answer without a role cleared a suspicion; a server that hangs while its machine accepts connections raised none. After a role check the latency of the status command was taken for the route's. While all owners tried are in a backoff an instance opened up to 16 direct connections instead of one.

--- a/lib/proxy/src/caller.rs
+++ b/lib/proxy/src/caller.rs
@@ -116,6 +116,9 @@
     pub primary_only: bool,
     /// Why the last attempt failed, if there was one.
     pub last_failure: Option<Failure>,
+    /// Whether an earlier attempt has run or may have run, so that a refusal must not
+    /// state the contrary.
+    pub may_have_run: bool,
 }
 
 impl Pending {
--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -54,10 +54,9 @@
     pub outcome: Option<Result<Option<Arc<str>>, Failure>>,
 }
 
-/// A successful answer that is held back because the server may no longer be
-/// the primary.
+/// A successful answer to a caller's work.
 #[derive(Debug)]
-pub struct UnverifiedAnswer {
+pub struct WorkAnswer {
     /// The rows of the answer.
     pub rows: Vec<Arc<str>>,
     /// The signature that the server gave the answer (see
@@ -65,6 +64,8 @@
     pub signature: Option<Arc<str>>,
     /// The position that the server had applied.
     pub position: Option<TermPosition>,
+    /// How long the server took to answer.
+    pub server_time: Duration,
 }
 
 /// A connection to a server.
@@ -83,9 +84,9 @@
     pub expected: VecDeque<Expected>,
     /// The answer that is being received.
     pub partial: PartialAnswer,
-    /// The answer that is delivered once the server has confirmed that it is the
+    /// The answer that is held back until the server has confirmed that it still is the
     /// primary.
-    pub unverified: Option<UnverifiedAnswer>,
+    pub unverified: Option<WorkAnswer>,
     /// The caller that it is checked out to, for a request or a whole transaction.
     pub caller: Option<CallerId>,
     /// Whether a caller's transaction is open on it; `false` as soon as a rollback
--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -456,6 +456,7 @@
             avoided_server: None,
             primary_only: false,
             last_failure: None,
+            may_have_run: false,
         });
         self.pending_callers.insert(id);
         self.place(context, id, true);
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -12,7 +12,7 @@
 
 use super::{Action, Context, Engine};
 use crate::caller::{CallerId, ServerRequirement, Transaction};
-use crate::connections::{ConnectionId, Expected, SERVER_BACKOFF, UnverifiedAnswer};
+use crate::connections::{ConnectionId, Expected, SERVER_BACKOFF};
 use crate::engine::outcomes::WorkResult;
 use crate::engine::releases::Loss;
 use crate::moment::Moment;
@@ -223,8 +223,7 @@
         };
         match (status.map(|status| status.role), unverified) {
             (Some(Role::Primary), Some(answer)) => {
-                let UnverifiedAnswer { rows, signature, position } = answer;
-                self.work_succeeded(context, id, caller, rows, signature, position);
+                self.work_succeeded(context, id, caller, answer);
             }
             (role, _) => {
                 info!(self.log, "answer to read discarded: server not confirmed as the primary";
@@ -232,6 +231,11 @@
                 if role == Some(Role::Replica) {
                     self.suspect_if_recorded_primary(context, &group, &server);
                 }
+                if let Some(pending) =
+                    self.callers.get_mut(&caller).and_then(|caller| caller.pending.as_mut())
+                {
+                    pending.may_have_run = true;
+                }
                 let failure =
                     Failure::new(FailureKind::Busy, "the server could not prove that it leads");
                 self.fail_attempt(context, id, failure);
@@ -311,8 +315,8 @@
             // A busy server may refuse to report its role. The connection is
             // used all the same, unless the server reports that it is a
             // replica.
-            _ => {
-                if is_primary {
+            status => {
+                if is_primary && status.is_some() {
                     self.actions.push(Action::ClearSuspicion { group });
                 }
                 self.release(context, id);
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -109,16 +109,16 @@
         };
         let tag = Arc::clone(&pending.tag);
         let failure = match &pending.last_failure {
-            Some(failure) if failure.kind != FailureKind::InDoubt => Failure::new(
-                FailureKind::Busy,
-                format!("not run: no server could take it in time; the last said {}", failure.kind),
-            ),
             // Only reads are retried after an attempt that may have run.
-            Some(_) => Failure::new(
+            _ if pending.may_have_run => Failure::new(
                 FailureKind::Busy,
                 "no answer in time; an attempt may have run, and nothing of it is kept",
             ),
-            None => Failure::new(FailureKind::Busy, "not run: no server could take it in time"),
+            Some(failure) if failure.kind != FailureKind::InDoubt => Failure::new(
+                FailureKind::Busy,
+                format!("not run: no server could take it in time; the last said {}", failure.kind),
+            ),
+            _ => Failure::new(FailureKind::Busy, "not run: no server could take it in time"),
         };
         if matches!(caller.transaction, Transaction::Open(_)) {
             self.abort(context, id, failure);
@@ -132,16 +132,16 @@
     /// A request is refused if its work has not been sent, and also if its work
     /// has been answered but the role check that follows has not.
     fn time_out(&mut self, context: Context<'_>, id: CallerId, connection: ConnectionId) {
-        let is_work_unanswered = self
-            .connections
-            .get(connection)
-            .is_some_and(|connection| connection.expected.contains(&Expected::Work));
+        let used = self.connections.get(connection);
+        let is_work_unanswered = used.is_some_and(|used| used.expected.contains(&Expected::Work));
+        let has_run = used.is_some_and(|used| used.unverified.is_some());
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
         };
-        let Some(pending) = &caller.pending else {
+        let Some(pending) = &mut caller.pending else {
             return;
         };
+        pending.may_have_run |= has_run;
         let tag = Arc::clone(&pending.tag);
         let timeout = Failure::new(FailureKind::Timeout, "the server did not answer in time");
         if !is_work_unanswered {
@@ -261,16 +261,31 @@
             self.connections.remove(id);
             self.actions.push(Action::Disconnect(id));
         }
-        // `Loss::Closed` raises no suspicion of a primary, unlike the timeout of
-        // an attempt to connect at the TCP level.
         for id in lost {
-            self.connection_lost(context, id, super::Loss::Closed);
+            let loss = self.loss_after_timeout(id);
+            self.connection_lost(context, id, loss);
         }
         for (server, sent_at) in unanswered {
             self.open_test_connection(context, &server, sent_at);
         }
     }
 
+    /// Returns the loss of a connection that timed out.
+    ///
+    /// A machine may accept connections for a process that hangs, so a server that has
+    /// answered nothing since a direct connection was started counts as silent, which
+    /// raises a suspicion if it is the primary. One that is only slow has answered
+    /// something on another connection.
+    fn loss_after_timeout(&self, id: ConnectionId) -> super::Loss {
+        let is_silent = self.connections.get(id).is_some_and(|connection| {
+            let health = self.connections.known_health(&connection.server);
+            !connection.is_open
+                && connection.via.is_none()
+                && health.is_none_or(|health| health.answered_at < connection.sent_at)
+        });
+        if is_silent { super::Loss::Silent } else { super::Loss::Closed }
+    }
+
     /// Opens a connection to a server that has not answered since `since`, to
     /// find out whether it still accepts connections.
     fn open_test_connection(&mut self, context: Context<'_>, server: &ServerId, since: Moment) {
--- a/lib/proxy/src/engine/outcomes.rs
+++ b/lib/proxy/src/engine/outcomes.rs
@@ -14,7 +14,7 @@
 
 use super::{Action, Context, Engine};
 use crate::caller::{CallerId, Stage, Transaction};
-use crate::connections::{ConnectionId, Expected, SERVER_BACKOFF, UnverifiedAnswer};
+use crate::connections::{ConnectionId, Expected, SERVER_BACKOFF, WorkAnswer};
 use crate::log::SERVED_TAG;
 use crate::records::SuspicionKind;
 use crate::statement::{Access, Command, Failure, FailureKind, Outcome, SessionState, Work};
@@ -157,21 +157,19 @@
             Ok(signature) if self.requires_role_check(context, id, caller_id) => {
                 if let Some(connection) = self.connections.get_mut(id) {
                     let WorkResult { rows, position, .. } = result;
-                    connection.unverified = Some(UnverifiedAnswer { rows, signature, position });
+                    let server_time = context.now.since(connection.sent_at);
+                    connection.unverified =
+                        Some(WorkAnswer { rows, signature, position, server_time });
                     connection.expected.push_back(Expected::RoleAfterRead);
                     connection.sent_at = context.now;
                     self.actions.push(Action::Send(id, Command::Status));
                 }
             }
             Ok(signature) => {
-                self.work_succeeded(
-                    context,
-                    id,
-                    caller_id,
-                    result.rows,
-                    signature,
-                    result.position,
-                );
+                let server_time = context.now.since(connection.sent_at);
+                let WorkResult { rows, position, .. } = result;
+                let answer = WorkAnswer { rows, signature, position, server_time };
+                self.work_succeeded(context, id, caller_id, answer);
             }
             Err(failure) => {
                 self.work_failed(context, id, caller_id, &server, failure, result.state);
@@ -188,10 +186,9 @@
         context: Context<'_>,
         id: ConnectionId,
         caller_id: CallerId,
-        rows: Vec<Arc<str>>,
-        signature: Option<Arc<str>>,
-        position: Option<TermPosition>,
+        answer: WorkAnswer,
     ) {
+        let WorkAnswer { rows, signature, position, server_time } = answer;
         let Some(caller) = self.callers.get_mut(&caller_id) else {
             return;
         };
@@ -224,16 +221,14 @@
             caller.transaction = Transaction::None;
         }
         if let Some(connection) = self.connections.get(id) {
-            // After a role check, this is the duration of the check.
-            let since_sent = context.now.since(connection.sent_at);
-            self.route_latencies.entry(Arc::clone(&route.name)).or_default().observe(since_sent);
-            let since_sent_ms = since_sent.as_millis();
+            self.route_latencies.entry(Arc::clone(&route.name)).or_default().observe(server_time);
             info!(self.log, #SERVED_TAG, "request served"; "request" => %tag, "route" => %route.name,
                 "server" => %connection.server,
                 "via" => connection.via.as_ref().map(|owner| owner.to_string()),
                 "position" => position.map(|at| at.to_string()),
                 "sample_ms_ago" => self.sample_ms_ago(context, &group),
-                "attempts" => attempts, "server_ms" => since_sent_ms, "took_ms" => took_ms);
+                "attempts" => attempts, "server_ms" => server_time.as_millis(),
+                "took_ms" => took_ms);
         }
         if !stays_open {
             self.release(context, id);
@@ -332,6 +327,7 @@
             && pending.attempts < MAX_ATTEMPTS;
         let tag = Arc::clone(&pending.tag);
         if may_retry {
+            pending.may_have_run = true;
             self.connections.health(server).backoff_until = context.now + SERVER_BACKOFF;
             self.fail_attempt(context, id, failure);
         } else {
--- a/lib/proxy/src/engine/paths.rs
+++ b/lib/proxy/src/engine/paths.rs
@@ -67,7 +67,7 @@
     /// Returns the instance that relays work to a server, or `None` to connect
     /// to the server directly.
     pub(super) fn relay_for(&self, context: Context<'_>, server: &Server) -> Option<InstanceId> {
-        if !self.uses_owner(context, server) {
+        if !self.may_use_owner(context, server) {
             return None;
         }
         relays::rank_owners(context.view, server)
@@ -76,13 +76,21 @@
             .find(|owner| self.paths.avoided.get(owner).is_none_or(|until| context.now >= *until))
     }
 
-    /// Returns whether work for a server is relayed by the owner of its
-    /// connections; `false` also during the direct fallback for a server that has
-    /// an owner.
-    ///
-    /// It is `true` also while all owners tried are in a backoff, though
-    /// [`Engine::relay_for`] then lets this instance connect directly.
+    /// Returns whether work for a server is relayed by the owner of its connections;
+    /// `false` also for a server that has an owner while the owner can't reach it, or
+    /// while all owners tried are in a backoff, so that this instance connects to the
+    /// server directly.
     pub(super) fn uses_owner(&self, context: Context<'_>, server: &Server) -> bool {
+        if !self.may_use_owner(context, server) {
+            return false;
+        }
+        // Ranking the owners takes a while in a large fleet, and is rarely needed.
+        let is_any_avoided = self.paths.avoided.values().any(|until| context.now < *until);
+        !is_any_avoided || self.relay_for(context, server).is_some()
+    }
+
+    /// Returns whether a server has an owner that is not known to be unable to reach it.
+    fn may_use_owner(&self, context: Context<'_>, server: &Server) -> bool {
         let direct_until = self.paths.direct_until.get(&server.id);
         relays::is_relayed(context.view, server)
             && direct_until.is_none_or(|until| context.now >= *until)
@@ -130,6 +138,13 @@
         self.paths.direct_until.insert(server.clone(), context.now + DIRECT_FALLBACK_TIME);
         self.start_path_backoff(context, &server);
         if let Some(caller) = connection.caller {
+            // The session's unanswered commands were not sent, but the read whose role
+            // check is one of them has run.
+            if let Some(pending) =
+                self.callers.get_mut(&caller).and_then(|caller| caller.pending.as_mut())
+            {
+                pending.may_have_run |= connection.unverified.is_some();
+            }
             let failure = Failure::new(FailureKind::Busy, "the server's owner can't reach it");
             self.retry_attempt(context, caller, &server, failure);
         }
--- a/lib/proxy/src/engine/releases.rs
+++ b/lib/proxy/src/engine/releases.rs
@@ -127,8 +127,8 @@
 
     /// Retries or fails the request of a caller whose connection was lost.
     ///
-    /// Outside a transaction, work that was sent is retried only if it is a read;
-    /// the outcome of a write is unknown, as is that of the commit of a
+    /// Outside a transaction, work that was sent is retried only if it is a read, and
+    /// only a few times; the outcome of a write is unknown, as is that of the commit of a
     /// transaction that has written. Any other transaction is aborted if one of
     /// its statements has run or was sent.
     pub(super) fn lost_during_request(
@@ -147,6 +147,7 @@
             self.abort(context, caller_id, lost);
             return;
         };
+        pending.may_have_run |= is_work_unanswered;
         let may_have_written = is_work_unanswered && pending.work.access() == Access::Write;
         if let Transaction::Open(open) = &caller.transaction {
             if may_have_written && pending.work == Work::Commit && open.has_written {
@@ -160,7 +161,8 @@
             }
             return;
         }
-        if may_have_written || pending.attempts >= MAX_ATTEMPTS {
+        // Work that was not sent is retried until its deadline.
+        if may_have_written || (is_work_unanswered && pending.attempts >= MAX_ATTEMPTS) {
             let tag = Arc::clone(&pending.tag);
             self.answer_failure(context, caller_id, &tag, lost);
         } else {
@@ -274,7 +276,7 @@
     /// The machine refused the connection: no process listens at the address.
     Refused,
     /// The connection was not established for another reason than a refusal, such
-    /// as a timeout at the TCP level.
+    /// as a timeout at the TCP level, or the server has answered nothing since.
     Silent,
     /// The connection was closed or broke, or this instance closed it, for
     /// example because the server did not accept the session in time.
--- a/lib/proxy/src/relays/answers.rs
+++ b/lib/proxy/src/relays/answers.rs
@@ -108,7 +108,8 @@
 
     /// Handles the answer to the request for a primary's role before its use: a
     /// group's primary that is a replica is reported as suspect and its connection
-    /// is closed. An answer without a status counts as that of a primary.
+    /// is closed. An answer without a status, as of a busy server, neither raises nor
+    /// clears a suspicion.
     fn role_received(&mut self, context: Context<'_>, id: PooledId, status: Option<ServerStatus>) {
         let Some(pooled) = self.pooled.get(&id) else {
             return;
@@ -123,8 +124,8 @@
                 self.actions.push(RelayAction::Suspect { group, primary: server, kind });
                 self.remove_connection(context, id, Loss::Closed);
             }
-            _ => {
-                if is_primary {
+            status => {
+                if is_primary && status.is_some() {
                     self.actions.push(RelayAction::ClearSuspicion { group });
                 }
                 self.release(context, id);
--- a/lib/proxy/src/relays/pool.rs
+++ b/lib/proxy/src/relays/pool.rs
@@ -393,7 +393,8 @@
             self.close(id);
         }
         for id in timed_out {
-            self.remove_connection(context, id, Loss::Closed);
+            let loss = self.loss_after_timeout(id);
+            self.remove_connection(context, id, loss);
         }
         for server in silent {
             if let Some(server) = context.view.server(&server).cloned() {
@@ -402,6 +403,16 @@
         }
     }
 
+    /// Returns the loss of a connection that timed out: a server that has answered
+    /// nothing since it was opened hangs, though its machine accepts connections.
+    fn loss_after_timeout(&self, id: PooledId) -> Loss {
+        let is_silent = self.pooled.get(&id).is_some_and(|pooled| {
+            let pool = self.pools.get(&pooled.server);
+            !pooled.is_open && pool.is_none_or(|pool| pool.answered_at < pooled.sent_at)
+        });
+        if is_silent { Loss::Silent } else { Loss::Closed }
+    }
+
     /// Ends work at a primary that is being replaced.
     ///
     /// Closes unused connections and refuses waiting sessions at once; also
--- a/lib/proxy/tests/test_relays.rs
+++ b/lib/proxy/tests/test_relays.rs
@@ -378,6 +378,39 @@
     );
 }
 
+/// While no owner answers, all instances may connect directly at the same time, so each
+/// opens one connection, not as many as it may have sessions at an owner.
+#[test]
+fn test_instance_opens_one_direct_connection_while_no_owner_answers() {
+    let mut fixture = relayed_fixture();
+    fixture.put_document(Consistency::Latest);
+    fixture.refresh();
+    let mut engine = engine();
+    engine.group_changed(fixture.context(), &group());
+    for number in 1..=16 {
+        let caller = CallerId(number);
+        engine.open_session(fixture.context(), caller, "db".into()).expect("the database exists");
+        engine.request(fixture.context(), caller, "t".into(), write("a"));
+    }
+    let mut direct = 0;
+    for _ in 0..20 {
+        for action in engine.take_actions() {
+            let Action::Connect { connection, via, server, .. } = action else {
+                continue;
+            };
+            match via {
+                Some(_) => {
+                    engine.connection_lost(fixture.context(), connection, Loss::Silent);
+                }
+                None => direct += usize::from(server.as_str() == "s1"),
+            }
+        }
+        fixture.advance(ms(25));
+        engine.tick(fixture.context());
+    }
+    assert_eq!(direct, 1);
+}
+
 /// If the owner reports that it can't reach the server, the write has not run.
 /// It is retried over a direct connection.
 #[test]
