relays: answers that a server loses hold up nobody else

A lost answer kept its place and its connection until the caller's timeout, so after five of them nothing more was sent: 265 requests of two seconds failed, most with 'the server had no room in time', while the server was idle. An instance that connects directly has one connection to a server on the small sites and was held up in the same way; reads were retried after 650 ms.

Change: an answer is overdue after three times the mean, if the server has answered a later command. Its statement and connection no longer count, and further connections are opened in advance while that goes on. A read is retried after eight times the mean (80 to 500 ms), as many as 0.3 for each answer; work that was not sent is handed back at once; writes keep their connection until their caller gives up. A direct instance may open one more connection while an answer is overdue, and a server that answers nothing is tested after that time.

Ruled out: telling callers of writes earlier: the answer may only be slow.

--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -102,6 +102,8 @@
     pub idle_since: Moment,
     /// Whether the server has accepted it.
     pub is_open: bool,
+    /// Whether the answer to the caller's work is overdue and probably lost.
+    pub is_answer_overdue: bool,
 }
 
 impl Connection {
@@ -159,7 +161,8 @@
 /// The health of a server as observed in this instance's own traffic.
 #[derive(Debug, Default)]
 pub struct ServerHealth {
-    /// Statements of this instance that the server has not answered yet.
+    /// Statements of this instance that the server has not answered yet, without those
+    /// whose answers are overdue.
     pub running: usize,
     /// Connections to it, open or being opened.
     pub connections: usize,
@@ -177,6 +180,8 @@
     /// When it, or on a relayed connection its owner, last answered on any
     /// connection.
     pub answered_at: Moment,
+    /// When the last sent of the commands that it has answered was sent.
+    pub answered_sent_at: Moment,
     /// Until when it gets no reads that don't require the primary.
     pub backoff_until: Moment,
     /// Its latency, and the concurrency limit derived from it.
@@ -225,6 +230,7 @@
             sent_at: now,
             idle_since: now,
             is_open: false,
+            is_answer_overdue: false,
         };
         self.connections.insert(id, connection);
         id
@@ -251,12 +257,57 @@
         if !connection.is_open {
             health.opening -= 1;
         }
-        if connection.expected.contains(&Expected::Work) {
+        if connection.expected.contains(&Expected::Work) && !connection.is_answer_overdue {
             health.running -= 1;
         }
         Some(connection)
     }
 
+    /// Finds answers to work that are overdue although their server has answered commands
+    /// which were sent later, and returns the connections with a read outside a
+    /// transaction that has waited long enough to be retried.
+    ///
+    /// The server has probably ended these statements and lost the answers, so others may
+    /// be sent in their place. Relayed ones may be queued at their owner, which judges
+    /// them itself.
+    pub fn find_overdue_answers(&mut self, now: Moment) -> Vec<ConnectionId> {
+        let mut retryable = Vec::new();
+        for (id, connection) in &mut self.connections {
+            if connection.via.is_some() || !connection.expected.contains(&Expected::Work) {
+                continue;
+            }
+            let health = self.health.entry(connection.server.clone()).or_default();
+            let waited = now.since(connection.sent_at);
+            if waited <= health.latency.overdue_time()
+                || health.answered_sent_at <= connection.sent_at
+            {
+                continue;
+            }
+            if !std::mem::replace(&mut connection.is_answer_overdue, true) {
+                health.running -= 1;
+            }
+            if !connection.in_transaction && waited > health.latency.retry_time() {
+                retryable.push(*id);
+            }
+        }
+        retryable
+    }
+
+    /// Returns on how many connections to a server work has waited for so long that its
+    /// answer may be lost.
+    pub fn overdue_count(&self, server: &ServerId, now: Moment) -> usize {
+        let Some(health) = self.health.get(server) else {
+            return 0;
+        };
+        let threshold = health.latency.retry_time();
+        let overdue = self.connections.values().filter(|connection| {
+            connection.server == *server
+                && connection.expected.contains(&Expected::Work)
+                && now.since(connection.sent_at) > threshold
+        });
+        overdue.count()
+    }
+
     /// Returns a connection.
     pub fn get(&self, id: ConnectionId) -> Option<&Connection> {
         self.connections.get(&id)
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -97,6 +97,7 @@
             return;
         };
         let sent_at = connection.sent_at;
+        let was_overdue = std::mem::take(&mut connection.is_answer_overdue);
         let is_detached = connection.caller.is_none();
         let server = connection.server.clone();
         let group = connection.group.clone();
@@ -125,7 +126,7 @@
             Expected::Work => {
                 let jitter = self.jitter();
                 let health = self.connections.health(&server);
-                health.running -= 1;
+                health.running -= usize::from(!was_overdue);
                 match &outcome {
                     Err(failure) if failure.kind == FailureKind::Busy => {
                         health.latency.observe_refusal(context.now, jitter);
@@ -254,6 +255,7 @@
     ) {
         let health = self.connections.health(server);
         health.answered_at = context.now;
+        health.answered_sent_at = health.answered_sent_at.max(sent_at);
         if let Some(position) = position {
             health.applied = Some((position, sent_at));
         }
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -51,6 +51,7 @@
     /// Handles everything that is due by now: timeouts, retries, waiting
     /// requests and the warm-up of connections.
     pub fn tick(&mut self, context: Context<'_>) {
+        self.retry_reads_without_answer(context);
         self.expire_requests(context);
         self.expire_connections(context);
         self.expire_transactions(context);
@@ -176,6 +177,24 @@
         }
     }
 
+    /// Retries reads whose answers are overdue, as far as their servers have answered
+    /// enough other statements.
+    fn retry_reads_without_answer(&mut self, context: Context<'_>) {
+        for id in self.connections.find_overdue_answers(context.now) {
+            let Some(connection) = self.connections.get(id) else {
+                continue;
+            };
+            let server = connection.server.clone();
+            let caller = connection.caller.and_then(|caller| self.callers.get(&caller));
+            let is_read = caller
+                .and_then(|caller| caller.pending.as_ref())
+                .is_some_and(|pending| pending.work.access() == Access::Read);
+            if is_read && self.connections.health(&server).latency.take_retry() {
+                self.abandon(context, id);
+            }
+        }
+    }
+
     /// Retries a read on another connection, to the same or another server, if
     /// its server or its connection has stopped answering.
     fn abandon_stalled_read(&mut self, context: Context<'_>, id: CallerId, on: ConnectionId) {
--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -359,7 +359,10 @@
         }
         let limit = connection_limit(context, &server.group).saturating_sub(RESTART_CONNECTIONS);
         let share = (limit / context.view.live_count().max(1)).max(1);
-        share.min(pool_size + EXTRA_CONNECTIONS)
+        // A connection whose answer is overdue may never be usable again, and without
+        // another one nothing would show that the server still answers.
+        let overdue = self.connections.overdue_count(&server.id, context.now);
+        share.min(pool_size + EXTRA_CONNECTIONS) + overdue.min(EXTRA_CONNECTIONS)
     }
 
     /// Returns the servers that may run a request, the best first.
--- a/lib/proxy/src/latency.rs
+++ b/lib/proxy/src/latency.rs
@@ -35,11 +35,29 @@
 /// Factor by which each answer shortens the next backoff.
 const BACKOFF_DECAY: f64 = 0.8;
 
+/// Ratio to the mean above which an answer is overdue, if the server has answered later
+/// statements meanwhile, and the least such time. A statement that is only long then
+/// lets the server have one more than it has slots.
+const OVERDUE_RATIO: u32 = 3;
+const MIN_OVERDUE_TIME: Duration = Duration::from_millis(25);
+/// Ratio to the mean above which a read is retried because its answer is overdue, and
+/// the bounds of that time. Below the lower one many reads that are only long would run
+/// twice.
+const RETRY_RATIO: u32 = 8;
+const MIN_RETRY_TIME: Duration = Duration::from_millis(80);
+const MAX_RETRY_TIME: Duration = Duration::from_millis(500);
+/// How many early retries each answer allows, so that a server which is only slow gets
+/// little additional work.
+const RETRIES_PER_ANSWER: f64 = 0.3;
+/// The most early retries that can be saved up.
+const MAX_SAVED_RETRIES: f64 = 6.0;
+
 /// Estimates the latency of statements at a server or of a route, and derives a
 /// concurrency limit for a server from it.
 #[derive(Debug, Default)]
 pub struct LatencyEstimate {
     observations: u32,
+    saved_retries: f64,
     mean_ms: f64,
     baseline_ms: f64,
     single_statement_until: Moment,
@@ -51,6 +69,7 @@
     /// Records how long the server took to answer a statement.
     pub fn observe(&mut self, took: Duration) {
         self.backoff_ms *= BACKOFF_DECAY;
+        self.saved_retries = (self.saved_retries + RETRIES_PER_ANSWER).min(MAX_SAVED_RETRIES);
         let took_ms = took.as_secs_f64() * 1000.0;
         self.observations = self.observations.saturating_add(1);
         // The next line leaves the first value unchanged.
@@ -89,6 +108,29 @@
         if is_slow || now < self.single_statement_until { 1 } else { slots }
     }
 
+    /// Returns the time after which an answer is overdue, if the server has answered
+    /// statements that were sent later.
+    ///
+    /// Servers lose answers of statements that they have run; the connection then stays
+    /// silent until the caller's timeout.
+    pub fn overdue_time(&self) -> Duration {
+        (self.mean() * OVERDUE_RATIO).clamp(MIN_OVERDUE_TIME, MAX_RETRY_TIME)
+    }
+
+    /// Returns the time after which a read whose answer is overdue is retried.
+    pub fn retry_time(&self) -> Duration {
+        (self.mean() * RETRY_RATIO).clamp(MIN_RETRY_TIME, MAX_RETRY_TIME)
+    }
+
+    /// Returns whether a read whose answer is overdue may be retried now, and counts it; as many may as a part of the statements that were answered.
+    pub fn take_retry(&mut self) -> bool {
+        let may_retry = self.saved_retries >= 1.0;
+        if may_retry {
+            self.saved_retries -= 1.0;
+        }
+        may_retry
+    }
+
     /// Returns the baseline latency: that of a statement which does not queue at
     /// the server.
     pub fn baseline(&self) -> Duration {
--- a/lib/proxy/src/relays.rs
+++ b/lib/proxy/src/relays.rs
@@ -182,6 +182,10 @@
     /// The session's command, sent once the connection has the session's
     /// variables.
     command: Option<Command>,
+    /// Whether the statement whose answer is outstanding only reads.
+    runs_read: bool,
+    /// Whether an outstanding answer is overdue and probably lost.
+    is_answer_overdue: bool,
     /// The failure in the answer that is being received.
     failure: Option<Failure>,
     in_transaction: bool,
@@ -197,7 +201,8 @@
 struct Pool {
     connections: Vec<PooledId>,
     queue: WaitingQueue<RelaySessionId>,
-    /// How many statements the server has not answered yet.
+    /// How many statements the server has not answered yet, without those whose answers
+    /// are overdue.
     running: usize,
     /// How many connections the server has not accepted yet.
     opening: usize,
@@ -207,6 +212,8 @@
     connect_after: Moment,
     /// When the server last completed an answer.
     answered_at: Moment,
+    /// When the last sent of the commands that it has answered was sent.
+    answered_sent_at: Moment,
     latency: LatencyEstimate,
     /// Whether this instance owned the server's connections at the last check.
     is_owned: bool,
--- a/lib/proxy/src/relays/answers.rs
+++ b/lib/proxy/src/relays/answers.rs
@@ -67,10 +67,12 @@
             self.remove_connection(context, id, Loss::Garbage);
             return;
         };
+        let was_overdue = std::mem::take(&mut pooled.is_answer_overdue);
         let failure = pooled.failure.take();
         let session = pooled.session;
         let pool = self.pools.entry(pooled.server.clone()).or_default();
         pool.answered_at = context.now;
+        pool.answered_sent_at = pool.answered_sent_at.max(pooled.sent_at);
         match expected {
             Expected::Start => {
                 pooled.is_open = true;
@@ -87,7 +89,7 @@
                 }
             }
             Expected::Work => {
-                pool.running -= 1;
+                pool.running -= usize::from(!was_overdue);
                 pool.latency.observe(context.now.since(pooled.sent_at));
                 pooled.in_transaction = state != SessionState::Idle;
                 if let Some(session) = session {
--- a/lib/proxy/src/relays/pool.rs
+++ b/lib/proxy/src/relays/pool.rs
@@ -20,7 +20,7 @@
 use crate::relays::{
     Pooled, PooledId, RelayAction, RelayAnswer, RelaySessionId, Relays, rank_owners,
 };
-use crate::statement::Command;
+use crate::statement::{Access, Command};
 
 /// How many statements are sent to a server beyond its slots, so that no slot is
 /// idle while an answer is in transit.
@@ -37,8 +37,9 @@
 const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(1000);
 /// How long an idle connection beyond the number that is kept may stay unused.
 const SPARE_IDLE_TIMEOUT: Duration = Duration::from_millis(1000);
-/// If a server with outstanding statements sends no answer for this long, a new
-/// connection is opened to find out whether it is reachable.
+/// If a server with outstanding statements sends no answer for this long, or for as long
+/// as reads are retried after, a new connection is opened to find out whether it is
+/// reachable.
 const TEST_CONNECTION_DELAY: Duration = Duration::from_millis(300);
 /// How long a server may take to answer where no session waits: to accept a
 /// connection, counted from when it was opened, or to answer a command.
@@ -53,6 +54,7 @@
     /// Applies timeouts, closes unneeded connections and dispatches waiting
     /// sessions.
     pub fn tick(&mut self, context: Context<'_>) {
+        self.find_overdue_answers(context);
         self.expire_waiting(context);
         self.check_ownership(context);
         self.expire_connections(context);
@@ -132,15 +134,19 @@
         let limit = limits.map_or(1, |limits| limits.max_connections);
         let pool = self.pools.entry(server.id.clone()).or_default();
         let share = (limit / OWNER_SHARE_DIVISOR).max(1);
-        // More connections could not be used concurrently, and opening a
-        // connection occupies a slot of the server.
-        let idle_in_transaction = pool.connections.iter().filter_map(|id| self.pooled.get(id));
-        let idle_in_transaction =
-            idle_in_transaction.filter(|p| p.in_transaction && p.expected.is_empty()).count();
-        let usable = pool.connections.len() - idle_in_transaction;
-        let is_needed = pool.opening < pool.queue.len()
-            && usable < server.slots + STATEMENTS_BEYOND_SLOTS
-            && pool.connections.len() < share;
+        let pooled = || pool.connections.iter().filter_map(|id| self.pooled.get(id));
+        let overdue = pooled().filter(|pooled| pooled.is_answer_overdue).count();
+        let idle_in_transaction = pooled()
+            .filter(|pooled| !pooled.is_answer_overdue)
+            .filter(|pooled| pooled.in_transaction && pooled.expected.is_empty())
+            .count();
+        let usable = pool.connections.len() - overdue - idle_in_transaction;
+        // More connections could not be used concurrently, and opening a connection
+        // occupies a slot of the server. While the server loses answers, more of them are
+        // about to become useless.
+        let wanted = server.slots + STATEMENTS_BEYOND_SLOTS + overdue.min(CONNECTIONS_BEYOND_SLOTS);
+        let is_needed =
+            pool.opening < pool.queue.len() && usable < wanted && pool.connections.len() < share;
         if is_needed && context.now >= pool.connect_after {
             self.open(context, server);
         }
@@ -172,6 +178,8 @@
             session: None,
             expected,
             command: None,
+            runs_read: false,
+            is_answer_overdue: false,
             failure: None,
             in_transaction: false,
             variables: Default::default(),
@@ -202,6 +210,8 @@
             return;
         };
         pooled.expected.push_back(Expected::Work);
+        pooled.runs_read =
+            matches!(&command, Command::Run { work, .. } if work.access() == Access::Read);
         pooled.sent_at = context.now;
         self.pools.entry(pooled.server.clone()).or_default().running += 1;
         self.actions.push(RelayAction::Send(id, command));
@@ -249,7 +259,7 @@
         if !pooled.is_open {
             pool.opening -= 1;
         }
-        if pooled.expected.contains(&Expected::Work) {
+        if pooled.expected.contains(&Expected::Work) && !pooled.is_answer_overdue {
             pool.running -= 1;
         }
         Some(pooled)
@@ -350,6 +360,51 @@
         }
     }
 
+    /// Finds answers that are overdue although the server has answered commands which
+    /// were sent later.
+    ///
+    /// The server has probably ended these statements and lost the answers, so others are
+    /// sent in their place. Work that was not sent yet, and after a while a read outside
+    /// a transaction, is handed back to its entry instance, which retries it. Anything
+    /// else keeps its connection until its caller gives up, since its outcome can't be
+    /// learned in another way.
+    fn find_overdue_answers(&mut self, context: Context<'_>) {
+        let mut handed_back = Vec::new();
+        for pool in self.pools.values_mut() {
+            let overdue_time = pool.latency.overdue_time();
+            let retry_time = pool.latency.retry_time();
+            for id in &pool.connections {
+                let Some(pooled) = self.pooled.get_mut(id) else {
+                    continue;
+                };
+                let waited = context.now.since(pooled.sent_at);
+                let is_overdue = pooled.is_open
+                    && !pooled.expected.is_empty()
+                    && waited > overdue_time
+                    && pool.answered_sent_at > pooled.sent_at;
+                if !is_overdue {
+                    continue;
+                }
+                let was_sent = pooled.expected.contains(&Expected::Work);
+                if !std::mem::replace(&mut pooled.is_answer_overdue, true) {
+                    pool.running -= usize::from(was_sent);
+                }
+                let is_plain_read = pooled.runs_read && !pooled.in_transaction;
+                let may_retry = if was_sent {
+                    is_plain_read && waited > retry_time && pool.latency.take_retry()
+                } else {
+                    true
+                };
+                if may_retry && pooled.session.is_some() {
+                    handed_back.push(*id);
+                }
+            }
+        }
+        for id in handed_back {
+            self.remove_connection(context, id, Loss::Closed);
+        }
+    }
+
     /// Closes spare idle connections and those on which the server timed out,
     /// and opens a new connection to servers that have stopped answering.
     fn expire_connections(&mut self, context: Context<'_>) {
@@ -377,9 +432,10 @@
                 if pooled.expected.is_empty() {
                     continue;
                 }
-                if waited > NO_WAITER_TIMEOUT && pooled.session.is_none() {
+                let has_no_waiter = pooled.session.is_none();
+                if has_no_waiter && (waited > NO_WAITER_TIMEOUT || pooled.is_answer_overdue) {
                     timed_out.push(*id);
-                } else if waited > TEST_CONNECTION_DELAY
+                } else if waited > TEST_CONNECTION_DELAY.min(pool.latency.retry_time())
                     && pool.answered_at < pooled.sent_at
                     && pool.opening == 0
                     && context.now >= pool.connect_after
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -80,6 +80,8 @@
     /// Whether [`Fixture::refresh`] does nothing, as if the store did not answer the
     /// instance's watch calls.
     pub is_cut_off: bool,
+    /// How many connections each server accepts, for documents put afterwards.
+    pub max_connections: usize,
 }
 
 impl Fixture {
@@ -91,6 +93,7 @@
             now: Moment::from_start(Duration::from_secs(1000)),
             view: StoreView::default(),
             is_cut_off: false,
+            max_connections: 16,
         }
     }
 
@@ -130,7 +133,7 @@
             routes: routes.iter().map(route).collect(),
             groups: HashMap::from([(
                 group(),
-                GroupLimits { max_connections: 16, sync_replicas: 0 },
+                GroupLimits { max_connections: self.max_connections, sync_replicas: 0 },
             )]),
             transaction_idle_timeout: Some(Duration::from_secs(3)),
         };
