coordinator: a primary that drops all work is replaced

Change: an instance that has lost six connections in a row with work on them, over 0.25 s or more, and got no answer to work meanwhile suspects the primary as failing; only answered work clears that. Two instances, or the owner of the server's connections alone, start a replacement. Loss::Abandoned tells what this instance closed itself from what the server closed.

Tests: test_primary_that_drops_all_work_is_suspected_until_it_runs_some, test_primary_that_drops_all_work_is_replaced, test_role_alone_does_not_clear_the_suspicion_of_dropped_work. Ruled out: asking several instances for their own losses: each would lose callers' writes to find out.

--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -158,6 +158,42 @@
     commands
 }
 
+/// How many consecutive connections with work on them a server has to close until it is
+/// taken to drop all work, and for how long at least. A server that restarts, or
+/// connections that are reset together, must not count.
+const DROPPED_WORK_LIMIT: u32 = 6;
+const DROPPED_WORK_TIME: Duration = Duration::from_millis(250);
+
+/// The work that a server has dropped, by closing the connection, since it last answered
+/// any.
+#[derive(Debug, Default)]
+pub struct DroppedWork {
+    count: u32,
+    since: Moment,
+    is_reported: bool,
+}
+
+impl DroppedWork {
+    /// Records that the server dropped work, and returns whether it is taken to drop all
+    /// work now.
+    pub fn record_loss(&mut self, now: Moment) -> bool {
+        if self.count == 0 {
+            self.since = now;
+        }
+        self.count += 1;
+        let is_failing =
+            self.count >= DROPPED_WORK_LIMIT && now.since(self.since) >= DROPPED_WORK_TIME;
+        self.is_reported |= is_failing;
+        is_failing
+    }
+
+    /// Records that the server answered work, and returns whether it was taken to drop
+    /// all work before.
+    pub fn record_answer(&mut self) -> bool {
+        std::mem::take(self).is_reported
+    }
+}
+
 /// The health of a server as observed in this instance's own traffic.
 #[derive(Debug, Default)]
 pub struct ServerHealth {
@@ -182,6 +218,8 @@
     pub answered_at: Moment,
     /// When the last sent of the commands that it has answered was sent.
     pub answered_sent_at: Moment,
+    /// The work that it has dropped.
+    pub dropped_work: DroppedWork,
     /// Until when it gets no reads that don't require the primary.
     pub backoff_until: Moment,
     /// Its latency, and the concurrency limit derived from it.
--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -262,9 +262,13 @@
         self.suspicions.insert(group.clone(), suspicion);
     }
 
-    /// Clears the suspicion about a group's primary because it has answered.
-    pub fn clear_suspicion(&mut self, group: &GroupId) {
-        self.suspicions.remove(group);
+    /// Clears the suspicion about a group's primary because it has answered, unless it
+    /// has answered no work and is suspected to drop all of it.
+    pub fn clear_suspicion(&mut self, group: &GroupId, has_run_work: bool) {
+        let is_cleared = |found: &DoubtRecord| has_run_work || found.kind != SuspicionKind::Failing;
+        if self.suspicions.get(group).is_some_and(is_cleared) {
+            self.suspicions.remove(group);
+        }
     }
 
     /// Handles the answer to a call to the store, or its loss (`None`).
--- a/lib/proxy/src/coordinator/replacement.rs
+++ b/lib/proxy/src/coordinator/replacement.rs
@@ -28,6 +28,7 @@
 use crate::primary_lease::{MAX_FRESH_VIEW_AGE, PRIMARY_LEASE};
 use crate::protocol::{PromoterAnswer, PromotionRequest};
 use crate::records::{GroupRecord, Phase, StoreAnswer, StoreCall, SuspicionKind, Write, group_key};
+use crate::relays::{is_relayed, rank_owners};
 use crate::statement::{Command, Role, ServerStatus};
 use crate::store_view::StoreView;
 
@@ -265,8 +266,8 @@
                 .filter(|(_, suspicion)| suspicion.epoch == record.epoch && suspicion.kind == kind)
                 .count()
         };
-        // Two instances suffice to establish that the process is not running, and one
-        // that the server answered as a replica. Timeouts are weaker signs, which a
+        // Two instances suffice to establish that the process is not running or drops all
+        // work, and one that the server answered as a replica. Timeouts are weaker signs, which a
         // fault of the network can cause too: half of the instances must suspect the
         // primary, at least two. If fewer instances are live, all of them suffice.
         let refused = count(SuspicionKind::Refused);
@@ -277,6 +278,18 @@
         if count(SuspicionKind::Deposed) > 0 {
             return Some("deposed");
         }
+        // Where a server's connections have an owner, all work goes through it, so no
+        // other instance can see that the server drops it.
+        let owner = view.server(&record.primary).filter(|server| is_relayed(view, server));
+        let owner = owner.and_then(|server| rank_owners(view, server).into_iter().next());
+        let is_owner_suspecting = view.suspicions(group).any(|(instance, suspicion)| {
+            owner.as_ref() == Some(instance)
+                && suspicion.epoch == record.epoch
+                && suspicion.kind == SuspicionKind::Failing
+        });
+        if is_owner_suspecting || count(SuspicionKind::Failing) >= live.min(2) {
+            return Some("failing");
+        }
         if refused + silent >= live.min((live / 2).max(2)) {
             return Some("silent");
         }
@@ -288,7 +301,7 @@
                 suspecting == instance
                     && suspicion.primary == record.primary
                     && suspicion.epoch == record.epoch
-                    && suspicion.kind != SuspicionKind::Deposed
+                    && matches!(suspicion.kind, SuspicionKind::Refused | SuspicionKind::Silent)
             })
         };
         let probing = probing_members(view, group);
--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -135,6 +135,8 @@
     ClearSuspicion {
         /// The group.
         group: GroupId,
+        /// Whether it has run work, and not only reported its role.
+        has_run_work: bool,
     },
 }
 
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -127,6 +127,7 @@
                 let jitter = self.jitter();
                 let health = self.connections.health(&server);
                 health.running -= usize::from(!was_overdue);
+                health.dropped_work.record_answer();
                 match &outcome {
                     Err(failure) if failure.kind == FailureKind::Busy => {
                         health.latency.observe_refusal(context.now, jitter);
@@ -312,14 +313,14 @@
                 warn!(self.log, "primary answers as a replica"; "group" => %group,
                     "server" => %server, "term" => %status.term);
                 self.suspect(group, server, SuspicionKind::Deposed);
-                self.connection_lost(context, id, Loss::Closed);
+                self.connection_lost(context, id, Loss::Abandoned);
             }
             // A busy server may refuse to report its role. The connection is
             // used all the same, unless the server reports that it is a
             // replica.
             status => {
                 if is_primary && status.is_some() {
-                    self.actions.push(Action::ClearSuspicion { group });
+                    self.actions.push(Action::ClearSuspicion { group, has_run_work: false });
                 }
                 self.release(context, id);
             }
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -302,7 +302,7 @@
                 && connection.via.is_none()
                 && health.is_none_or(|health| health.answered_at < connection.sent_at)
         });
-        if is_silent { super::Loss::Silent } else { super::Loss::Closed }
+        if is_silent { super::Loss::Silent } else { super::Loss::Abandoned }
     }
 
     /// Opens a connection to a server that has not answered since `since`, to
--- a/lib/proxy/src/engine/outcomes.rs
+++ b/lib/proxy/src/engine/outcomes.rs
@@ -365,7 +365,8 @@
     ) {
         if context.view.group(group).is_some_and(|record| record.primary == *server) {
             self.suspected.remove(group);
-            self.actions.push(Action::ClearSuspicion { group: group.clone() });
+            let group = group.clone();
+            self.actions.push(Action::ClearSuspicion { group, has_run_work: true });
         }
     }
 }
--- a/lib/proxy/src/engine/releases.rs
+++ b/lib/proxy/src/engine/releases.rs
@@ -19,7 +19,7 @@
 
 use super::{Action, Context, Engine};
 use crate::caller::{CallerId, Transaction};
-use crate::connections::{ConnectionId, Expected};
+use crate::connections::{ConnectionId, Expected, SERVER_BACKOFF};
 use crate::engine::outcomes::MAX_ATTEMPTS;
 use crate::records::SuspicionKind;
 use crate::statement::{Access, Command, Failure, FailureKind, Work};
@@ -62,13 +62,16 @@
             let kind = match loss {
                 Loss::Refused => Some(SuspicionKind::Refused),
                 Loss::Silent => Some(SuspicionKind::Silent),
-                Loss::Closed | Loss::Garbage => None,
+                Loss::Closed | Loss::Abandoned | Loss::Garbage => None,
             };
             if let Some(kind) = kind.filter(|_| is_primary) {
                 self.suspect(group.clone(), server.clone(), kind);
             }
         }
         let is_work_unanswered = connection.expected.contains(&Expected::Work);
+        if is_work_unanswered && loss == Loss::Closed {
+            self.work_lost(context, &group, &server, connection.via.is_none());
+        }
         let Some(caller_id) = connection.caller else {
             return;
         };
@@ -84,6 +87,28 @@
         self.lost_during_request(context, caller_id, &server, is_work_unanswered);
     }
 
+    /// Records that a server, or the owner of its connections, has closed a connection
+    /// with work on it: reads are sent to other servers for a moment, and a primary that
+    /// does so with all work of direct connections is suspected.
+    fn work_lost(
+        &mut self,
+        context: Context<'_>,
+        group: &GroupId,
+        server: &ServerId,
+        is_direct: bool,
+    ) {
+        let health = self.connections.health(server);
+        health.backoff_until = health.backoff_until.max(context.now + SERVER_BACKOFF);
+        if !is_direct {
+            return;
+        }
+        let is_failing = health.dropped_work.record_loss(context.now);
+        let is_primary = context.view.group(group).is_some_and(|record| record.primary == *server);
+        if is_failing && is_primary {
+            self.suspect(group.clone(), server.clone(), SuspicionKind::Failing);
+        }
+    }
+
     /// Delivers an answer whose connection broke after the result but before
     /// the final message, which has the position of a commit.
     ///
@@ -266,7 +291,7 @@
     /// Closes a connection, which may be intact; the request of its caller, if it
     /// has one, is handled as if the connection had broken.
     pub(super) fn abandon(&mut self, context: Context<'_>, id: ConnectionId) {
-        self.connection_lost(context, id, Loss::Closed);
+        self.connection_lost(context, id, Loss::Abandoned);
     }
 }
 
@@ -278,9 +303,10 @@
     /// The connection was not established for another reason than a refusal, such
     /// as a timeout at the TCP level, or the server has answered nothing since.
     Silent,
-    /// The connection was closed or broke, or this instance closed it, for
-    /// example because the server did not accept the session in time.
+    /// The connection was closed or broke.
     Closed,
+    /// This instance closed the connection, for example because an answer was overdue.
+    Abandoned,
     /// The data that was received violates the protocol.
     Garbage,
 }
--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -390,7 +390,9 @@
             Action::Suspect { group, primary, kind } => {
                 self.coordinator.suspect(&self.view, &group, &primary, kind);
             }
-            Action::ClearSuspicion { group } => self.coordinator.clear_suspicion(&group),
+            Action::ClearSuspicion { group, has_run_work } => {
+                self.coordinator.clear_suspicion(&group, has_run_work);
+            }
         }
     }
 
--- a/lib/proxy/src/event_loop/outbound.rs
+++ b/lib/proxy/src/event_loop/outbound.rs
@@ -427,7 +427,7 @@
         let failure = match loss {
             Loss::Refused => ControlFailure::Refused,
             Loss::Silent => ControlFailure::Silent,
-            Loss::Closed | Loss::Garbage => ControlFailure::Rejected,
+            Loss::Closed | Loss::Abandoned | Loss::Garbage => ControlFailure::Rejected,
         };
         self.coordinator.control_answered(self.now, group, server, command, Err(failure));
     }
--- a/lib/proxy/src/event_loop/relayed.rs
+++ b/lib/proxy/src/event_loop/relayed.rs
@@ -65,7 +65,9 @@
             RelayAction::Suspect { group, primary, kind } => {
                 self.coordinator.suspect(&self.view, &group, &primary, kind);
             }
-            RelayAction::ClearSuspicion { group } => self.coordinator.clear_suspicion(&group),
+            RelayAction::ClearSuspicion { group, has_run_work } => {
+                self.coordinator.clear_suspicion(&group, has_run_work);
+            }
         }
     }
 
--- a/lib/proxy/src/records.rs
+++ b/lib/proxy/src/records.rs
@@ -156,6 +156,9 @@
     /// The primary answers as a replica.
     #[display("deposed")]
     Deposed,
+    /// The primary reports its role but closes every connection on which work is sent.
+    #[display("failing")]
+    Failing,
 }
 
 /// The stored record of an instance's suspicion about a primary.
--- a/lib/proxy/src/relays.rs
+++ b/lib/proxy/src/relays.rs
@@ -31,7 +31,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::caller::SessionVariables;
-use crate::connections::Expected;
+use crate::connections::{DroppedWork, Expected};
 use crate::directory::Server;
 use crate::latency::LatencyEstimate;
 use crate::moment::Moment;
@@ -138,6 +138,8 @@
     ClearSuspicion {
         /// The group.
         group: GroupId,
+        /// Whether it has run work, and not only reported its role.
+        has_run_work: bool,
     },
 }
 
@@ -215,6 +217,7 @@
     /// When the last sent of the commands that it has answered was sent.
     answered_sent_at: Moment,
     latency: LatencyEstimate,
+    dropped_work: DroppedWork,
     /// Whether this instance owned the server's connections at the last check.
     is_owned: bool,
     ownership_checked_at: Moment,
--- a/lib/proxy/src/relays/answers.rs
+++ b/lib/proxy/src/relays/answers.rs
@@ -38,7 +38,7 @@
             UpstreamMessage::Error(failure) if front == Some(Expected::Start) => {
                 info!(self.log, "server refused the session"; "server" => %pooled.server,
                     "outcome" => %failure.kind, "reason" => %failure.text);
-                self.remove_connection(context, id, Loss::Closed);
+                self.remove_connection(context, id, Loss::Abandoned);
             }
             message if front == Some(Expected::Work) => {
                 if let Some(session) = pooled.session {
@@ -90,6 +90,11 @@
             }
             Expected::Work => {
                 pool.running -= usize::from(!was_overdue);
+                if pool.dropped_work.record_answer() {
+                    let group = pooled.group.clone();
+                    let action = RelayAction::ClearSuspicion { group, has_run_work: true };
+                    self.actions.push(action);
+                }
                 pool.latency.observe(context.now.since(pooled.sent_at));
                 pooled.in_transaction = state != SessionState::Idle;
                 if let Some(session) = session {
@@ -124,11 +129,12 @@
                     "server" => %server, "term" => %status.term);
                 let kind = SuspicionKind::Deposed;
                 self.actions.push(RelayAction::Suspect { group, primary: server, kind });
-                self.remove_connection(context, id, Loss::Closed);
+                self.remove_connection(context, id, Loss::Abandoned);
             }
             status => {
                 if is_primary && status.is_some() {
-                    self.actions.push(RelayAction::ClearSuspicion { group });
+                    let action = RelayAction::ClearSuspicion { group, has_run_work: false };
+                    self.actions.push(action);
                 }
                 self.release(context, id);
             }
@@ -158,7 +164,7 @@
         } else {
             // Setup commands that were sent after the failed one may still
             // succeed, so the state of the connection is unknown.
-            self.remove_connection(context, id, Loss::Closed);
+            self.remove_connection(context, id, Loss::Abandoned);
         }
         if let Some(session) = session {
             self.run_backlog(context, session);
--- a/lib/proxy/src/relays/pool.rs
+++ b/lib/proxy/src/relays/pool.rs
@@ -278,6 +278,9 @@
         if !pooled.is_open {
             self.connect_failed(context, &pooled, loss);
         }
+        if loss == Loss::Closed && pooled.expected.contains(&Expected::Work) {
+            self.work_lost(context, &pooled);
+        }
         let Some(session) = pooled.session else {
             return;
         };
@@ -295,6 +298,20 @@
         }
     }
 
+    /// Records that a server has closed a connection with work on it, and reports a
+    /// primary that does so with all work as suspect.
+    fn work_lost(&mut self, context: Context<'_>, pooled: &Pooled) {
+        let pool = self.pools.entry(pooled.server.clone()).or_default();
+        let is_failing = pool.dropped_work.record_loss(context.now);
+        let group = pooled.group.clone();
+        let primary = pooled.server.clone();
+        let is_primary = context.view.group(&group).is_some_and(|r| r.primary == primary);
+        if is_failing && is_primary {
+            let kind = SuspicionKind::Failing;
+            self.actions.push(RelayAction::Suspect { group, primary, kind });
+        }
+    }
+
     /// Starts the backoff after a failed attempt to connect. If the connection was
     /// refused or not established, reports a primary as suspect, and ends the
     /// sessions that wait for the server if it is unreachable.
@@ -306,7 +323,7 @@
         let kind = match loss {
             Loss::Refused => SuspicionKind::Refused,
             Loss::Silent => SuspicionKind::Silent,
-            Loss::Closed | Loss::Garbage => return,
+            Loss::Closed | Loss::Abandoned | Loss::Garbage => return,
         };
         let group = pooled.group.clone();
         let primary = pooled.server.clone();
@@ -401,7 +418,7 @@
             }
         }
         for id in handed_back {
-            self.remove_connection(context, id, Loss::Closed);
+            self.remove_connection(context, id, Loss::Abandoned);
         }
     }
 
@@ -466,7 +483,7 @@
             let pool = self.pools.get(&pooled.server);
             !pooled.is_open && pool.is_none_or(|pool| pool.answered_at < pooled.sent_at)
         });
-        if is_silent { Loss::Silent } else { Loss::Closed }
+        if is_silent { Loss::Silent } else { Loss::Abandoned }
     }
 
     /// Ends work at a primary that is being replaced.
@@ -486,7 +503,7 @@
             let is_unused =
                 self.pooled.get(&id).is_some_and(|pooled| is_idle(pooled) || !pooled.is_open);
             if is_unused || is_deadline_past {
-                self.remove_connection(context, id, Loss::Closed);
+                self.remove_connection(context, id, Loss::Abandoned);
             }
         }
         for id in self.waiting(server) {
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -11,6 +11,7 @@
 use masticreel_proxy::primary_lease::{MAX_FRESH_VIEW_AGE, PRIMARY_LEASE, PRIMARY_LEASE_MARGIN};
 use masticreel_proxy::protocol::PromoterAnswer;
 use masticreel_proxy::records::{DoubtRecord, Phase, SuspicionKind, live_key, suspicion_key};
+use masticreel_proxy::relays::rank_owners;
 use masticreel_proxy::statement::{Command, Role, ServerStatus};
 use support::{
     Fixture, INCARNATION, OWN, coordinator, coordinator_of, group, is_for, ms, position,
@@ -479,6 +480,75 @@
     assert!(actions.iter().any(|action| is_for(action, &Purpose::Grant)), "{actions:?}");
 }
 
+/// A primary that drops all work is replaced if two instances saw it, or the one through
+/// which all work goes.
+#[test]
+fn test_primary_that_drops_all_work_is_replaced() {
+    let failing = DoubtRecord { primary: "s1".into(), epoch: 1, kind: SuspicionKind::Failing };
+    let is_blocked = |fixture: &mut Fixture, coordinator: &mut Coordinator| {
+        (0..10).any(|_| {
+            let actions = tick_with_store(fixture, coordinator);
+            fixture.advance(ms(20));
+            fixture.refresh();
+            actions.iter().any(|action| is_for(action, &Purpose::Block(group())))
+        })
+    };
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    fixture.put_member("proxy-3", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    fixture.put(&suspicion_key(&group(), &"proxy-2".into()), &failing);
+    fixture.refresh();
+    assert!(!is_blocked(&mut fixture, &mut coordinator), "one instance may be wrong");
+    fixture.put(&suspicion_key(&group(), &"proxy-3".into()), &failing);
+    fixture.refresh();
+    assert!(is_blocked(&mut fixture, &mut coordinator));
+
+    // With many instances each server's connections have an owner.
+    let mut fixture = Fixture::serving();
+    for number in 2..=20 {
+        fixture.put_member(&format!("proxy-{number}"), 1);
+    }
+    let mut coordinator = active_coordinator(&mut fixture);
+    let server = fixture.view.server(&"s1".into()).expect("the server exists").clone();
+    let owners = rank_owners(&fixture.view, &server);
+    fixture.put(&suspicion_key(&group(), &owners[1]), &failing);
+    fixture.refresh();
+    assert!(!is_blocked(&mut fixture, &mut coordinator), "it is not the owner");
+    fixture.put(&suspicion_key(&group(), &owners[0]), &failing);
+    fixture.remove(&suspicion_key(&group(), &owners[1]));
+    fixture.refresh();
+    assert!(is_blocked(&mut fixture, &mut coordinator));
+}
+
+/// Reporting its role does not clear the suspicion that a primary drops all work.
+#[test]
+fn test_role_alone_does_not_clear_the_suspicion_of_dropped_work() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    fixture.put_member("proxy-3", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    let mut is_stored = |coordinator: &mut Coordinator| {
+        for _ in 0..2 {
+            fixture.advance(ms(200));
+            fixture.refresh();
+            tick_with_store(&mut fixture, coordinator);
+        }
+        fixture.items.contains_key(&suspicion_key(&group(), &OWN.into()))
+    };
+    let view = {
+        let mut fixture = Fixture::serving();
+        fixture.refresh();
+        fixture.view
+    };
+    coordinator.suspect(&view, &group(), &"s1".into(), SuspicionKind::Failing);
+    assert!(is_stored(&mut coordinator));
+    coordinator.clear_suspicion(&group(), false);
+    assert!(is_stored(&mut coordinator));
+    coordinator.clear_suspicion(&group(), true);
+    assert!(!is_stored(&mut coordinator));
+}
+
 /// Guards against lost writes: a crashed primary that restarted under another id was
 /// used while a promotion of another server was about to take effect.
 #[test]
--- a/lib/proxy/tests/test_verdicts.rs
+++ b/lib/proxy/tests/test_verdicts.rs
@@ -204,3 +204,39 @@
     }
     assert_eq!(kinds, [], "the server has answered since");
 }
+
+/// A primary accepts connections and reports its role, but closes each connection on
+/// which work is sent. Its role alone must not clear the suspicion.
+#[test]
+fn test_primary_that_drops_all_work_is_suspected_until_it_runs_some() {
+    let mut fixture = Fixture::serving();
+    let mut engine = open(&fixture);
+    let mut kinds = Vec::new();
+    let mut drop_work = |fixture: &mut Fixture, engine: &mut Engine, number: u64| {
+        engine.request(fixture.context(), CALLER, format!("t{number}").into(), write("a"));
+        let mut actions = take_engine_actions(engine);
+        while run_of(&actions).is_none() {
+            let opened = actions.connects.iter().find(|(_, server)| server.as_str() == "s1");
+            let connection = match opened {
+                Some((connection, _)) => *connection,
+                None => {
+                    fixture.advance(ms(60));
+                    engine.tick(fixture.context());
+                    actions = take_engine_actions(engine);
+                    continue;
+                }
+            };
+            actions = accept(fixture, engine, connection);
+        }
+        let connection = run_of(&actions).expect("the work is sent");
+        engine.connection_lost(fixture.context(), connection, Loss::Closed);
+        fixture.advance(ms(60));
+        kinds.extend(suspicions(engine).0);
+        kinds.len()
+    };
+    for number in 0..5 {
+        assert_eq!(drop_work(&mut fixture, &mut engine, number), 0, "after {number} losses");
+    }
+    assert_eq!(drop_work(&mut fixture, &mut engine, 5), 1, "the sixth loss in a row");
+    assert_eq!(kinds, [SuspicionKind::Failing]);
+}
