coordinator: no acknowledged commit is discarded while the old primary can lead

Change: the server with the highest received position leads next, also the old primary, if it has stepped down, answers, is not leaving, does not drop work and has not just been made primary again. A replacement also waits, for 0.5 s at most, until the coordinator's view contains its own record: a member that registered just before may use the old primary. Calls other than those for the lease go through another instance until a direct call has succeeded, so that no record is written where answers are known to be lost (a lost write had cost 0.8 s of a replacement).

Tests: test_old_primary_that_answers_again_with_more_commits_stays_the_primary, test_old_primary_is_heard_before_a_replica_takes_over_late, test_member_that_registered_just_before_is_waited_for. Ruled out: shorter primary leases, which would stop instances on the primary's side of a cut from serving.

--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -117,6 +117,8 @@
     /// coordinator.
     replacements: BTreeMap<GroupId, Replacement>,
     replaced_primaries: HashMap<ServerId, replacement::ReplacedPrimary>,
+    /// Since when servers are not to be made the primary again after their replacement.
+    unfit_primaries: HashMap<ServerId, Moment>,
     announcements: Vec<replacement::Announcement>,
     placement: Placement,
     is_leaving: bool,
@@ -158,6 +160,7 @@
             replaced_at: HashMap::new(),
             replacements: BTreeMap::new(),
             replaced_primaries: HashMap::new(),
+            unfit_primaries: HashMap::new(),
             announcements: Vec::new(),
             placement,
             is_leaving: false,
--- a/lib/proxy/src/coordinator/replacement.rs
+++ b/lib/proxy/src/coordinator/replacement.rs
@@ -4,10 +4,10 @@
 //! forbids the use of the primary. It then waits until every member has confirmed
 //! that its work there has ended, or the member's primary lease has expired. If the
 //! primary's machine refuses connections, a short wait is enough, since no member can
-//! use a process that isn't running. Then the active coordinator chooses the replica
-//! whose received position is highest, records it as the candidate and requests its
-//! promotion. Once the candidate answers as the primary, it writes a record of phase
-//! `Serving`, which allows its use.
+//! use a process that isn't running. Then the active coordinator chooses the server
+//! whose received position is highest, which may be the old primary if that answers
+//! again, records it as the candidate and requests its promotion. Once the candidate
+//! answers as the primary, it writes a record of phase `Serving`, which allows its use.
 //!
 //! This file decides when a replacement starts, blocks the primary, handles the
 //! answers to the calls and demotes replaced primaries for some time afterwards;
@@ -44,11 +44,17 @@
 const MISSING_ENTRY_TIMEOUT: Duration = Duration::from_millis(2500);
 /// How long suspicions are ignored after a replacement of the primary.
 const SUSPICION_IGNORE_PERIOD: Duration = Duration::from_millis(700);
+/// How long a primary that dropped all work, or that has just been made the primary again,
+/// is not made the primary again.
+const UNFIT_PERIOD: Duration = Duration::from_secs(30);
 /// How long step-down commands are sent to a replaced primary.
 const DEMOTION_PERIOD: Duration = Duration::from_secs(10);
 /// The time between two step-down commands to a replaced primary.
 const DEMOTION_INTERVAL: Duration = Duration::from_millis(300);
 
+/// The reason to replace a primary that drops all work.
+const FAILING_REASON: &str = "failing";
+
 /// Why a server did not answer a command.
 ///
 /// The event loop derives it from [`Loss`](crate::engine::Loss). A probe that fails
@@ -88,8 +94,8 @@
     /// When this instance, as the active coordinator, first saw the record that
     /// blocked the old primary.
     blocked_at: Moment,
-    /// Whether the old primary was leaving; shown only by `Debug`.
-    is_planned: bool,
+    /// The revision of that record.
+    blocked_revision: u64,
     /// When the last command to a server was answered; while it is unanswered, the
     /// time of its timeout, which may be in the future. Intervals between status
     /// queries count from it.
@@ -131,11 +137,11 @@
 }
 
 impl Replacement {
-    fn new(epoch: u64, blocked_at: Moment, is_planned: bool) -> Self {
+    fn new(epoch: u64, blocked_at: Moment, blocked_revision: u64) -> Self {
         Self {
             epoch,
             blocked_at,
-            is_planned,
+            blocked_revision,
             command_end: HashMap::new(),
             statuses: HashMap::new(),
             failed: HashMap::new(),
@@ -171,6 +177,14 @@
         (now.since(*at) < STATUS_LIFETIME).then_some(*status)
     }
 
+    /// Returns whether a server's machine has just refused a connection, so that its
+    /// process is not running.
+    fn is_refusing(&self, server: &ServerId, now: Moment) -> bool {
+        self.failed.get(server).is_some_and(|(failure, at)| {
+            *failure == ControlFailure::Refused && now.since(*at) < STATUS_LIFETIME
+        })
+    }
+
     fn newest_term(&self, record: &GroupRecord) -> Term {
         let seen = self.statuses.values().map(|(status, _)| status.term).max();
         seen.unwrap_or_default().max(record.term)
@@ -199,7 +213,7 @@
         for (group, record, revision) in groups {
             if record.phase == Phase::Changing {
                 self.replacements.entry(group).or_insert_with(|| {
-                    let mut replacement = Replacement::new(record.epoch, now, false);
+                    let mut replacement = Replacement::new(record.epoch, now, revision);
                     replacement.promotion_targets.extend(record.candidate);
                     replacement
                 });
@@ -220,6 +234,9 @@
             };
             let purpose = Purpose::Block(group.clone());
             if self.write_record(now, purpose, &group, &blocked, revision, condition) {
+                if reason == FAILING_REASON {
+                    self.unfit_primaries.insert(record.primary.clone(), now);
+                }
                 info!(self.log, "primary is to be replaced"; "group" => %group,
                     "primary" => %record.primary, "term" => %record.term,
                     "epoch" => blocked.epoch, "reason" => reason);
@@ -288,7 +305,7 @@
                 && suspicion.kind == SuspicionKind::Failing
         });
         if is_owner_suspecting || count(SuspicionKind::Failing) >= live.min(2) {
-            return Some("failing");
+            return Some(FAILING_REASON);
         }
         if refused + silent >= live.min((live / 2).max(2)) {
             return Some("silent");
--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -12,7 +12,7 @@
 use masticreel_base::position::TermPosition;
 use slog::info;
 
-use super::{Announcement, ControlFailure, ReplacedPrimary, Replacement, STATUS_LIFETIME};
+use super::{Announcement, ReplacedPrimary, Replacement, STATUS_LIFETIME, UNFIT_PERIOD};
 use crate::coordinator::{Coordinator, CoordinatorAction, Purpose};
 use crate::moment::Moment;
 use crate::peers::PeerMessage;
@@ -35,9 +35,16 @@
 /// How long a replacement waits for a replica to catch up with an old primary that
 /// still answers.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long a replacement waits until the view of the store contains the record that
+/// blocked the primary; the store may reject this instance's watch calls.
+const VIEW_LAG_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long to wait for members to confirm that their work has ended, before a
 /// primary whose process is not running is replaced without them.
 const CRASH_CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long after the start of a replacement the last member has to confirm the end of
+/// its work for the old primary to be waited for, which may have more commits than its
+/// replicas.
+const LATE_CONFIRMATION_TIME: Duration = Duration::from_secs(1);
 /// How long an instance that has just become the active coordinator waits before its
 /// first promotion request, so that no request of its predecessor is still in flight:
 /// `PROMOTION_WINDOW` and the timeout of the call.
@@ -86,8 +93,6 @@
             return;
         };
         let record = versioned.value.clone();
-        let leaving = view.server(&record.primary).is_some_and(|server| server.is_leaving);
-        replacement.is_planned |= leaving;
         self.query_statuses(view, now, group, &record, replacement);
         self.notify_members(view, now, group, &record, replacement);
         if let Some(new_primary) = self.find_new_primary(view, now, group, &record, replacement) {
@@ -166,7 +171,11 @@
             let interval = if is_early { STATUS_QUERY_INTERVAL } else { COMMAND_TIMEOUT };
             let is_due = command_end.is_none_or(|command_end| now.since(command_end) >= interval);
             let is_old_primary = server.id == record.primary;
-            if !is_due || (is_old_primary && replacement.selecting_since.is_some()) {
+            // Until it steps down, the answers to step-down commands show its status.
+            let is_commanded = is_old_primary
+                && replacement.selecting_since.is_some()
+                && !replacement.has_stepped_down;
+            if !is_due || is_commanded {
                 continue;
             }
             replacement.command_end.insert(server.id.clone(), now + COMMAND_TIMEOUT);
@@ -194,8 +203,10 @@
     ) -> Option<(ServerId, Term)> {
         let primaries = view.servers_of(group).filter_map(|server| {
             let status = replacement.status(&server.id, now)?;
-            let is_other_primary = status.role == Role::Primary && server.id != record.primary;
-            is_other_primary.then(|| (server.id.clone(), status.term))
+            let is_promoted = replacement.promotion_targets.contains(&server.id);
+            let is_new_primary =
+                status.role == Role::Primary && (server.id != record.primary || is_promoted);
+            is_new_primary.then(|| (server.id.clone(), status.term))
         });
         let newest_term = replacement.newest_term(record);
         if replacement.promotion_targets.is_empty() && record.candidate.is_none() {
@@ -226,17 +237,19 @@
         {
             return true;
         }
-        if view
-            .members()
-            .all(|(id, member)| self.has_ended_work(id, &member.value, group, replacement, now))
+        // An instance that registered just before the primary was blocked may use it until
+        // it learns of that, so the view has to show all members of that time.
+        let shows_all_members = view.revision() >= replacement.blocked_revision
+            || now.since(replacement.blocked_at) >= VIEW_LAG_TIMEOUT;
+        if shows_all_members
+            && view
+                .members()
+                .all(|(id, member)| self.has_ended_work(id, &member.value, group, replacement, now))
         {
             return true;
         }
         // No instance can use a process that isn't running.
-        let is_process_down =
-            replacement.failed.get(&record.primary).is_some_and(|(failure, at)| {
-                *failure == ControlFailure::Refused && now.since(*at) < STATUS_LIFETIME
-            });
+        let is_process_down = replacement.is_refusing(&record.primary, now);
         is_process_down && now.since(replacement.blocked_at) >= CRASH_CONFIRMATION_TIMEOUT
     }
 
@@ -390,10 +403,26 @@
                 None => is_complete = false,
             }
         }
-        let (received, best) = best?;
         if !is_complete && waited < COMMAND_TIMEOUT {
             return None;
         }
+        // Members that could use the old primary until now may have committed there, and
+        // what kept this instance from reaching it may have ended with their silence.
+        let may_be_ahead = selecting_since.since(replacement.blocked_at) >= LATE_CONFIRMATION_TIME;
+        let is_old_unknown = replacement.status(&record.primary, now).is_none()
+            && !replacement.is_refusing(&record.primary, now);
+        if may_be_ahead && is_old_unknown && waited < COMMAND_TIMEOUT {
+            return None;
+        }
+        // No replica catches up with a primary that has stepped down, so promoting one that
+        // is behind it would discard acknowledged commits.
+        if let Some(received_by_old) =
+            self.position_of_fit_old_primary(view, now, record, replacement)
+            && best.is_none_or(|(received, _)| received < received_by_old)
+        {
+            return Some(record.primary.clone());
+        }
+        let (received, best) = best?;
         let received_by_old =
             replacement.statuses.get(&record.primary).map(|(status, _)| status.received);
         let is_behind = received_by_old.is_some_and(|received_by_old| received < received_by_old);
@@ -402,6 +431,27 @@
         (!waits).then(|| best.clone())
     }
 
+    /// Returns the received position of the old primary if it may become the primary
+    /// again: it has stepped down and answers now, and is neither leaving nor unfit.
+    fn position_of_fit_old_primary(
+        &self,
+        view: &StoreView,
+        now: Moment,
+        record: &GroupRecord,
+        replacement: &Replacement,
+    ) -> Option<TermPosition> {
+        let is_unfit = self
+            .unfit_primaries
+            .get(&record.primary)
+            .is_some_and(|since| now.since(*since) < UNFIT_PERIOD);
+        let is_staying = view.server(&record.primary).is_some_and(|server| !server.is_leaving);
+        let was_refused = replacement.refused_promotions.contains_key(&record.primary);
+        if is_unfit || !is_staying || was_refused || !replacement.has_stepped_down {
+            return None;
+        }
+        replacement.status(&record.primary, now).map(|status| status.received)
+    }
+
     /// Sends the store the record that allows the use of the new primary, and starts
     /// the demotion of the old one.
     fn publish(
@@ -424,13 +474,18 @@
             term,
             candidate: None,
         };
-        let replaced = ReplacedPrimary {
-            group: group.clone(),
-            term,
-            since: now,
-            commanded_at: Moment::default(),
-        };
-        self.replaced_primaries.insert(record.primary.clone(), replaced);
+        if new_primary == record.primary {
+            // If others still can't reach it, another server takes over the next time.
+            self.unfit_primaries.insert(new_primary.clone(), now);
+        } else {
+            let replaced = ReplacedPrimary {
+                group: group.clone(),
+                term,
+                since: now,
+                commanded_at: Moment::default(),
+            };
+            self.replaced_primaries.insert(record.primary.clone(), replaced);
+        }
         let purpose = Purpose::Publish(group.clone());
         if self.write_record(now, purpose, group, &published, versioned.revision, condition) {
             info!(self.log, "new primary is being published"; "group" => %group, "old" => %record.primary,
--- a/lib/proxy/src/event_loop/followers.rs
+++ b/lib/proxy/src/event_loop/followers.rs
@@ -42,9 +42,9 @@
 }
 
 /// After this many consecutive failures of direct calls, the store is called
-/// through another instance.
+/// through another instance until a direct call succeeds.
 const DIRECT_FAILURES_LIMIT: u32 = 2;
-/// How long the store is then called only through other instances.
+/// The time between direct calls that test whether the store can be reached again.
 const DIRECT_BACKOFF: Duration = Duration::from_secs(2);
 
 /// Whether direct calls to the store succeed.
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Returns whether direct calls have failed and none has succeeded since.
+    fn is_failing(&self) -> bool {
+        self.failures >= DIRECT_FAILURES_LIMIT
+    }
+
     fn is_in_backoff(&self, now: Moment) -> bool {
         now < self.backoff_until
     }
@@ -111,7 +116,7 @@
     /// kept up to date: the forwarder while direct calls fail, otherwise the
     /// instance that this one follows. `None` stands for the store itself.
     pub(super) fn sync_address(&mut self) -> Option<SocketAddr> {
-        if self.store_sync.is_complete() && self.direct_store_calls.is_in_backoff(self.now) {
+        if self.store_sync.is_complete() && self.direct_store_calls.is_failing() {
             return self.forwarder_address();
         }
         if !self.store_sync.is_complete()
@@ -137,7 +142,7 @@
     /// Returns the address of the instance that forwards calls to the store for
     /// this one, `None` unless this instance's own calls fail.
     pub(super) fn forwarder_address(&self) -> Option<SocketAddr> {
-        if !self.direct_store_calls.is_in_backoff(self.now) {
+        if !self.direct_store_calls.is_failing() {
             return None;
         }
         let others: Vec<&InstanceId> =
@@ -150,6 +155,15 @@
         self.instance_address(chosen)
     }
 
+    /// Returns whether the next call for the store lease tests whether the store can be
+    /// reached again.
+    ///
+    /// Other calls are not risked for that: a lost write of a group's record would hold
+    /// up a replacement.
+    pub(super) fn tests_direct_calls(&self) -> bool {
+        !self.direct_store_calls.is_in_backoff(self.now)
+    }
+
     /// Returns the address at which an instance accepts calls from other
     /// instances.
     pub(super) fn instance_address(&self, instance: &InstanceId) -> Option<SocketAddr> {
--- a/lib/proxy/src/event_loop/outbound.rs
+++ b/lib/proxy/src/event_loop/outbound.rs
@@ -18,7 +18,7 @@
 
 use super::followers::InstanceCall;
 use super::{CONNECT_TIMEOUT, Connection, EventLoop, Loss, StoreUse, Use};
-use crate::coordinator::{ControlFailure, CoordinatorAction};
+use crate::coordinator::{ControlFailure, CoordinatorAction, Purpose};
 use crate::engine::Context;
 use crate::event_loop::store_sync::{CALL_TIMEOUT, WATCH_TIMEOUT_MARGIN};
 use crate::frames;
@@ -273,7 +273,9 @@
     pub(super) fn execute_coordinator_action(&mut self, action: CoordinatorAction) {
         match action {
             CoordinatorAction::Store(purpose, call) => {
-                let via = self.forwarder_address();
+                let is_test =
+                    matches!(purpose, Purpose::Grant | Purpose::Renew) && self.tests_direct_calls();
+                let via = if is_test { None } else { self.forwarder_address() };
                 self.start_call(StoreUse::Coordinator(purpose), call, via);
             }
             CoordinatorAction::Control { server, address, group, command } => {
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -45,7 +45,7 @@
 
 /// How long a caller's session start may wait until the store's items have been
 /// listed.
-const INITIAL_STORE_LIST_TIMEOUT: Duration = Duration::from_millis(600);
+const INITIAL_STORE_LIST_TIMEOUT: Duration = Duration::from_millis(1000);
 
 impl<'a, Protocols, Clock> EventLoop<'a, Protocols, Clock>
 where
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -358,6 +358,130 @@
     assert_eq!(promotions_within(&mut fixture, &mut coordinator, ms(1000)), ["s2"]);
 }
 
+/// Runs a replacement of a primary that was silent and answers again, with more commits
+/// than its replicas have, and returns the servers whose promotion was requested.
+fn promoted_after_silence(coordinator: &mut Coordinator, fixture: &mut Fixture) -> Vec<String> {
+    let epoch = fixture.view.group(&group()).expect("the group has a record").epoch;
+    let silent = DoubtRecord { primary: "s1".into(), epoch, kind: SuspicionKind::Silent };
+    fixture.put(&suspicion_key(&group(), &OWN.into()), &silent);
+    fixture.refresh();
+    let end = fixture.now + ms(3000);
+    while fixture.now < end {
+        let actions = tick_with_store(fixture, coordinator);
+        coordinator.work_done(fixture.now, &group(), epoch + 1);
+        let (to_old, others): (Vec<Action>, Vec<Action>) = actions.into_iter().partition(
+            |action| matches!(action, Action::Control { server, .. } if server.as_str() == "s1"),
+        );
+        for action in to_old {
+            if let Action::Control { server, command, .. } = action {
+                let status = Ok(replica(40));
+                coordinator.control_answered(fixture.now, &group(), &server, &command, status);
+            }
+        }
+        let promoted = answer_actions(fixture, coordinator, &others);
+        if !promoted.is_empty() {
+            return promoted;
+        }
+        fixture.advance(ms(20));
+        fixture.refresh();
+    }
+    Vec::new()
+}
+
+/// Guards against the loss of acknowledged commits: a primary that had been cut off from
+/// its replicas and came back was replaced by one of them, which lacked 50 commits.
+#[test]
+fn test_old_primary_that_answers_again_with_more_commits_stays_the_primary() {
+    let mut fixture = Fixture::serving();
+    let mut coordinator = active_coordinator(&mut fixture);
+    assert_eq!(promoted_after_silence(&mut coordinator, &mut fixture), ["s1"]);
+    let leading =
+        ServerStatus { role: Role::Primary, term: position(2, 0).term, received: position(1, 40) };
+    coordinator.control_answered(
+        fixture.now,
+        &group(),
+        &"s1".into(),
+        &Command::Status,
+        Ok(leading),
+    );
+    for _ in 0..20 {
+        tick_with_store(&mut fixture, &mut coordinator);
+        fixture.advance(ms(20));
+        fixture.refresh();
+    }
+    let record = fixture.view.group(&group()).expect("the group has a record").clone();
+    assert_eq!((record.phase, record.primary.as_str()), (Phase::Serving, "s1"));
+    // If it is suspected again soon, others still can't reach it.
+    fixture.remove(&suspicion_key(&group(), &OWN.into()));
+    fixture.advance(ms(1000));
+    fixture.refresh();
+    assert_eq!(promoted_after_silence(&mut coordinator, &mut fixture), ["s2"]);
+}
+
+/// A cut kept the coordinator from the primary, which others went on using. When it ends,
+/// the confirmation of the last member may come before the old primary's answer. Without
+/// that answer its newer commits would be discarded.
+#[test]
+fn test_old_primary_is_heard_before_a_replica_takes_over_late() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    for instance in [OWN, "proxy-2"] {
+        let silent = DoubtRecord { primary: "s1".into(), epoch: 1, kind: SuspicionKind::Silent };
+        fixture.put(&suspicion_key(&group(), &instance.into()), &silent);
+    }
+    fixture.refresh();
+    let start = fixture.now;
+    let mut promoted = Vec::new();
+    while promoted.is_empty() && fixture.now.since(start) < ms(4000) {
+        let actions = tick_with_store(&mut fixture, &mut coordinator);
+        coordinator.work_done(fixture.now, &group(), 2);
+        let passed = fixture.now.since(start);
+        if passed >= ms(1500) {
+            coordinator.peer_stopped(&"proxy-2".into(), &group(), 2);
+        }
+        let (to_old, others): (Vec<Action>, Vec<Action>) = actions.into_iter().partition(
+            |action| matches!(action, Action::Control { server, .. } if server.as_str() == "s1"),
+        );
+        for action in to_old {
+            if let Action::Control { server, command, .. } = action {
+                let is_healed = passed >= ms(1600);
+                let result = if is_healed { Ok(replica(40)) } else { Err(ControlFailure::Silent) };
+                coordinator.control_answered(fixture.now, &group(), &server, &command, result);
+            }
+        }
+        promoted = answer_actions(&mut fixture, &mut coordinator, &others);
+        fixture.advance(ms(20));
+        fixture.refresh();
+    }
+    assert_eq!(promoted, ["s1"]);
+}
+
+/// An instance registers, and may use the primary, just before the coordinator blocks it.
+/// The coordinator's view shows the new member a moment later than its own write, and
+/// must not promote another server before that member has ended its work too.
+#[test]
+fn test_member_that_registered_just_before_is_waited_for() {
+    let mut fixture = Fixture::serving();
+    let mut coordinator = active_coordinator(&mut fixture);
+    fixture.put_server("s1", Role::Primary, true);
+    fixture.refresh();
+    fixture.put_member("proxy-2", 1);
+    fixture.is_cut_off = true;
+    tick_with_store(&mut fixture, &mut coordinator);
+    tick_with_store(&mut fixture, &mut coordinator);
+    coordinator.work_done(fixture.now, &group(), 2);
+    assert!(promotions_within(&mut fixture, &mut coordinator, ms(300)).is_empty());
+    fixture.is_cut_off = false;
+    fixture.refresh();
+    assert!(
+        promotions_within(&mut fixture, &mut coordinator, ms(600)).is_empty(),
+        "proxy-2 may still write"
+    );
+    coordinator.peer_stopped(&"proxy-2".into(), &group(), 2);
+    assert_eq!(promotions_within(&mut fixture, &mut coordinator, ms(1000)), ["s2"]);
+}
+
 /// The store commits the active coordinator's records, but its watches show them late
 /// or not at all: it must continue from the commits that were acknowledged.
 #[test]
