coordinator: a registration that proves the view lets an instance serve at once

Change: the registration is written on the condition that no group's record has changed since the view (where these and the writes fit into one transaction of 32 entries). Once committed it proves what the watch would have shown, and counts at once. After a conflict the instance registers without the condition and waits for the watch as before.

Tests: test_registration_that_proves_the_view_counts_at_once, test_registration_proves_nothing_if_a_group_has_changed. Ruled out: a shorter delay of watches in a burst, which costs calls with every change.

--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -16,6 +16,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use masticreel_base::ids::{GroupId, InstanceId, ServerId};
 use slog::{Logger, info};
@@ -26,7 +27,9 @@
 use crate::moment::Moment;
 use crate::peers::PeerMessage;
 use crate::protocol::{PromoterAnswer, PromotionRequest};
-use crate::records::{DoubtRecord, GroupRecord, Placement, StoreAnswer, StoreCall, SuspicionKind};
+use crate::records::{
+    DoubtRecord, GroupRecord, MemberRecord, Placement, StoreAnswer, StoreCall, SuspicionKind,
+};
 use crate::statement::{Command, ServerStatus};
 use crate::store_view::{StoreView, Versioned};
 
@@ -128,6 +131,11 @@
     /// Records that were sent to the store and are not answered yet.
     uncommitted_records: HashMap<Purpose, (GroupId, GroupRecord)>,
     committed_records: Vec<(GroupId, Versioned<GroupRecord>)>,
+    /// The membership in the registration call in flight, if that proves the view.
+    proving_registration: Option<MemberRecord>,
+    committed_registration: Option<Versioned<MemberRecord>>,
+    /// Whether the last registration met a conflict.
+    registers_unconditionally: bool,
     actions: Vec<CoordinatorAction>,
 }
 
@@ -167,6 +175,9 @@
             stop_requests: BTreeMap::new(),
             uncommitted_records: HashMap::new(),
             committed_records: Vec::new(),
+            proving_registration: None,
+            committed_registration: None,
+            registers_unconditionally: false,
             actions: Vec::new(),
         }
     }
@@ -185,6 +196,12 @@
         std::mem::take(&mut self.committed_records)
     }
 
+    /// Returns the membership with which a registration has proved that the view is the
+    /// newest, if there was one since the last call.
+    pub fn take_committed_registration(&mut self) -> Option<Versioned<MemberRecord>> {
+        self.committed_registration.take()
+    }
+
     /// Returns whether this instance is replacing a primary or has no store lease,
     /// without which it can't use primaries; both need frequent ticks.
     pub fn is_busy(&self) -> bool {
@@ -293,7 +310,7 @@
         }
         match purpose {
             Purpose::Grant | Purpose::Renew => self.lease.handle_answer(called_at, now, answer),
-            Purpose::Register if answer == Some(&StoreAnswer::LeaseGone) => self.lease.clear(),
+            Purpose::Register => self.handle_registration_answer(answer),
             Purpose::Doubt(group) if matches!(answer, Some(StoreAnswer::Committed { .. })) => {
                 let suspicion = self.suspicions.get(group);
                 info!(self.log, "suspicion about a primary stored or removed"; "group" => %group,
@@ -313,6 +330,7 @@
                 self.store_failures = 0;
                 registration::WATCH_LATENCY
             }
+            Some(StoreAnswer::Conflict) if *purpose == Purpose::Register => Duration::ZERO,
             Some(StoreAnswer::Conflict | StoreAnswer::LeaseGone) => registration::WATCH_LATENCY,
             _ => {
                 self.store_failures += 1;
--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -12,12 +12,13 @@
 
 use crate::coordinator::{ControlFailure, Coordinator, CoordinatorAction, Purpose};
 use crate::moment::Moment;
+use crate::primary_lease;
 use crate::records::{
-    DoubtRecord, MemberRecord, Phase, StoreAnswer, StoreCall, SuspicionKind, Write, live_key,
-    member_key, suspicion_key,
+    DoubtRecord, MemberRecord, Phase, StoreAnswer, StoreCall, SuspicionKind, Write, group_key,
+    live_key, member_key, suspicion_key,
 };
 use crate::statement::{Command, ServerStatus};
-use crate::store_view::StoreView;
+use crate::store_view::{StoreView, Versioned};
 
 /// The backoff after the first failed call.
 pub(super) const RETRY_BACKOFF: Duration = Duration::from_millis(200);
@@ -34,6 +35,9 @@
 /// How often a store lease is renewed within its lifetime.
 const RENEWALS_PER_LIFETIME: u32 = 3;
 
+/// The most conditions and writes that the store accepts in one transaction.
+const MAX_TRANSACTION_ENTRIES: usize = 32;
+
 /// How many instances probe a primary that another instance suspects, besides the
 /// active coordinator.
 pub(super) const PROBING_MEMBER_COUNT: usize = 4;
@@ -148,7 +152,37 @@
             let key = member_key(&self.instance);
             writes.push(Write { key, value: Some(value), lease: None });
         }
-        self.call(now, Purpose::Register, StoreCall::Commit { expected: Vec::new(), writes });
+        let is_new =
+            !is_live || !primary_lease::is_registered(view, &self.instance, self.incarnation);
+        let expected = if is_new && !self.registers_unconditionally {
+            unchanged_groups(view, writes.len())
+        } else {
+            Vec::new()
+        };
+        let is_proof = !expected.is_empty();
+        if self.call(now, Purpose::Register, StoreCall::Commit { expected, writes }) {
+            self.proving_registration = is_proof.then_some(record);
+        }
+    }
+
+    /// Handles the answer to a registration.
+    ///
+    /// A registration on the condition that no group's record has changed proves, once it
+    /// is committed, that the view shows the newest records together with this
+    /// instance's membership, so it counts before a watch shows it. After a conflict the
+    /// instance registers without the condition and waits for the watch.
+    pub(super) fn handle_registration_answer(&mut self, answer: Option<&StoreAnswer>) {
+        let proving = self.proving_registration.take();
+        match answer {
+            Some(StoreAnswer::LeaseGone) => self.lease.clear(),
+            Some(StoreAnswer::Conflict) => self.registers_unconditionally = true,
+            Some(StoreAnswer::Committed { revision }) => {
+                self.registers_unconditionally = false;
+                self.committed_registration =
+                    proving.map(|value| Versioned { revision: *revision, value });
+            }
+            _ => {}
+        }
     }
 
     /// Returns the membership as it should be in the store, which is the stored one
@@ -324,6 +358,16 @@
     ranked.into_iter().take(PROBING_MEMBER_COUNT).map(|(_, instance)| instance.clone()).collect()
 }
 
+/// Returns the condition that no group's record has changed since the view, empty if the
+/// store does not accept so many conditions or a record's revision is not known.
+fn unchanged_groups(view: &StoreView, writes: usize) -> Vec<(String, u64)> {
+    let conditions: Vec<(String, u64)> =
+        view.groups().map(|(group, record)| (group_key(group), record.revision)).collect();
+    let is_possible = conditions.len() + writes <= MAX_TRANSACTION_ENTRIES
+        && conditions.iter().all(|(_, revision)| *revision > 0);
+    if is_possible { conditions } else { Vec::new() }
+}
+
 /// Returns whether a membership confirms at least these ends of work, each given as
 /// the group and the epoch of its replacement.
 fn has_stop_confirmations(stored: &MemberRecord, stopped: &[(GroupId, u64)]) -> bool {
--- a/lib/proxy/src/event_loop/outbound.rs
+++ b/lib/proxy/src/event_loop/outbound.rs
@@ -218,6 +218,12 @@
                     let changes = self.view.apply_own_record(&group, record);
                     self.handle_changes(changes);
                 }
+                if let Some(member) = self.coordinator.take_committed_registration() {
+                    let changes = self.view.apply_own_registration(&self.settings.instance, member);
+                    self.handle_changes(changes);
+                    let context = Context { view: &self.view, now: self.now };
+                    self.engine.tick(context);
+                }
                 self.coordinator.tick(&self.view, self.now);
             }
         }
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -365,6 +365,24 @@
         changes
     }
 
+    /// Applies this instance's membership and live key, which it has committed to the store
+    /// on the condition that no group's record had changed since this view.
+    ///
+    /// Returns no changes if the view already contains later ones, which may have removed
+    /// them again.
+    pub fn apply_own_registration(
+        &mut self,
+        instance: &InstanceId,
+        member: Versioned<MemberRecord>,
+    ) -> Vec<ViewChange> {
+        if self.revision >= member.revision {
+            return Vec::new();
+        }
+        self.live.insert(instance.clone(), member.revision);
+        self.members.insert(instance.clone(), member);
+        vec![ViewChange::Coordination]
+    }
+
     /// Keeps the record of the highest epoch, and of the highest revision among
     /// those of one epoch.
     fn keep_newer_record(
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -338,6 +338,9 @@
                 for (group, record) in coordinator.take_committed_records() {
                     fixture.view.apply_own_record(&group, record);
                 }
+                if let Some(member) = coordinator.take_committed_registration() {
+                    fixture.view.apply_own_registration(&OWN.into(), member);
+                }
                 fixture.refresh();
                 actions.push(CoordinatorAction::Store(purpose, call));
             }
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -8,9 +8,13 @@
     ControlFailure, Coordinator, CoordinatorAction as Action, Purpose,
 };
 use masticreel_proxy::peers::PeerMessage;
-use masticreel_proxy::primary_lease::{MAX_FRESH_VIEW_AGE, PRIMARY_LEASE, PRIMARY_LEASE_MARGIN};
+use masticreel_proxy::primary_lease::{
+    MAX_FRESH_VIEW_AGE, PRIMARY_LEASE, PRIMARY_LEASE_MARGIN, usable_primary,
+};
 use masticreel_proxy::protocol::PromoterAnswer;
-use masticreel_proxy::records::{DoubtRecord, Phase, SuspicionKind, live_key, suspicion_key};
+use masticreel_proxy::records::{
+    DoubtRecord, Phase, SuspicionKind, live_key, member_key, suspicion_key,
+};
 use masticreel_proxy::relays::rank_owners;
 use masticreel_proxy::statement::{Command, Role, ServerStatus};
 use support::{
@@ -782,3 +786,44 @@
     fixture.advance(ms(1));
     assert!(!usable(&fixture, INCARNATION));
 }
+
+/// Guards against instances that waited for the next watch of their domain's watcher
+/// before they served, up to 0.15 s while many registered at once.
+#[test]
+fn test_registration_that_proves_the_view_counts_at_once() {
+    let mut fixture = Fixture::serving();
+    fixture.remove(&member_key(&OWN.into()));
+    fixture.remove(&live_key(&OWN.into()));
+    fixture.refresh();
+    let mut coordinator = coordinator();
+    let is_usable = |fixture: &Fixture| {
+        let own = OWN.into();
+        usable_primary(&fixture.view, &own, INCARNATION, &group(), fixture.now).is_some()
+    };
+    fixture.is_cut_off = true;
+    tick_with_store(&mut fixture, &mut coordinator);
+    assert!(!is_usable(&fixture));
+    tick_with_store(&mut fixture, &mut coordinator);
+    assert!(is_usable(&fixture), "the commit has proved that no group's record has changed");
+}
+
+/// A primary is blocked between the list of a starting instance and its registration. The
+/// instance must not use that primary by its outdated view.
+#[test]
+fn test_registration_proves_nothing_if_a_group_has_changed() {
+    let mut fixture = Fixture::serving();
+    fixture.remove(&member_key(&OWN.into()));
+    fixture.remove(&live_key(&OWN.into()));
+    fixture.refresh();
+    let mut coordinator = coordinator();
+    fixture.is_cut_off = true;
+    fixture.put_record(2, Phase::Changing, "s1");
+    for _ in 0..3 {
+        tick_with_store(&mut fixture, &mut coordinator);
+        fixture.advance(ms(20));
+    }
+    let own = OWN.into();
+    let usable = usable_primary(&fixture.view, &own, INCARNATION, &group(), fixture.now);
+    assert_eq!(usable, None);
+    assert!(fixture.items.contains_key(&member_key(&own)), "it has registered nevertheless");
+}
