coordinator, followers: fewer calls of the store in a large fleet

Change: a confirmation is stored only while the coordinator goes on requesting it, never requested it, or the role has changed since. In fleets of more than 16, an instance that does not probe a suspected primary keeps its suspicion for 0.7 s if the store has one already. The end of a connection without a call is no failure.

Ruled out: no suspicions but those of the instances that probe: a cut that spares these would not be noticed.

--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -97,6 +97,8 @@
     /// the primary that is being replaced, and when it did.
     stopped_epochs: BTreeMap<GroupId, (u64, Moment)>,
     suspicions: BTreeMap<GroupId, DoubtRecord>,
+    /// Since when this instance has suspected the primaries.
+    suspected_since: HashMap<GroupId, Moment>,
     probes: HashMap<GroupId, registration::StatusProbe>,
     in_flight: BTreeSet<Purpose>,
     /// Until when the next call for a purpose is delayed.
@@ -128,6 +130,9 @@
     /// The addresses of active coordinators that wait until this instance has ended
     /// its work at a primary.
     stop_requests: BTreeMap<GroupId, SocketAddr>,
+    /// When an active coordinator last requested to end the work at a group's primary, and
+    /// the fencing token of the coordinator role then, if it was held.
+    stop_requested_at: HashMap<GroupId, (Moment, Option<u64>)>,
     /// Records that were sent to the store and are not answered yet.
     uncommitted_records: HashMap<Purpose, (GroupId, GroupRecord)>,
     committed_records: Vec<(GroupId, Versioned<GroupRecord>)>,
@@ -155,6 +160,7 @@
             lease,
             stopped_epochs: BTreeMap::new(),
             suspicions: BTreeMap::new(),
+            suspected_since: HashMap::new(),
             probes: HashMap::new(),
             in_flight: BTreeSet::new(),
             not_before: HashMap::new(),
@@ -173,6 +179,7 @@
             placement,
             is_leaving: false,
             stop_requests: BTreeMap::new(),
+            stop_requested_at: HashMap::new(),
             uncommitted_records: HashMap::new(),
             committed_records: Vec::new(),
             proving_registration: None,
@@ -251,8 +258,16 @@
 
     /// Records the address of the active coordinator, to which this instance
     /// confirms when it has ended all work at a primary that is being replaced.
-    pub fn note_stop_request(&mut self, group: &GroupId, coordinator: SocketAddr) {
+    pub fn note_stop_request(
+        &mut self,
+        view: &StoreView,
+        now: Moment,
+        group: &GroupId,
+        coordinator: SocketAddr,
+    ) {
         self.stop_requests.insert(group.clone(), coordinator);
+        let token = view.coordinator_role().map(|role| role.fencing_token);
+        self.stop_requested_at.insert(group.clone(), (now, token));
     }
 
     /// Records a member's confirmation, received directly from it, that it has ended
--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -30,6 +30,9 @@
 /// How long the confirmation that work at an old primary has ended is kept out of
 /// the store, so that the active coordinator can receive it directly first.
 const STOP_CONFIRMATION_DELAY: Duration = Duration::from_millis(300);
+/// How long after its last request the active coordinator is taken to have received the
+/// confirmation. It repeats requests that are not confirmed each 80 ms.
+const STOP_REQUEST_SILENCE: Duration = Duration::from_millis(250);
 /// How long a store lease lasts without renewal: two renewals may be lost.
 const STORE_LEASE_LIFETIME: Duration = Duration::from_millis(3200);
 /// How often a store lease is renewed within its lifetime.
@@ -41,6 +44,12 @@
 /// How many instances probe a primary that another instance suspects, besides the
 /// active coordinator.
 pub(super) const PROBING_MEMBER_COUNT: usize = 4;
+/// In a fleet of more than this many instances, an instance that does not probe a suspected
+/// primary keeps its own suspicion to itself for a while if the store has one already, as
+/// all of them would write theirs at the same time.
+const SMALL_FLEET: usize = 16;
+/// How long; longer than probes take to show that a primary is down.
+const DEFERRED_SUSPICION_TIME: Duration = Duration::from_millis(700);
 /// The time between two probes of a group's primary.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -194,7 +203,9 @@
             .stopped_epochs
             .iter()
             .filter(|(group, (epoch, at))| {
-                is_current(group, *epoch) && now.since(*at) >= STOP_CONFIRMATION_DELAY
+                is_current(group, *epoch)
+                    && now.since(*at) >= STOP_CONFIRMATION_DELAY
+                    && !self.has_confirmed_directly(view, group, *at, now)
             })
             .map(|(group, (epoch, _))| (group.clone(), *epoch))
             .collect();
@@ -223,6 +234,27 @@
         }
     }
 
+    /// Returns whether the active coordinator seems to have received the confirmation that
+    /// work at a group's primary ended at `stopped_at`: it requested it and has stopped
+    /// doing so, and the role has not changed since.
+    ///
+    /// In a large fleet a replacement that takes long would otherwise let every instance
+    /// write to the store.
+    fn has_confirmed_directly(
+        &self,
+        view: &StoreView,
+        group: &GroupId,
+        stopped_at: Moment,
+        now: Moment,
+    ) -> bool {
+        let token = view.coordinator_role().map(|role| role.fencing_token);
+        self.stop_requested_at.get(group).is_some_and(|(requested_at, requested_by)| {
+            *requested_at + STOP_CONFIRMATION_DELAY > stopped_at
+                && now.since(*requested_at) >= STOP_REQUEST_SILENCE
+                && *requested_by == token
+        })
+    }
+
     /// Probes primaries that other instances suspect.
     ///
     /// A single instance's suspicion that a primary is unreachable is not enough to
@@ -302,11 +334,26 @@
         if self.suspicions.is_empty() && !view.has_suspicions() {
             return;
         }
+        let is_active = self.is_active(view, now);
         let mut calls = Vec::new();
         self.suspicions.retain(|group, suspicion| {
             view.group(group).is_some_and(|record| record.epoch == suspicion.epoch)
         });
+        let suspected_since = &mut self.suspected_since;
+        suspected_since.retain(|group, _| self.suspicions.contains_key(group));
+        let is_large = view.live_count() > SMALL_FLEET;
         for (group, suspicion) in &self.suspicions {
+            let since = *suspected_since.entry(group.clone()).or_insert(now);
+            // Those that probe a primary suffice to have it replaced if it is down. What the
+            // others know matters where a cut separates only some of them from it.
+            let is_deferred = is_large
+                && suspicion.kind != SuspicionKind::Failing
+                && now.since(since) < DEFERRED_SUSPICION_TIME
+                && view.suspicions(group).any(|(_, found)| found.epoch == suspicion.epoch)
+                && !probing_members(view, group).contains(&self.instance);
+            if is_deferred && !is_active {
+                continue;
+            }
             let written = view.suspicions(group).find(|(instance, _)| **instance == self.instance);
             // A refused connection is the stronger sign, so a later suspicion of
             // another kind doesn't replace it.
--- a/lib/proxy/src/event_loop/outbound.rs
+++ b/lib/proxy/src/event_loop/outbound.rs
@@ -354,7 +354,7 @@
             match PeerMessage::decode(&buffer[..length]) {
                 Some(PeerMessage::Record { group, record }) => {
                     if record.phase == Phase::Changing {
-                        self.coordinator.note_stop_request(&group, from);
+                        self.coordinator.note_stop_request(&self.view, self.now, &group, from);
                     }
                     let changes = self.view.apply_peer_record(&group, record);
                     if !changes.is_empty() {
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -418,7 +418,9 @@
                 self.control_failed(&group, &server, &command, loss);
             }
             Use::Store { call, via } => {
-                if via.is_some() {
+                // The end of a connection without a call says nothing: an instance that stops
+                // is left before its process ends.
+                if via.is_some() && call.is_some() {
                     self.followed.record_failure(self.now);
                 }
                 if let Some((store_use, call, called_at)) = call {
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -13,7 +13,7 @@
 };
 use masticreel_proxy::protocol::PromoterAnswer;
 use masticreel_proxy::records::{
-    DoubtRecord, Phase, SuspicionKind, live_key, member_key, suspicion_key,
+    COORDINATOR_KEY, DoubtRecord, Phase, SuspicionKind, live_key, member_key, suspicion_key,
 };
 use masticreel_proxy::relays::rank_owners;
 use masticreel_proxy::statement::{Command, Role, ServerStatus};
@@ -827,3 +827,94 @@
     assert_eq!(usable, None);
     assert!(fixture.items.contains_key(&member_key(&own)), "it has registered nevertheless");
 }
+
+/// Returns whether an instance writes the end of its work at the old primary to the store.
+fn writes_its_stop(fixture: &mut Fixture, coordinator: &mut Coordinator, time: Duration) -> bool {
+    let end = fixture.now + time;
+    let mut is_written = false;
+    while fixture.now < end {
+        let actions = tick_with_store(fixture, coordinator);
+        is_written |= actions.iter().any(|action| is_for(action, &Purpose::Register));
+        fixture.advance(ms(20));
+        fixture.refresh();
+    }
+    is_written
+}
+
+/// Guards against a write by each of hundreds of instances whenever a replacement takes
+/// longer than 0.3 s: what the coordinator has received directly need not be stored.
+#[test]
+fn test_end_of_work_is_stored_only_if_it_was_not_received_directly() {
+    let member = || {
+        let mut fixture = Fixture::serving();
+        fixture.put(COORDINATOR_KEY, &("proxy-2", 1));
+        fixture.put_member("proxy-2", 1);
+        let mut coordinator = coordinator();
+        for _ in 0..3 {
+            tick_with_store(&mut fixture, &mut coordinator);
+            fixture.advance(ms(200));
+            fixture.refresh();
+        }
+        fixture.put_record(2, Phase::Changing, "s1");
+        fixture.refresh();
+        (fixture, coordinator)
+    };
+    let from = support::address("proxy-2").expect("the name ends in a number");
+
+    let (mut fixture, mut coordinator) = member();
+    coordinator.note_stop_request(&fixture.view, fixture.now, &group(), from);
+    coordinator.work_done(fixture.now, &group(), 2);
+    assert!(!writes_its_stop(&mut fixture, &mut coordinator, ms(1000)), "it was received");
+    // Another coordinator does not know of it.
+    fixture.remove(COORDINATOR_KEY);
+    fixture.put(COORDINATOR_KEY, &("proxy-3", 1));
+    fixture.refresh();
+    assert!(writes_its_stop(&mut fixture, &mut coordinator, ms(300)));
+
+    let (mut fixture, mut coordinator) = member();
+    coordinator.work_done(fixture.now, &group(), 2);
+    assert!(writes_its_stop(&mut fixture, &mut coordinator, ms(600)), "nobody requested it");
+
+    let (mut fixture, mut coordinator) = member();
+    coordinator.work_done(fixture.now, &group(), 2);
+    let mut is_written = false;
+    for _ in 0..10 {
+        coordinator.note_stop_request(&fixture.view, fixture.now, &group(), from);
+        is_written |= writes_its_stop(&mut fixture, &mut coordinator, ms(80));
+    }
+    assert!(is_written, "the coordinator goes on requesting it");
+}
+
+/// Guards against a suspicion written by each of hundreds of instances when a primary
+/// crashes. Those that probe it suffice.
+#[test]
+fn test_most_instances_of_a_large_fleet_keep_a_known_suspicion_to_themselves() {
+    let mut fixture = Fixture::serving();
+    for number in 2..=40 {
+        fixture.put_member(&format!("proxy-{number}"), 1);
+    }
+    let silent = DoubtRecord { primary: "s1".into(), epoch: 1, kind: SuspicionKind::Silent };
+    fixture.put(COORDINATOR_KEY, &("proxy-2", 1));
+    fixture.put(&suspicion_key(&group(), &"proxy-9".into()), &silent);
+    fixture.refresh();
+    let wrote_after = |name: &str, fixture: &mut Fixture| {
+        let mut coordinator = coordinator_of(name);
+        tick_with_store(fixture, &mut coordinator);
+        coordinator.suspect(&fixture.view, &group(), &"s1".into(), SuspicionKind::Silent);
+        let suspected_at = fixture.now;
+        while fixture.now.since(suspected_at) < ms(2000) {
+            let actions = tick_with_store(fixture, &mut coordinator);
+            if actions.iter().any(|action| is_for(action, &Purpose::Doubt(group()))) {
+                return fixture.now.since(suspected_at);
+            }
+            fixture.advance(ms(20));
+            fixture.refresh();
+        }
+        panic!("{name} never writes its suspicion");
+    };
+    let waits: Vec<Duration> =
+        (10..=40).map(|number| wrote_after(&format!("proxy-{number}"), &mut fixture)).collect();
+    let at_once = waits.iter().filter(|wait| **wait < ms(100)).count();
+    assert!(at_once <= 4, "{at_once} of {} wrote at once", waits.len());
+    assert!(waits.iter().all(|wait| *wait < ms(1000)), "a cut has to be noticed too: {waits:?}");
+}
