coordinator: a write that the view does not contain yet is not repeated

Every write is a change that all watches return; these are then delayed, so the view did not contain the write when its 0.15 s were over, and it was written again.

Change: a suspicion that was committed, and for 1 s a registration, is not written again before the view has reached the revision of the write. Ruled out: a longer delay after each write, which would hold up a suspicion of another kind.

--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -99,6 +99,12 @@
     suspicions: BTreeMap<GroupId, DoubtRecord>,
     /// Since when this instance has suspected the primaries.
     suspected_since: HashMap<GroupId, Moment>,
+    /// Suspicions that were sent to the store and are not answered yet.
+    sent_suspicions: HashMap<GroupId, DoubtRecord>,
+    /// The suspicions that this instance last wrote, and the revisions of the writes.
+    stored_suspicions: HashMap<GroupId, (DoubtRecord, u64)>,
+    /// This instance's last registration, and when it was committed.
+    registered: Option<(Versioned<MemberRecord>, Moment)>,
     probes: HashMap<GroupId, registration::StatusProbe>,
     in_flight: BTreeSet<Purpose>,
     /// Until when the next call for a purpose is delayed.
@@ -136,8 +142,8 @@
     /// Records that were sent to the store and are not answered yet.
     uncommitted_records: HashMap<Purpose, (GroupId, GroupRecord)>,
     committed_records: Vec<(GroupId, Versioned<GroupRecord>)>,
-    /// The membership in the registration call in flight, if that proves the view.
-    proving_registration: Option<MemberRecord>,
+    /// The membership in the registration call in flight, and whether that proves the view.
+    sent_registration: Option<(MemberRecord, bool)>,
     committed_registration: Option<Versioned<MemberRecord>>,
     /// Whether the last registration met a conflict.
     registers_unconditionally: bool,
@@ -161,6 +167,9 @@
             stopped_epochs: BTreeMap::new(),
             suspicions: BTreeMap::new(),
             suspected_since: HashMap::new(),
+            sent_suspicions: HashMap::new(),
+            stored_suspicions: HashMap::new(),
+            registered: None,
             probes: HashMap::new(),
             in_flight: BTreeSet::new(),
             not_before: HashMap::new(),
@@ -182,7 +191,7 @@
             stop_requested_at: HashMap::new(),
             uncommitted_records: HashMap::new(),
             committed_records: Vec::new(),
-            proving_registration: None,
+            sent_registration: None,
             committed_registration: None,
             registers_unconditionally: false,
             actions: Vec::new(),
@@ -325,8 +334,15 @@
         }
         match purpose {
             Purpose::Grant | Purpose::Renew => self.lease.handle_answer(called_at, now, answer),
-            Purpose::Register => self.handle_registration_answer(answer),
-            Purpose::Doubt(group) if matches!(answer, Some(StoreAnswer::Committed { .. })) => {
+            Purpose::Register => self.handle_registration_answer(now, answer),
+            Purpose::Doubt(group) => {
+                let sent = self.sent_suspicions.remove(group);
+                let Some(StoreAnswer::Committed { revision }) = answer else {
+                    return self.delay_next_call(now, purpose, answer);
+                };
+                if let Some(sent) = sent {
+                    self.stored_suspicions.insert(group.clone(), (sent, *revision));
+                }
                 let suspicion = self.suspicions.get(group);
                 info!(self.log, "suspicion about a primary stored or removed"; "group" => %group,
                     "primary" => suspicion.map(|suspicion| suspicion.primary.to_string()),
@@ -338,6 +354,11 @@
             }
             _ => {}
         }
+        self.delay_next_call(now, purpose, answer);
+    }
+
+    /// Delays the next call for a purpose, by the answer to the last one.
+    fn delay_next_call(&mut self, now: Moment, purpose: &Purpose, answer: Option<&StoreAnswer>) {
         // After a commit or a conflict, the delay gives the watch time to show the new
         // items; after a failure it is a backoff.
         let delay = match answer {
--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -33,6 +33,9 @@
 /// How long after its last request the active coordinator is taken to have received the
 /// confirmation. It repeats requests that are not confirmed each 80 ms.
 const STOP_REQUEST_SILENCE: Duration = Duration::from_millis(250);
+/// How long a registration that the view does not contain is not repeated. The view may
+/// never contain it, for example if the store has lost the lease again.
+const VIEW_TIMEOUT: Duration = Duration::from_millis(1000);
 /// How long a store lease lasts without renewal: two renewals may be lost.
 const STORE_LEASE_LIFETIME: Duration = Duration::from_millis(3200);
 /// How often a store lease is renewed within its lifetime.
@@ -148,7 +151,13 @@
         let record = self.wanted_membership(view, now);
         let is_record_current = view.member(&self.instance) == Some(&record);
         let is_live = view.is_live(&self.instance);
-        if is_record_current && is_live {
+        // A write that the view does not contain yet need not be repeated.
+        let is_awaited = self.registered.as_ref().is_some_and(|(member, at)| {
+            member.value == record
+                && view.revision() < member.revision
+                && now.since(*at) < VIEW_TIMEOUT
+        });
+        if (is_record_current && is_live) || is_awaited {
             return;
         }
         let value = serde_json::to_vec(&record).expect("a record is made of plain values");
@@ -170,7 +179,7 @@
         };
         let is_proof = !expected.is_empty();
         if self.call(now, Purpose::Register, StoreCall::Commit { expected, writes }) {
-            self.proving_registration = is_proof.then_some(record);
+            self.sent_registration = Some((record, is_proof));
         }
     }
 
@@ -180,15 +189,19 @@
     /// is committed, that the view shows the newest records together with this
     /// instance's membership, so it counts before a watch shows it. After a conflict the
     /// instance registers without the condition and waits for the watch.
-    pub(super) fn handle_registration_answer(&mut self, answer: Option<&StoreAnswer>) {
-        let proving = self.proving_registration.take();
+    pub(super) fn handle_registration_answer(&mut self, now: Moment, answer: Option<&StoreAnswer>) {
+        let sent = self.sent_registration.take();
         match answer {
             Some(StoreAnswer::LeaseGone) => self.lease.clear(),
             Some(StoreAnswer::Conflict) => self.registers_unconditionally = true,
             Some(StoreAnswer::Committed { revision }) => {
                 self.registers_unconditionally = false;
-                self.committed_registration =
-                    proving.map(|value| Versioned { revision: *revision, value });
+                let Some((value, is_proof)) = sent else {
+                    return;
+                };
+                let member = Versioned { revision: *revision, value };
+                self.committed_registration = is_proof.then(|| member.clone());
+                self.registered = Some((member, now));
             }
             _ => {}
         }
@@ -361,12 +374,17 @@
                 written == suspicion
                     || (written.epoch == suspicion.epoch && written.kind == SuspicionKind::Refused)
             });
+            // The view may not contain the last write yet.
+            let is_written = is_written
+                || self.stored_suspicions.get(group).is_some_and(|(stored, revision)| {
+                    stored == suspicion && view.revision() < *revision
+                });
             if !is_written {
                 let value =
                     serde_json::to_vec(suspicion).expect("a record is made of plain values");
                 let key = suspicion_key(group, &self.instance);
                 let write = Write { key, value: Some(value), lease: Some(lease) };
-                calls.push((Purpose::Doubt(group.clone()), write));
+                calls.push((group.clone(), write));
             }
         }
         let cleared: Vec<_> = view
@@ -382,11 +400,15 @@
             .collect();
         for group in cleared {
             let key = suspicion_key(&group, &self.instance);
-            calls.push((Purpose::Doubt(group), Write { key, value: None, lease: None }));
+            calls.push((group, Write { key, value: None, lease: None }));
         }
-        for (purpose, write) in calls {
+        for (group, write) in calls {
+            let is_removal = write.value.is_none();
             let call = StoreCall::Commit { expected: Vec::new(), writes: vec![write] };
-            self.call(now, purpose, call);
+            if self.call(now, Purpose::Doubt(group.clone()), call) {
+                let sent = self.suspicions.get(&group).filter(|_| !is_removal).cloned();
+                self.sent_suspicions.extend(sent.map(|sent| (group, sent)));
+            }
         }
     }
 }
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -918,3 +918,28 @@
     assert!(at_once <= 4, "{at_once} of {} wrote at once", waits.len());
     assert!(waits.iter().all(|wait| *wait < ms(1000)), "a cut has to be noticed too: {waits:?}");
 }
+
+/// Guards against writes that multiply: each write is a change that every watch returns, so
+/// watches are delayed, and an instance whose view did not contain its write yet wrote it
+/// again each 0.15 s.
+#[test]
+fn test_suspicion_is_written_once_while_the_view_lags() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    fixture.put_member("proxy-3", 1);
+    fixture.refresh();
+    let mut coordinator = coordinator();
+    tick_with_store(&mut fixture, &mut coordinator);
+    fixture.is_cut_off = true;
+    coordinator.suspect(&fixture.view, &group(), &"s1".into(), SuspicionKind::Silent);
+    let mut writes = 0;
+    for _ in 0..50 {
+        let actions = tick_with_store(&mut fixture, &mut coordinator);
+        writes += actions.iter().filter(|action| is_for(action, &Purpose::Doubt(group()))).count();
+        fixture.advance(ms(20));
+    }
+    assert_eq!(writes, 1);
+    coordinator.suspect(&fixture.view, &group(), &"s1".into(), SuspicionKind::Refused);
+    let actions = tick_with_store(&mut fixture, &mut coordinator);
+    assert!(actions.iter().any(|action| is_for(action, &Purpose::Doubt(group()))), "it is new");
+}
