event loop: a planned stop ends sessions with an answer

Change: from then on a session ends together with its next answer; one that has been quiet for 0.5 s is closed, after a last look for a request that has arrived. Only the sending direction is ended, and the connection is kept until the caller closes it, for 1 s at most.

Ruled out: closing sessions only at the end of the shutdown timeout, which cuts those that are busy then.

--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -84,6 +84,12 @@
 /// How long before the end of the shutdown timeout the process ends, even if
 /// callers are still connected.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(700);
+/// How long after its last answer a session is closed during the shutdown, though it sends
+/// nothing.
+const QUIET_SESSION_TIME: Duration = Duration::from_millis(500);
+/// How long a caller may take to close its connection after the instance has ended its
+/// session.
+const CALLER_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long callers' idle sessions are kept after the signal to stop.
 ///
 /// By then the load balancer sends new connections to other instances, so callers
@@ -93,8 +99,11 @@
 /// What a connection is used for, which decides how its events are handled.
 #[derive(Debug)]
 enum Use {
-    /// A caller. Its session is open once its database has been accepted.
-    Caller { id: CallerId, is_open: bool },
+    /// A caller. Its session is open once its database has been accepted; it was last
+    /// answered at `answered_at`.
+    Caller { id: CallerId, is_open: bool, answered_at: Moment },
+    /// A caller whose session has ended and who has not closed the connection yet.
+    EndedCaller,
     /// The engine's work at a server, over a connection to the server itself or,
     /// if `is_relayed` is set, to the owner of the server's connections.
     Upstream { id: ConnectionId, status_row: Option<std::sync::Arc<str>>, is_relayed: bool },
@@ -353,8 +362,15 @@
                 let Some(token) = self.caller_tokens.get(&id).copied() else {
                     return;
                 };
+                let ends_session = self.closes_idle_sessions() && self.engine.is_idle(id);
                 if let Some(connection) = self.connections.get_mut(&token) {
                     self.platform.callers().encode_answer(&answer, &mut connection.socket.output);
+                    // The end arrives with the answer, so the caller sends nothing more.
+                    connection.socket.ends_after_output |=
+                        ends_session && connection.socket.input.is_empty();
+                    if let Use::Caller { answered_at, .. } = &mut connection.used_for {
+                        *answered_at = self.now;
+                    }
                     self.dirty.insert(token);
                 }
             }
@@ -403,6 +419,9 @@
             };
             match connection.socket.flush() {
                 Condition::Open => {}
+                Condition::Ended if matches!(connection.used_for, Use::Caller { .. }) => {
+                    self.end_caller(token);
+                }
                 Condition::Ended | Condition::Broken => self.connection_ended(token, false),
             }
             self.execute_actions();
@@ -458,8 +477,16 @@
         self.buffer.finish();
     }
 
-    /// Closes idle sessions of callers during the shutdown, once
-    /// [`IDLE_SESSIONS_CLOSE_DELAY`] has passed.
+    /// Returns whether the shutdown has come to the point at which idle sessions of callers
+    /// are closed.
+    fn closes_idle_sessions(&self) -> bool {
+        self.stopping_at
+            .is_some_and(|stopping_at| self.now.since(stopping_at) >= IDLE_SESSIONS_CLOSE_DELAY)
+    }
+
+    /// Closes sessions of callers that have been idle for a while during the shutdown, once
+    /// [`IDLE_SESSIONS_CLOSE_DELAY`] has passed. Busy ones end with their next answer: a
+    /// session that is closed at any other time may meet a request on its way.
     ///
     /// Transactions that are not executing a command are rolled back after half
     /// of the shutdown timeout, which makes their sessions idle.
@@ -473,16 +500,32 @@
             self.engine.abort_idle_transactions(context);
             self.execute_actions();
         }
-        if elapsed < IDLE_SESSIONS_CLOSE_DELAY {
+        if !self.closes_idle_sessions() {
             return;
         }
+        let is_quiet = |token: &Token| {
+            self.connections.get(token).is_some_and(|connection| {
+                matches!(connection.used_for, Use::Caller { answered_at, .. }
+                    if self.now.since(answered_at) >= QUIET_SESSION_TIME)
+            })
+        };
         let idle: Vec<Token> = self
             .caller_tokens
             .iter()
-            .filter(|(id, _)| self.engine.is_idle(**id))
+            .filter(|(id, token)| self.engine.is_idle(**id) && is_quiet(token))
             .map(|(_, token)| *token)
             .collect();
         for token in idle {
+            // A request that has arrived but was not read yet is served.
+            self.readable(token);
+            self.execute_actions();
+            let is_idle = match self.connections.get(&token).map(|c| &c.used_for) {
+                Some(Use::Caller { id, .. }) => self.engine.is_idle(*id),
+                _ => false,
+            };
+            if !is_idle {
+                continue;
+            }
             let has_input = self
                 .connections
                 .get(&token)
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -155,7 +155,8 @@
                     let id = CallerId(self.next_caller);
                     match Socket::accepted(stream, self.poll.registry(), token) {
                         Ok(socket) => {
-                            let used_for = Use::Caller { id, is_open: false };
+                            let used_for =
+                                Use::Caller { id, is_open: false, answered_at: self.now };
                             let deadline = Some(self.now + SESSION_START_TIMEOUT);
                             self.connections
                                 .insert(token, Connection { socket, used_for, deadline });
@@ -267,6 +268,7 @@
             Use::Promoter { .. } => self.read_promoter(token),
             Use::Http => self.read_http(token),
             Use::Instance { .. } | Use::Relay { .. } => self.read_instance(token),
+            Use::EndedCaller => connection.socket.input.clear(),
         }
         if condition != Condition::Open {
             self.connection_ended(token, false);
@@ -275,7 +277,7 @@
 
     fn read_caller(&mut self, token: Token) {
         loop {
-            let Some(Connection { socket, used_for: Use::Caller { id, is_open }, deadline }) =
+            let Some(Connection { socket, used_for: Use::Caller { id, is_open, .. }, deadline }) =
                 self.connections.get_mut(&token)
             else {
                 return;
@@ -386,6 +388,23 @@
         }
     }
 
+    /// Ends a caller's session after its last answer was sent, and waits until the caller
+    /// closes the connection.
+    pub(super) fn end_caller(&mut self, token: Token) {
+        let Some(connection) = self.connections.get_mut(&token) else {
+            return;
+        };
+        connection.socket.finish_sending();
+        connection.socket.ends_after_output = false;
+        connection.deadline = Some(self.now + super::CALLER_CLOSE_TIMEOUT);
+        let used_for = std::mem::replace(&mut connection.used_for, Use::EndedCaller);
+        if let Use::Caller { id, .. } = used_for {
+            self.caller_tokens.remove(&id);
+            let context = Context { view: &self.view, now: self.now };
+            self.engine.close_session(context, id);
+        }
+    }
+
     /// Removes a connection that has ended or timed out, and reports its end to
     /// the component that uses it.
     ///
@@ -441,7 +460,7 @@
                 self.relay_tokens.remove(&session);
                 self.engine.relays.end_session(context, session);
             }
-            Use::Http | Use::Instance { .. } => {}
+            Use::Http | Use::Instance { .. } | Use::EndedCaller => {}
         }
     }
 
@@ -520,6 +539,7 @@
         // The engine has its own timeouts for its work.
         Use::Upstream { .. } | Use::Caller { .. } | Use::Store { call: None, .. } => None,
         Use::Instance { .. } | Use::Pooled { .. } | Use::Relay { .. } => None,
+        Use::EndedCaller => Some(super::CALLER_CLOSE_TIMEOUT),
         Use::Store { call: Some((_, call, _)), .. } => Some(super::outbound::call_timeout(call)),
         Use::Control { .. } => Some(super::CONTROL_TIMEOUT),
         Use::Promoter { .. } => Some(super::PROMOTION_TIMEOUT),
--- a/lib/proxy/src/event_loop/socket.rs
+++ b/lib/proxy/src/event_loop/socket.rs
@@ -1,7 +1,7 @@
 //! A non-blocking TCP connection with its input and output buffers.
 
 use std::io::{self, Read, Write};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
 use mio::net::TcpStream;
@@ -164,6 +164,15 @@
         Condition::Open
     }
 
+    /// Ends the sending direction after all output was sent.
+    ///
+    /// Closing the connection at once would reset it if the other side had sent something
+    /// meanwhile, and discard answers that it has not read yet.
+    pub fn finish_sending(&self) {
+        // This fails only if the connection has ended already.
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
     /// Removes the connection from the poller. It is closed when it is dropped.
     pub fn deregister(&mut self, registry: &Registry) {
         // This fails only if the connection is not registered.
