--- a/lib/proxy/src/event_loop/followers.rs
+++ b/lib/proxy/src/event_loop/followers.rs
@@ -24,17 +24,23 @@
 use crate::protocol::Platform;
 use crate::records::StoreCall;
 use crate::relays::RelayCall;
-use crate::store_cache::watchers;
+use crate::store_cache::{other_watchers, watcher};
 
-/// How long a follower calls the store itself after the instance that it
-/// follows has failed.
+/// How long a follower does without the watcher of its domain after a call through an
+/// instance that it followed has failed.
 const FOLLOWED_BACKOFF: Duration = Duration::from_secs(3);
+/// How many failed calls through watchers of other domains a follower makes until it calls
+/// the store itself. If all followers of a failed watcher did so at once, each change of
+/// the store would return all their watches.
+const MAX_OTHER_WATCHERS: usize = 2;
 
 /// The instance that this one follows.
 #[derive(Debug, Default)]
 pub(super) struct FollowedInstance {
     instance: Option<InstanceId>,
     backoff_until: Moment,
+    /// How many calls in a row have failed; starts anew once the backoff is over.
+    recent_failures: usize,
     /// How many calls through other instances have failed since the start. It is part
     /// of the index by which an instance is chosen, so that each failure moves the
     /// choice to the next one.
@@ -106,6 +112,28 @@
     pub(super) fn record_failure(&mut self, now: Moment) {
         self.backoff_until = now + FOLLOWED_BACKOFF;
         self.failures += 1;
+        self.recent_failures += 1;
+    }
+
+    /// Returns the instance to follow, `None` to call the store: the watcher of the own
+    /// domain, during its backoff the one of another domain, and once a few of these have
+    /// failed too none.
+    fn choose(
+        &mut self,
+        now: Moment,
+        own: InstanceId,
+        others: &[InstanceId],
+    ) -> Option<InstanceId> {
+        if now >= self.backoff_until {
+            self.recent_failures = 0;
+        }
+        match self.recent_failures {
+            0 => Some(own),
+            failures if failures <= MAX_OTHER_WATCHERS && !others.is_empty() => {
+                Some(others[(self.failures + failures) % others.len()].clone())
+            }
+            _ => None,
+        }
     }
 }
 
@@ -121,17 +149,19 @@
         if self.store_sync.is_complete() && self.direct_store_calls.is_failing() {
             return self.forwarder_address();
         }
-        if !self.store_sync.is_complete()
-            || self.now < self.followed.backoff_until
-            || self.store_sync.is_stale(&self.view, self.now)
-        {
+        if !self.store_sync.is_complete() || self.store_sync.is_stale(&self.view, self.now) {
             return None;
         }
-        let watchers = watchers(&self.view, &self.settings.domain);
-        if watchers.is_empty() || watchers.contains(&self.settings.instance) {
+        let own = watcher(&self.view, &self.settings.domain)?;
+        if own == self.settings.instance {
             return None;
         }
-        let chosen = watchers[self.followed.failures % watchers.len()].clone();
+        let others = if self.now < self.followed.backoff_until {
+            other_watchers(&self.view, &self.settings.domain)
+        } else {
+            Vec::new()
+        };
+        let chosen = self.followed.choose(self.now, own, &others)?;
         let address = self.instance_address(&chosen)?;
         if self.followed.instance.as_ref() != Some(&chosen) {
             info!(self.log, "store is read through another instance";
--- a/lib/proxy/src/store_cache.rs
+++ b/lib/proxy/src/store_cache.rs
@@ -7,7 +7,7 @@
 //! it is. See `docs/design/11-relays.md`.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,13 +28,6 @@
 /// confirmed with each answer to its watch, as of when that watch began: two watches and
 /// their timeouts ago at most.
 pub const MAX_SERVED_AGE: Duration = Duration::from_millis(4400);
-/// How many instances of a failure domain watch the store.
-///
-/// The one with the widest link is chosen, since each change is sent over it once per
-/// follower. If it fails, its followers call the store themselves for some seconds
-/// before they call it again; once its store lease has expired, another is chosen.
-const WATCHERS_PER_DOMAIN: usize = 1;
-
 /// The store's items, and the history of changes after a revision.
 #[derive(Debug, Default)]
 pub struct StoreCache {
@@ -126,16 +119,27 @@
     }
 }
 
-/// Returns the instances of a failure domain that watch the store, the preferred
-/// one first. All instances with the same view get the same result.
-pub fn watchers(view: &StoreView, domain: &FailureDomain) -> Vec<InstanceId> {
-    let mut ranked: Vec<_> = view
-        .members()
+/// Returns the instance of a failure domain that watches the store, none if the domain has
+/// no live instance. All instances with the same view get the same result.
+///
+/// It is the one with the widest link, since each change is sent over it once per
+/// follower. Once its store lease has expired, another is chosen.
+pub fn watcher(view: &StoreView, domain: &FailureDomain) -> Option<InstanceId> {
+    view.members()
         .filter(|(instance, member)| {
             view.accepts_work(instance) && member.value.domain.as_ref() == Some(domain)
         })
         .map(|(instance, member)| (Reverse(member.value.capacity.link_kbps), instance))
+        .min()
+        .map(|(_, instance)| instance.clone())
+}
+
+/// Returns the watchers of all other failure domains.
+pub fn other_watchers(view: &StoreView, own_domain: &FailureDomain) -> Vec<InstanceId> {
+    let domains: BTreeSet<&FailureDomain> = view
+        .members()
+        .filter_map(|(_, member)| member.value.domain.as_ref())
+        .filter(|domain| *domain != own_domain)
         .collect();
-    ranked.sort();
-    ranked.into_iter().map(|(_, instance)| instance.clone()).take(WATCHERS_PER_DOMAIN).collect()
+    domains.into_iter().filter_map(|domain| watcher(view, domain)).collect()
 }
--- a/lib/proxy/tests/test_mirror.rs
+++ b/lib/proxy/tests/test_mirror.rs
@@ -8,7 +8,7 @@
 use masticreel_proxy::records::{
     Item, MemberRecord, StoreAnswer, StoreCall, StoreEvent, member_key,
 };
-use masticreel_proxy::store_cache::{MAX_SERVED_AGE, StoreCache, watchers};
+use masticreel_proxy::store_cache::{MAX_SERVED_AGE, StoreCache, other_watchers, watcher};
 use support::{Fixture, ms};
 
 fn item(key: &str, revision: u64) -> Item {
@@ -89,7 +89,7 @@
         fixture.put(&member_key(&instance.as_str().into()), &record);
     }
     let names = |fixture: &Fixture| -> Vec<String> {
-        watchers(&fixture.view, &"east".into()).iter().map(ToString::to_string).collect()
+        watcher(&fixture.view, &"east".into()).iter().map(ToString::to_string).collect()
     };
     fixture.remove("masticreel/live/proxy-02");
     fixture.refresh();
@@ -104,4 +104,6 @@
     fixture.put(&key, &wide);
     fixture.refresh();
     assert_eq!(names(&fixture), ["proxy-04"], "proxy-38 is leaving");
+    let others = other_watchers(&fixture.view, &"west".into());
+    assert_eq!(others, ["proxy-04".into()], "the watchers of all other domains");
 }
