store sync: an instance's outdated list is not taken over

Cause: a follower whose history was gone listed the items again, at whatever instance it followed by then, and replaced its view by that list also where the list lacked changes that it had already seen. The watch went on after the highest revision seen, so these changes never came again: a server that had left was used again for good, and a member that was gone counted. The same for a list that began at the store and went on at an instance.

Change: a page from another instance that is older than the view or than the list's first page is discarded, that instance is not asked for a while, and the items are listed again. The store's own list is taken at any revision. The module moved out of the event loop, so that tests reach it.

--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -18,7 +18,7 @@
 //!   they are made and where they are forwarded or answered.
 //! - `http` answers HTTP requests for the readiness and the metrics.
 //! - `socket` buffers the input and output of a connection.
-//! - `store_sync` decides which call keeps the view of the store up to date.
+//! - [`store_sync`](crate::store_sync) decides which call keeps the view of the store up to date.
 
 mod followers;
 mod http;
@@ -26,7 +26,6 @@
 mod relayed;
 mod serve;
 mod socket;
-mod store_sync;
 
 use std::collections::{BTreeSet, HashMap};
 use std::io;
@@ -46,7 +45,6 @@
 use crate::engine::{Action, Context, Engine, Loss};
 use crate::event_loop::followers::{DirectHealth, FollowedInstance, HeldCall, InstanceCall};
 use crate::event_loop::socket::{Condition, Socket};
-use crate::event_loop::store_sync::StoreSync;
 use crate::frames;
 use crate::log::{LogBuffer, logger};
 use crate::metrics::Metrics;
@@ -57,6 +55,7 @@
 use crate::settings::ProxySettings;
 use crate::statement::Command;
 use crate::store_cache::StoreCache;
+use crate::store_sync::StoreSync;
 use crate::store_view::StoreView;
 
 const CALLER_LISTENER: Token = Token(0);
--- a/lib/proxy/src/event_loop/outbound.rs
+++ b/lib/proxy/src/event_loop/outbound.rs
@@ -20,7 +20,6 @@
 use super::{CONNECT_TIMEOUT, Connection, EventLoop, Loss, StoreUse, Use};
 use crate::coordinator::{ControlFailure, CoordinatorAction, Purpose};
 use crate::engine::Context;
-use crate::event_loop::store_sync::{CALL_TIMEOUT, WATCH_TIMEOUT_MARGIN};
 use crate::frames;
 use crate::moment::{Moment, SteadyClock};
 use crate::peers::{MESSAGE_LIMIT_BYTES, PeerMessage};
@@ -29,6 +28,7 @@
 };
 use crate::records::{Phase, StoreAnswer, StoreCall};
 use crate::statement::Command;
+use crate::store_sync::{CALL_TIMEOUT, WATCH_TIMEOUT_MARGIN};
 use crate::store_view::ViewChange;
 
 /// If there are more changes of the view at once, changed servers are not logged
@@ -186,7 +186,11 @@
                 let store_cache = &mut self.store_cache;
                 let effect =
                     self.store_sync.answered(&mut self.view, store_cache, self.now, answer, store);
-                if effect.is_newly_failing {
+                if effect.is_outdated {
+                    self.followed.record_failure(self.now);
+                    info!(self.log, "list of another instance is outdated; listing again";
+                        "revision" => self.view.revision());
+                } else if effect.is_newly_failing {
                     warn!(self.log, "store is not answering this instance";
                         "call" => call.name(), "outcome" => outcome,
                         "revision" => self.view.revision());
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -28,7 +28,6 @@
 use crate::engine::{Context, Engine, EngineSettings, Loss};
 use crate::event_loop::followers::{DirectHealth, InstanceCall};
 use crate::event_loop::socket::Socket;
-use crate::event_loop::store_sync::StoreSync;
 use crate::frames;
 use crate::log::LogBuffer;
 use crate::metrics::Metrics;
@@ -41,6 +40,7 @@
 use crate::settings::ProxySettings;
 use crate::statement::{Failure, FailureKind, ServerStatus};
 use crate::store_cache::StoreCache;
+use crate::store_sync::StoreSync;
 use crate::store_view::StoreView;
 
 /// How long a caller's session start may wait until the store's items have been
--- a/lib/proxy/src/lib.rs
+++ b/lib/proxy/src/lib.rs
@@ -32,4 +32,5 @@
 pub mod settings;
 pub mod statement;
 pub mod store_cache;
+pub mod store_sync;
 pub mod store_view;
--- a/lib/proxy/src/event_loop/store_sync.rs
+++ b/lib/proxy/src/store_sync.rs
@@ -54,6 +54,8 @@
     /// subtracted when it arrives.
     called_at: Moment,
     is_call_in_flight: bool,
+    /// Whether the last call was made through another instance.
+    is_through_instance: bool,
     /// No call is made earlier.
     not_before: Moment,
     failures: u32,
@@ -85,6 +87,8 @@
     pub is_newly_failing: bool,
     /// Whether this is the first successful call after a failed one.
     pub is_succeeding_again: bool,
+    /// Whether the answer was discarded because it is older than what is known.
+    pub is_outdated: bool,
 }
 
 impl StoreSync {
@@ -94,6 +98,7 @@
             state: State::Listing { after: None, items: Vec::new(), started: None },
             called_at: Moment::default(),
             is_call_in_flight: false,
+            is_through_instance: false,
             not_before: Moment::default(),
             failures: 0,
             last_change_at: Moment::default(),
@@ -119,19 +124,20 @@
     }
 
     /// Returns the next call, which counts as in flight from now on, `None` while it
-    /// is not due.
+    /// is not due. It is made through another instance if `is_through_instance` is set.
     pub fn start_next_call(
         &mut self,
         view: &StoreView,
         now: Moment,
-        is_follower: bool,
+        is_through_instance: bool,
     ) -> Option<StoreCall> {
         if !self.is_due(now) {
             return None;
         }
         self.is_call_in_flight = true;
         self.called_at = now;
-        let wait = if is_follower { FOLLOWER_WAIT } else { WATCH_WAIT };
+        self.is_through_instance = is_through_instance;
+        let wait = if is_through_instance { FOLLOWER_WAIT } else { WATCH_WAIT };
         Some(match &self.state {
             State::Listing { after, .. } => {
                 StoreCall::List { after: after.clone(), may_be_stale: false }
@@ -154,8 +160,9 @@
         Store: StoreProtocol,
     {
         self.is_call_in_flight = false;
-        let mut effect = AnswerEffect::default();
-        match answer {
+        let is_outdated = answer.as_ref().is_some_and(|answer| self.is_outdated(view, answer));
+        let mut effect = AnswerEffect { is_outdated, ..AnswerEffect::default() };
+        match answer.filter(|_| !is_outdated) {
             Some(StoreAnswer::Page { items, is_truncated, revision, age }) => {
                 self.called_at = self.called_at.saturating_sub(age);
                 effect.changes =
@@ -186,6 +193,21 @@
         effect
     }
 
+    /// Returns whether an answer is a list of another instance that lacks changes which this
+    /// instance has already seen.
+    ///
+    /// The changes would not be received again, since the watch goes on after the highest
+    /// revision seen.
+    fn is_outdated(&self, view: &StoreView, answer: &StoreAnswer) -> bool {
+        let (StoreAnswer::Page { revision, .. }, State::Listing { started, .. }) =
+            (answer, &self.state)
+        else {
+            return false;
+        };
+        let first_revision = started.map_or(0, |(_, revision)| revision);
+        self.is_through_instance && *revision < view.revision().max(first_revision)
+    }
+
     /// Ends the backoff after failed calls, because another call has shown that the
     /// store answers again.
     pub fn store_is_back(&mut self, now: Moment) {
--- /dev/null
+++ b/lib/proxy/tests/test_store_sync.rs
@@ -0,0 +1,120 @@
+//! Tests which answers an instance takes over while it keeps its view of the store.
+
+mod support;
+
+use std::time::Duration;
+
+use masticreel_base::ids::ServerId;
+use masticreel_proxy::directory::Server;
+use masticreel_proxy::moment::Moment;
+use masticreel_proxy::protocol::{ProtocolError, StoreContent, StoreProtocol};
+use masticreel_proxy::records::{Item, StoreAnswer, StoreCall, StoreEvent};
+use masticreel_proxy::store_cache::StoreCache;
+use masticreel_proxy::store_sync::{AnswerEffect, StoreSync};
+use masticreel_proxy::store_view::StoreView;
+use support::ms;
+
+/// A protocol whose items are all servers.
+struct Servers;
+
+impl StoreProtocol for Servers {
+    fn encode(&self, _call: &StoreCall, _output: &mut Vec<u8>) {}
+
+    fn decode(
+        &self,
+        _call: &StoreCall,
+        _input: &mut Vec<u8>,
+    ) -> Result<Option<StoreAnswer>, ProtocolError> {
+        Ok(None)
+    }
+
+    fn parse_content(&self, key: &str, _value: &[u8]) -> StoreContent {
+        StoreContent::Server(Server {
+            id: key.into(),
+            group: "group-1".into(),
+            address: ([127, 0, 0, 1], 1000).into(),
+            domain: "domain-1".into(),
+            slots: 4,
+            is_leaving: false,
+            role: None,
+            started_ms: 1,
+        })
+    }
+
+    fn server_of_key(&self, key: &str) -> Option<ServerId> {
+        Some(key.into())
+    }
+}
+
+#[derive(Default)]
+struct Follower {
+    sync: StoreSync,
+    view: StoreView,
+    cache: StoreCache,
+    now: Moment,
+}
+
+impl Follower {
+    /// Makes the next call, through another instance or directly, and answers it.
+    fn call(&mut self, is_through_instance: bool, answer: StoreAnswer) -> AnswerEffect {
+        self.now = self.now + Duration::from_secs(1);
+        self.sync
+            .start_next_call(&self.view, self.now, is_through_instance)
+            .expect("a call is due after a second");
+        self.sync.answered(&mut self.view, &mut self.cache, self.now, Some(answer), &Servers)
+    }
+
+    fn servers(&self) -> Vec<&str> {
+        let known = ["s1", "s2"].into_iter();
+        known.filter(|id| self.view.server(&ServerId::from(*id)).is_some()).collect()
+    }
+}
+
+fn page(servers: &[&str], revision: u64, is_truncated: bool) -> StoreAnswer {
+    let items = servers
+        .iter()
+        .map(|id| Item { key: (*id).into(), value: vec![1], revision: 1, created: 1 })
+        .collect();
+    StoreAnswer::Page { items, is_truncated, revision, age: ms(0) }
+}
+
+fn removal(id: &str, revision: u64) -> StoreAnswer {
+    let events = vec![StoreEvent::Removed { key: id.into(), revision }];
+    StoreAnswer::Events { events, revision, age: ms(0) }
+}
+
+/// Guards against a server that had left and was used again for good: the list came from an
+/// instance whose own view lagged, and the watch went on after the removal.
+#[test]
+fn test_list_of_an_instance_that_lags_brings_no_removed_server_back() {
+    let mut follower = Follower::default();
+    follower.call(true, page(&["s1", "s2"], 100, false));
+    follower.call(true, removal("s1", 101));
+    follower.call(true, StoreAnswer::HistoryGone);
+    let effect = follower.call(true, page(&["s1", "s2"], 100, false));
+    assert_eq!(follower.servers(), ["s2"]);
+    assert!(effect.is_outdated && !follower.sync.is_complete(), "the items are listed again");
+    follower.call(false, page(&["s2"], 102, false));
+    assert_eq!((follower.servers(), follower.sync.is_complete()), (vec!["s2"], true));
+}
+
+/// Guards against the same with a list that began at the store.
+#[test]
+fn test_list_does_not_go_on_with_older_items_of_an_instance() {
+    let mut follower = Follower::default();
+    follower.call(false, page(&["s2"], 101, true));
+    follower.call(true, page(&["s1", "s2"], 100, false));
+    assert_eq!(follower.servers(), Vec::<&str>::new());
+    follower.call(false, page(&["s2"], 102, false));
+    assert_eq!(follower.servers(), ["s2"]);
+}
+
+/// The store itself is believed, also after it was restored from a backup.
+#[test]
+fn test_list_of_the_store_is_taken_over_at_any_revision() {
+    let mut follower = Follower::default();
+    follower.call(false, page(&["s1"], 100, false));
+    follower.call(false, StoreAnswer::HistoryGone);
+    follower.call(false, page(&["s2"], 40, false));
+    assert_eq!(follower.servers(), ["s2"]);
+}
