engine, relays: a read that only takes long is answered

Change: an attempt that stayed unanswered shows that the request may take so long. The next one is given up only after three times that time, or three times what the route's requests take, if that is more than before. The owner of the server's connections learns it as the expected duration of the command.

Ruled out: no retry after the first: two lost answers in a row would end at the caller's timeout.

--- a/lib/proxy/src/caller.rs
+++ b/lib/proxy/src/caller.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use derive_more::Display;
 use masticreel_base::ids::{GroupId, ServerId};
@@ -119,6 +120,9 @@
     /// Whether an earlier attempt has run or may have run, so that a refusal must not
     /// state the contrary.
     pub may_have_run: bool,
+    /// The longest time for which an attempt was unanswered when its connection was lost or
+    /// given up. The request may be one that takes so long.
+    pub unanswered_for: Duration,
 }
 
 impl Pending {
--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -324,7 +324,7 @@
             if !std::mem::replace(&mut connection.is_answer_overdue, true) {
                 health.running -= 1;
             }
-            if !connection.in_transaction && waited > health.latency.retry_time() {
+            if !connection.in_transaction && waited > health.latency.retry_time(Duration::ZERO) {
                 retryable.push(*id);
             }
         }
@@ -337,7 +337,7 @@
         let Some(health) = self.health.get(server) else {
             return 0;
         };
-        let threshold = health.latency.retry_time();
+        let threshold = health.latency.retry_time(Duration::ZERO);
         let overdue = self.connections.values().filter(|connection| {
             connection.server == *server
                 && connection.expected.contains(&Expected::Work)
--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -459,6 +459,7 @@
             primary_only: false,
             last_failure: None,
             may_have_run: false,
+            unanswered_for: Duration::ZERO,
         });
         self.pending_callers.insert(id);
         self.place(context, id, true);
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -186,10 +186,15 @@
             };
             let server = connection.server.clone();
             let caller = connection.caller.and_then(|caller| self.callers.get(&caller));
-            let is_read = caller
-                .and_then(|caller| caller.pending.as_ref())
-                .is_some_and(|pending| pending.work.access() == Access::Read);
-            if is_read && self.connections.health(&server).latency.take_retry() {
+            let pending = caller.and_then(|caller| caller.pending.as_ref());
+            let Some(pending) = pending.filter(|pending| pending.work.access() == Access::Read)
+            else {
+                continue;
+            };
+            let waited = context.now.since(connection.sent_at);
+            let expected = self.expected_duration(pending);
+            let latency = &mut self.connections.health(&server).latency;
+            if waited > latency.retry_time(expected) && latency.take_retry() {
                 self.abandon(context, id);
             }
         }
--- a/lib/proxy/src/engine/paths.rs
+++ b/lib/proxy/src/engine/paths.rs
@@ -23,6 +23,7 @@
 use slog::info;
 
 use super::{Action, Context, Engine};
+use crate::caller::Pending;
 use crate::connections::ConnectionId;
 use crate::directory::Server;
 use crate::engine::releases::Loss;
@@ -150,6 +151,13 @@
         }
     }
 
+    /// Returns how long a request is expected to run on a server without load: as its
+    /// route's requests do, or as long as an attempt of its own stayed unanswered.
+    pub(super) fn expected_duration(&self, pending: &Pending) -> Duration {
+        let latency = self.route_latencies.get(&pending.route.name);
+        latency.map(LatencyEstimate::baseline).unwrap_or_default().max(pending.unanswered_for)
+    }
+
     /// Returns the urgency and the time limits by which the server's owner
     /// queues the work on a connection.
     pub fn relay_options(&self, context: Context<'_>, id: ConnectionId) -> RelayOptions {
@@ -158,7 +166,6 @@
         match caller.and_then(|caller| caller.pending.as_ref()) {
             Some(pending) => {
                 let due_at = pending.received_at + pending.route.target_latency;
-                let latency = self.route_latencies.get(&pending.route.name);
                 RelayOptions {
                     urgency: pending.route.urgency,
                     patience: pending
@@ -166,7 +173,7 @@
                         .since(context.now)
                         .saturating_sub(RELAY_REFUSAL_MARGIN),
                     wanted_within: due_at.since(context.now),
-                    expected: latency.map(LatencyEstimate::baseline).unwrap_or_default(),
+                    expected: self.expected_duration(pending),
                 }
             }
             // Commands that no caller waits for; 0 is the highest urgency.
--- a/lib/proxy/src/engine/releases.rs
+++ b/lib/proxy/src/engine/releases.rs
@@ -84,7 +84,8 @@
             self.deliver_truncated_answer(context, caller_id, connection.partial.rows, signature);
             return;
         }
-        self.lost_during_request(context, caller_id, &server, is_work_unanswered);
+        let unanswered_for = is_work_unanswered.then(|| context.now.since(connection.sent_at));
+        self.lost_during_request(context, caller_id, &server, unanswered_for);
     }
 
     /// Records that a server, or the owner of its connections, has closed a connection
@@ -156,13 +157,17 @@
     /// only a few times; the outcome of a write is unknown, as is that of the commit of a
     /// transaction that has written. Any other transaction is aborted if one of
     /// its statements has run or was sent.
+    ///
+    /// `unanswered_for` is the time since the work was sent, `None` if it was not sent or
+    /// has been answered.
     pub(super) fn lost_during_request(
         &mut self,
         context: Context<'_>,
         caller_id: CallerId,
         server: &ServerId,
-        is_work_unanswered: bool,
+        unanswered_for: Option<Duration>,
     ) {
+        let is_work_unanswered = unanswered_for.is_some();
         let Some(caller) = self.callers.get_mut(&caller_id) else {
             return;
         };
@@ -173,6 +178,7 @@
             return;
         };
         pending.may_have_run |= is_work_unanswered;
+        pending.unanswered_for = pending.unanswered_for.max(unanswered_for.unwrap_or_default());
         let may_have_written = is_work_unanswered && pending.work.access() == Access::Write;
         if let Transaction::Open(open) = &caller.transaction {
             if may_have_written && pending.work == Work::Commit && open.has_written {
--- a/lib/proxy/src/latency.rs
+++ b/lib/proxy/src/latency.rs
@@ -117,12 +117,15 @@
         (self.mean() * OVERDUE_RATIO).clamp(MIN_OVERDUE_TIME, MAX_RETRY_TIME)
     }
 
-    /// Returns the time after which a read whose answer is overdue is retried.
-    pub fn retry_time(&self) -> Duration {
-        (self.mean() * RETRY_RATIO).clamp(MIN_RETRY_TIME, MAX_RETRY_TIME)
+    /// Returns the time after which a read whose answer is overdue is retried. It is expected
+    /// to run for the given time on a server without load.
+    pub fn retry_time(&self, expected: Duration) -> Duration {
+        let usual = (self.mean() * RETRY_RATIO).clamp(MIN_RETRY_TIME, MAX_RETRY_TIME);
+        usual.max(expected * OVERDUE_RATIO)
     }
 
-    /// Returns whether a read whose answer is overdue may be retried now, and counts it; as many may as a part of the statements that were answered.
+    /// Returns whether a read whose answer is overdue may be retried now, and counts it. As
+    /// many may as a part of the statements that were answered.
     pub fn take_retry(&mut self) -> bool {
         let may_retry = self.saved_retries >= 1.0;
         if may_retry {
--- a/lib/proxy/src/relays.rs
+++ b/lib/proxy/src/relays.rs
@@ -163,6 +163,8 @@
     begin: Option<(bool, Option<TermPosition>)>,
     connection: Option<PooledId>,
     waiting: Option<QueuedCommand>,
+    /// The estimated duration of the last command on a server without load.
+    expected: Duration,
     /// Commands that arrived before the previous one was answered.
     backlog: VecDeque<(Command, RelayOptions)>,
 }
--- a/lib/proxy/src/relays/pool.rs
+++ b/lib/proxy/src/relays/pool.rs
@@ -389,7 +389,6 @@
         let mut handed_back = Vec::new();
         for pool in self.pools.values_mut() {
             let overdue_time = pool.latency.overdue_time();
-            let retry_time = pool.latency.retry_time();
             for id in &pool.connections {
                 let Some(pooled) = self.pooled.get_mut(id) else {
                     continue;
@@ -407,8 +406,12 @@
                     pool.running -= usize::from(was_sent);
                 }
                 let is_plain_read = pooled.runs_read && !pooled.in_transaction;
+                let session = pooled.session.and_then(|session| self.sessions.get(&session));
+                let expected = session.map(|session| session.expected).unwrap_or_default();
                 let may_retry = if was_sent {
-                    is_plain_read && waited > retry_time && pool.latency.take_retry()
+                    is_plain_read
+                        && waited > pool.latency.retry_time(expected)
+                        && pool.latency.take_retry()
                 } else {
                     true
                 };
@@ -452,7 +455,8 @@
                 let has_no_waiter = pooled.session.is_none();
                 if has_no_waiter && (waited > NO_WAITER_TIMEOUT || pooled.is_answer_overdue) {
                     timed_out.push(*id);
-                } else if waited > TEST_CONNECTION_DELAY.min(pool.latency.retry_time())
+                } else if waited
+                    > TEST_CONNECTION_DELAY.min(pool.latency.retry_time(Duration::ZERO))
                     && pool.answered_at < pooled.sent_at
                     && pool.opening == 0
                     && context.now >= pool.connect_after
--- a/lib/proxy/src/relays/sessions.rs
+++ b/lib/proxy/src/relays/sessions.rs
@@ -6,6 +6,7 @@
 //! them, on the connection that is assigned to the session.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use masticreel_base::ids::ServerId;
 use slog::info;
@@ -34,6 +35,7 @@
             begin: None,
             connection: None,
             waiting: None,
+            expected: Duration::ZERO,
             backlog: Default::default(),
         };
         self.sessions.insert(id, session);
@@ -117,6 +119,7 @@
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
+        session.expected = options.expected;
         if let Some(connection) = session.connection {
             self.prepare_and_send(context, connection, command);
             return;
--- a/lib/proxy/tests/test_lost_answers.rs
+++ b/lib/proxy/tests/test_lost_answers.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use masticreel_proxy::caller::CallerId;
+use masticreel_proxy::connections::ConnectionId;
 use masticreel_proxy::directory::Consistency;
 use masticreel_proxy::latency::LatencyEstimate;
 use masticreel_proxy::moment::Moment;
@@ -221,6 +222,69 @@
     assert!(retried, "the read whose answer was lost is retried within 0.3 s of its start");
 }
 
+/// Guards against reads that only take long: each attempt was given up as early as the first
+/// one, and after the fifth the caller was told that the connection had broken.
+#[test]
+fn test_read_that_only_takes_long_is_answered() {
+    let mut fixture = Fixture::serving();
+    fixture.put_document(Consistency::Latest);
+    fixture.refresh();
+    let mut engine = engine();
+    engine.group_changed(fixture.context(), &group());
+    for number in 1..=2 {
+        let caller = CallerId(number);
+        engine.open_session(fixture.context(), caller, "db".into()).expect("the database exists");
+    }
+    let start = fixture.now;
+    // What the servers will do, by the time: accept a connection, or complete a statement.
+    let mut pending: BTreeMap<(Moment, u64), (ConnectionId, bool)> = BTreeMap::new();
+    let mut next = 0;
+    let mut attempts = 0;
+    for step in 0..1500 {
+        fixture.now = start + ms(step);
+        fixture.refresh();
+        if step == 100 {
+            engine.request(fixture.context(), CallerId(1), "long".into(), read("a"));
+        }
+        // The other caller's short reads show that the servers answer.
+        if step % 12 == 0 {
+            engine.request(fixture.context(), CallerId(2), "short".into(), read("b"));
+            engine.tick(fixture.context());
+        }
+        let mut taken = vec![take_engine_actions(&mut engine)];
+        let due: Vec<_> = pending.range(..=(fixture.now, u64::MAX)).map(|(at, _)| *at).collect();
+        for at in due {
+            let (id, is_accepted) = pending.remove(&at).expect("the answer is pending");
+            taken.push(if is_accepted {
+                accept(&fixture, &mut engine, id)
+            } else {
+                complete(&fixture, &mut engine, id, SessionState::Idle, Some(position(1, 9)))
+            });
+        }
+        for actions in taken {
+            let answer = actions.answers.iter().find(|(id, _)| *id == CallerId(1));
+            if let Some((_, answer)) = answer {
+                assert!(answer.outcome.is_ok(), "{answer:?} after {attempts} attempts");
+                assert!(attempts <= 3, "{attempts} attempts");
+                return;
+            }
+            pending.retain(|_, (id, _)| !actions.disconnects.contains(id));
+            let accepted = actions.connects.iter().map(|(id, _)| (*id, true, SERVICE));
+            let run = actions.sent.iter().filter_map(|(id, command)| match command {
+                Command::Run { tag, .. } if tag.as_ref() == "long" => Some((*id, false, ms(300))),
+                Command::Run { .. } => Some((*id, false, SERVICE)),
+                _ => None,
+            });
+            for (id, is_accepted, took) in accepted.chain(run) {
+                next += 1;
+                attempts += u32::from(took == ms(300));
+                pending.insert((fixture.now + took, next), (id, is_accepted));
+            }
+        }
+    }
+    panic!("the long read is not answered after {attempts} attempts");
+}
+
 /// Only as many reads are retried early as a part of the statements that were answered, so
 /// that a server which is only slow does not get its load twice.
 #[test]
