engine: a database is unknown only if the configuration is up to date

A caller that is told so stops asking; another instance would have served it.

Change: while the view of the store is older than 2.9 s a database that is missing is refused as busy. A new configuration must be active within three seconds.

Result: test_database_is_unknown_only_if_the_configuration_is_up_to_date; without the change the second refusal is of an unknown database. Ruled out: refusing databases that are known as well: most of a view stays right for longer.

--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -65,6 +65,9 @@
 /// How much newer a position sample must be than a route's staleness bound
 /// requires, to allow for the resolution of clocks.
 const STALENESS_MARGIN: Duration = Duration::from_millis(20);
+/// The age of the view up to which its configuration counts as up to date. A new one must be
+/// active within three seconds.
+const MAX_CONFIGURATION_AGE: Duration = Duration::from_millis(2900);
 /// How long before its deadline a waiting request is refused, so that the
 /// refusal reaches the caller in time.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(30);
@@ -253,7 +256,7 @@
         id: CallerId,
         database: Arc<str>,
     ) -> Result<(), Failure> {
-        route(context.view, &database)?;
+        route(context, &database)?;
         self.callers.insert(id, Caller::new(database));
         Ok(())
     }
@@ -395,7 +398,7 @@
             self.answer_failure(context, id, tag, failure);
             return;
         }
-        match route(context.view, &caller.database) {
+        match route(context, &caller.database) {
             Ok(route) => {
                 caller.transaction = Transaction::Open(OpenTransaction {
                     read_only,
@@ -435,7 +438,7 @@
         };
         let (route, is_read_only) = match &caller.transaction {
             Transaction::Open(open) => (Arc::clone(&open.route), open.read_only),
-            _ => match route(context.view, &caller.database) {
+            _ => match route(context, &caller.database) {
                 Ok(route) => (Arc::clone(route), work.access() == Access::Read),
                 Err(failure) => {
                     self.answer_failure(context, id, &tag, failure);
@@ -532,13 +535,20 @@
 ///
 /// # Errors
 ///
-/// Fails if no configuration was received yet or it has no such database.
-fn route<'a>(view: &'a StoreView, database: &str) -> Result<&'a Arc<Route>, Failure> {
-    let Some(document) = view.document() else {
+/// Fails if no configuration was received yet or it has no such database. That database is
+/// reported as unknown only if the configuration is up to date; otherwise its caller may
+/// succeed at another instance.
+fn route<'a>(context: Context<'a>, database: &str) -> Result<&'a Arc<Route>, Failure> {
+    let Some(document) = context.view.document() else {
         return Err(Failure::new(FailureKind::Busy, "the configuration is not known yet"));
     };
     document.routes.get(database).ok_or_else(|| {
-        Failure::new(FailureKind::UnknownDatabase, "the configuration has no such database")
+        let confirmed_at = context.view.confirmed_at();
+        if confirmed_at.is_some_and(|at| context.now.since(at) <= MAX_CONFIGURATION_AGE) {
+            Failure::new(FailureKind::UnknownDatabase, "the configuration has no such database")
+        } else {
+            Failure::new(FailureKind::Busy, "the configuration has no such database, but is old")
+        }
     })
 }
 
--- a/lib/proxy/tests/test_verdicts.rs
+++ b/lib/proxy/tests/test_verdicts.rs
@@ -240,3 +240,20 @@
     assert_eq!(drop_work(&mut fixture, &mut engine, 5), 1, "the sixth loss in a row");
     assert_eq!(kinds, [SuspicionKind::Failing]);
 }
+
+/// Guards against callers that were told that a database does not exist by an instance which
+/// had not heard of the store since before the database was added.
+#[test]
+fn test_database_is_unknown_only_if_the_configuration_is_up_to_date() {
+    let mut fixture = Fixture::serving();
+    let mut engine = open(&fixture);
+    let mut refusal = |fixture: &Fixture| {
+        let outcome = engine.open_session(fixture.context(), CallerId(2), "added".into());
+        outcome.expect_err("there is no such database").kind
+    };
+    assert_eq!(refusal(&fixture), FailureKind::UnknownDatabase);
+    fixture.advance(ms(3000));
+    assert_eq!(refusal(&fixture), FailureKind::Busy);
+    fixture.refresh();
+    assert_eq!(refusal(&fixture), FailureKind::UnknownDatabase);
+}
