--- a/lib/proxy/src/latency.rs
+++ b/lib/proxy/src/latency.rs
@@ -36,8 +36,9 @@
 const BACKOFF_DECAY: f64 = 0.8;
 
 /// Ratio to the mean above which an answer is overdue, if the server has answered later
-/// statements meanwhile, and the least such time. A statement that is only long then
-/// lets the server have one more than it has slots.
+/// statements meanwhile, and the least such time; also the ratio to its expected duration
+/// above which a read is retried. A statement that is only long then lets the server have
+/// one more than it has slots.
 const OVERDUE_RATIO: u32 = 3;
 const MIN_OVERDUE_TIME: Duration = Duration::from_millis(25);
 /// Ratio to the mean above which a read is retried because its answer is overdue, and
@@ -117,8 +118,9 @@
         (self.mean() * OVERDUE_RATIO).clamp(MIN_OVERDUE_TIME, MAX_RETRY_TIME)
     }
 
-    /// Returns the time after which a read whose answer is overdue is retried. It is expected
-    /// to run for the given time on a server without load.
+    /// Returns the time after which a read whose answer is overdue is retried. `expected` is
+    /// the read's estimated duration on a server without load; one that usually takes long
+    /// is given longer.
     pub fn retry_time(&self, expected: Duration) -> Duration {
         let usual = (self.mean() * RETRY_RATIO).clamp(MIN_RETRY_TIME, MAX_RETRY_TIME);
         usual.max(expected * OVERDUE_RATIO)
