--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -105,8 +105,14 @@
         if now.since(replacement.blocked_at) >= STEP_DOWN_DELAY {
             self.send_step_down(view, now, group, &record, replacement);
         }
-        if !self.is_old_primary_unused(view, now, group, &record, replacement) {
+        let Some(reason) = self.why_old_primary_is_unused(view, now, group, &record, replacement)
+        else {
             return;
+        };
+        if replacement.selecting_since.is_none() {
+            info!(self.log, "no instance can use the old primary any more"; "group" => %group,
+                "primary" => %record.primary, "epoch" => replacement.epoch, "reason" => reason,
+                "blocked_ms_ago" => now.since(replacement.blocked_at).as_millis());
         }
         let selecting_since = *replacement.selecting_since.get_or_insert(now);
         self.send_step_down(view, now, group, &record, replacement);
@@ -223,19 +229,20 @@
             .filter(|(_, term)| *term >= newest_term)
     }
 
-    /// Returns whether no instance can be using the old primary any more.
-    fn is_old_primary_unused(
+    /// Returns why no instance can be using the old primary any more, for the log;
+    /// `None` while an instance may.
+    fn why_old_primary_is_unused(
         &self,
         view: &StoreView,
         now: Moment,
         group: &GroupId,
         record: &GroupRecord,
         replacement: &Replacement,
-    ) -> bool {
+    ) -> Option<&'static str> {
         if now.since(replacement.blocked_at)
             >= replacement.max_use_of_old_primary() + PRIMARY_LEASE_MARGIN
         {
-            return true;
+            return Some("leases_expired");
         }
         // An instance that registered just before the primary was blocked may use it until
         // it learns of that, so the view has to show all members of that time.
@@ -246,11 +253,13 @@
                 .members()
                 .all(|(id, member)| self.has_ended_work(id, &member.value, group, replacement, now))
         {
-            return true;
+            return Some("members_ended_work");
         }
         // No instance can use a process that isn't running.
         let is_process_down = replacement.is_refusing(&record.primary, now);
-        is_process_down && now.since(replacement.blocked_at) >= CRASH_CONFIRMATION_TIMEOUT
+        let is_replaced_at_once =
+            is_process_down && now.since(replacement.blocked_at) >= CRASH_CONFIRMATION_TIMEOUT;
+        is_replaced_at_once.then_some("process_down")
     }
 
     /// Returns whether a member can't be using the old primary any more: it has
