known red: a refused connection ends the leases of silent members

It now lets the member confirm and still requires that the last known address is queried and the primary replaced without its entry; the new test covers the member that does not.

--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -238,21 +238,16 @@
     );
 }
 
-/// A crashed primary's entry is removed once the primary has missed three renewals of
-/// it. The active coordinator must still query its last known address, whose refusal
-/// proves that the process is not running.
-#[test]
-fn test_crashed_primary_is_replaced_also_when_its_entry_is_gone() {
-    let mut fixture = Fixture::serving();
-    fixture.put_member("proxy-2", 1);
-    let mut coordinator = active_coordinator(&mut fixture);
-    fixture.remove("server/s1");
-    fixture.refresh();
-    coordinator.work_done(fixture.now, &group(), 2);
-    let start = fixture.now;
-    let mut promoted = Vec::new();
-    while promoted.is_empty() && fixture.now.since(start) < ms(5000) {
-        let actions = tick_with_store(&mut fixture, &mut coordinator);
+/// Runs a replacement in which the old primary refuses this instance's connections, and
+/// returns the servers whose promotion was requested.
+fn promotions_while_refused(
+    fixture: &mut Fixture,
+    coordinator: &mut Coordinator,
+    time: Duration,
+) -> Vec<String> {
+    let end = fixture.now + time;
+    while fixture.now < end {
+        let actions = tick_with_store(fixture, coordinator);
         let (to_old, others): (Vec<Action>, Vec<Action>) = actions.into_iter().partition(
             |action| matches!(action, Action::Control { server, .. } if server.as_str() == "s1"),
         );
@@ -262,11 +257,45 @@
                 coordinator.control_answered(fixture.now, &group(), &server, &command, refused);
             }
         }
-        promoted = answer_actions(&mut fixture, &mut coordinator, &others);
+        let promoted = answer_actions(fixture, coordinator, &others);
+        if !promoted.is_empty() {
+            return promoted;
+        }
         fixture.advance(ms(20));
         fixture.refresh();
     }
-    assert_eq!(promoted, ["s2"], "proxy-2 can't use a process that isn't running");
+    Vec::new()
+}
+
+/// A crashed primary's entry is removed once the primary has missed three renewals of it.
+#[test]
+fn test_crashed_primary_is_replaced_also_when_its_entry_is_gone() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    fixture.remove("server/s1");
+    fixture.refresh();
+    coordinator.work_done(fixture.now, &group(), 2);
+    fixture.confirm_stop("proxy-2", 1, 2);
+    let promoted = promotions_while_refused(&mut fixture, &mut coordinator, ms(5000));
+    assert_eq!(promoted, ["s2"]);
+}
+
+/// Guards against a primary that only this side of a cut can't connect to, while a member
+/// on the other side goes on writing to it.
+#[test]
+fn test_refused_connections_do_not_end_the_lease_of_a_silent_member() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    fixture.remove("server/s1");
+    fixture.refresh();
+    coordinator.work_done(fixture.now, &group(), 2);
+    let lease = PRIMARY_LEASE + PRIMARY_LEASE_MARGIN;
+    let promoted = promotions_while_refused(&mut fixture, &mut coordinator, lease);
+    assert_eq!(promoted, Vec::<String>::new(), "proxy-2 may still write");
+    let promoted = promotions_while_refused(&mut fixture, &mut coordinator, ms(5000));
+    assert_eq!(promoted, ["s2"]);
 }
 
 /// Guards against a crashed primary that is never replaced because only one instance
