coordinator: a refused connection ends nobody's primary lease

Cause: where the old primary refused the coordinator's connections, its process was taken for dead, and after 0.4 s a replica was promoted although members had not confirmed the end of their work. A cut that resets connections refuses them on one side while the members on the other side go on under their leases, and the primary there can't be told to step down. The class of fault: what one instance observes of a process is taken for a fact about it that holds for all.

Now a refusal only starts the replacement. It waits, as for a silent primary, until each member has confirmed or its lease has ended. A primary that really crashed and comes back is told to step down and shortens the wait.

--- a/lib/proxy/src/coordinator/replacement.rs
+++ b/lib/proxy/src/coordinator/replacement.rs
@@ -2,9 +2,9 @@
 //!
 //! It first blocks the primary: it writes a group record of phase `Changing`, which
 //! forbids the use of the primary. It then waits until every member has confirmed
-//! that its work there has ended, or the member's primary lease has expired. If the
-//! primary's machine refuses connections, a short wait is enough, since no member can
-//! use a process that isn't running. Then the active coordinator chooses the server
+//! that its work there has ended, or the member's primary lease has expired. Connections
+//! that the primary refuses don't shorten the wait: a cut can reset connections of some
+//! instances while others use the primary. Then the active coordinator chooses the server
 //! whose received position is highest, which may be the old primary if that answers
 //! again, records it as the candidate and requests its promotion. Once the candidate
 //! answers as the primary, it writes a record of phase `Serving`, which allows its use.
@@ -33,7 +33,7 @@
 use crate::store_view::StoreView;
 
 /// How long a server's status is used in a replacement after it was received, how
-/// long a server that refused a connection counts as not running, and how long one
+/// long a server that refused a connection counts as refusing, and how long one
 /// that the promoter refused to promote is not chosen again.
 const STATUS_LIFETIME: Duration = Duration::from_millis(1000);
 /// How long after sending the commit that proves the coordinator role a promotion
@@ -62,7 +62,7 @@
 /// [`SuspicionKind`] of the same name; one that fails as `Rejected` does not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ControlFailure {
-    /// The server's machine refused the connection: nothing listens at the address.
+    /// The connection was refused, by the server's machine or by a fault of the network.
     Refused,
     /// The connection was not established before the timeout, or the attempt failed
     /// for another reason than a refusal.
@@ -177,8 +177,7 @@
         (now.since(*at) < STATUS_LIFETIME).then_some(*status)
     }
 
-    /// Returns whether a server's machine has just refused a connection, so that its
-    /// process is not running.
+    /// Returns whether a server has just refused a connection of this instance.
     fn is_refusing(&self, server: &ServerId, now: Moment) -> bool {
         self.failed.get(server).is_some_and(|(failure, at)| {
             *failure == ControlFailure::Refused && now.since(*at) < STATUS_LIFETIME
@@ -283,10 +282,9 @@
                 .filter(|(_, suspicion)| suspicion.epoch == record.epoch && suspicion.kind == kind)
                 .count()
         };
-        // Two instances suffice to establish that the process is not running or drops all
-        // work, and one that the server answered as a replica. Timeouts are weaker signs, which a
-        // fault of the network can cause too: half of the instances must suspect the
-        // primary, at least two. If fewer instances are live, all of them suffice.
+        // Two instances suffice if the primary refuses connections or drops all work, and one
+        // if it answered as a replica. Timeouts are weaker signs: half of the instances must
+        // suspect the primary, at least two. If fewer instances are live, all of them suffice.
         let refused = count(SuspicionKind::Refused);
         let silent = count(SuspicionKind::Silent);
         if refused >= live.min(2) {
--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -38,9 +38,6 @@
 /// How long a replacement waits until the view of the store contains the record that
 /// blocked the primary; the store may reject this instance's watch calls.
 const VIEW_LAG_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long to wait for members to confirm that their work has ended, before a
-/// primary whose process is not running is replaced without them.
-const CRASH_CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long after the start of a replacement the last member has to confirm the end of
 /// its work for the old primary to be waited for, which may have more commits than its
 /// replicas.
@@ -105,8 +102,7 @@
         if now.since(replacement.blocked_at) >= STEP_DOWN_DELAY {
             self.send_step_down(view, now, group, &record, replacement);
         }
-        let Some(reason) = self.why_old_primary_is_unused(view, now, group, &record, replacement)
-        else {
+        let Some(reason) = self.why_old_primary_is_unused(view, now, group, replacement) else {
             return;
         };
         if replacement.selecting_since.is_none() {
@@ -236,7 +232,6 @@
         view: &StoreView,
         now: Moment,
         group: &GroupId,
-        record: &GroupRecord,
         replacement: &Replacement,
     ) -> Option<&'static str> {
         if now.since(replacement.blocked_at)
@@ -255,11 +250,7 @@
         {
             return Some("members_ended_work");
         }
-        // No instance can use a process that isn't running.
-        let is_process_down = replacement.is_refusing(&record.primary, now);
-        let is_replaced_at_once =
-            is_process_down && now.since(replacement.blocked_at) >= CRASH_CONFIRMATION_TIMEOUT;
-        is_replaced_at_once.then_some("process_down")
+        None
     }
 
     /// Returns whether a member can't be using the old primary any more: it has
--- a/lib/proxy/src/primary_lease.rs
+++ b/lib/proxy/src/primary_lease.rs
@@ -6,8 +6,7 @@
 //! primaries, first writes a record that forbids the use of the primary. It then
 //! waits until every member has confirmed that its work there has ended or the
 //! member's primary lease has expired: [`PRIMARY_LEASE`] after the record was written,
-//! or after the member's live key was removed. If no process listens at the primary's
-//! address any more, it waits only a short time.
+//! or after the member's live key was removed.
 //!
 //! Once the last such exchange is older than [`MAX_FRESH_VIEW_AGE`], an instance
 //! delivers a primary's answer to a read outside a read-write transaction only
--- a/lib/proxy/src/records.rs
+++ b/lib/proxy/src/records.rs
@@ -147,7 +147,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display)]
 #[serde(rename_all = "snake_case")]
 pub enum SuspicionKind {
-    /// The primary's machine refuses connections: the process is not running.
+    /// The primary refuses this instance's connections, because its process is not running or
+    /// a fault of the network resets them.
     #[display("refused")]
     Refused,
     /// Connections to the primary are not established, but not refused either.
