coordinator: a step-down does not outlast a restart of the old primary

A replacement waits 3.5 s and a margin instead of 16 s for members that can't confirm, once the old primary has stepped down, since it then refuses what they send. That was remembered for the whole replacement. A primary that restarts before the promotion leads again (the servers' protocol says so), and what was remembered let a replica be promoted beside it: two servers acknowledge writes.

Same class as the refused connections: an observation of a process is held for longer than it is true. Now only an answer of the last second counts, with no failure since, and a primary that leads again is told again to step down.

test_step_down_does_not_outlast_a_restart_of_the_old_primary failed before (s2 was promoted while s1 said that it leads); the other tests of masticreel-proxy pass.

--- a/lib/proxy/src/coordinator/replacement.rs
+++ b/lib/proxy/src/coordinator/replacement.rs
@@ -118,7 +118,8 @@
     /// Members that confirmed by a direct message that their work at the old primary
     /// has ended.
     directly_confirmed: BTreeSet<InstanceId>,
-    /// Whether the old primary has answered that it is a replica.
+    /// Whether the old primary's last answer, if it is recent, says that it is a replica. A
+    /// server that restarts before a promotion leads again.
     has_stepped_down: bool,
     /// When members were last sent the record that blocked the old primary.
     notified_at: Moment,
@@ -177,6 +178,13 @@
         (now.since(*at) < STATUS_LIFETIME).then_some(*status)
     }
 
+    /// Returns whether a server has just answered that it is a replica, and has not failed
+    /// to answer since.
+    fn is_replica_now(&self, server: &ServerId, now: Moment) -> bool {
+        !self.failed.contains_key(server)
+            && self.status(server, now).is_some_and(|status| status.role == Role::Replica)
+    }
+
     /// Returns whether a server has just refused a connection of this instance.
     fn is_refusing(&self, server: &ServerId, now: Moment) -> bool {
         self.failed.get(server).is_some_and(|(failure, at)| {
--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -96,9 +96,7 @@
             self.publish(view, now, group, &versioned, replacement, new_primary);
             return;
         }
-        replacement.has_stepped_down |= replacement
-            .status(&record.primary, now)
-            .is_some_and(|status| status.role == Role::Replica);
+        replacement.has_stepped_down = replacement.is_replica_now(&record.primary, now);
         if now.since(replacement.blocked_at) >= STEP_DOWN_DELAY {
             self.send_step_down(view, now, group, &record, replacement);
         }
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -298,6 +298,39 @@
     assert_eq!(promoted, ["s2"]);
 }
 
+/// Guards against a primary that restarts after it has stepped down and then leads again.
+#[test]
+fn test_step_down_does_not_outlast_a_restart_of_the_old_primary() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    fixture.put_server("s1", Role::Primary, true);
+    fixture.refresh();
+    coordinator.work_done(fixture.now, &group(), 2);
+    assert!(promotions_within(&mut fixture, &mut coordinator, ms(2000)).is_empty());
+    let restarted_until = fixture.now + (PRIMARY_LEASE - ms(3000));
+    let mut is_told_again = false;
+    while fixture.now < restarted_until {
+        let actions = tick_with_store(&mut fixture, &mut coordinator);
+        let (to_old, others): (Vec<Action>, Vec<Action>) = actions.into_iter().partition(
+            |action| matches!(action, Action::Control { server, .. } if server.as_str() == "s1"),
+        );
+        for action in to_old {
+            let Action::Control { server, command, .. } = action else {
+                continue;
+            };
+            is_told_again |= matches!(command, Command::StepDown { .. });
+            let leads = ServerStatus { role: Role::Primary, ..replica(9) };
+            coordinator.control_answered(fixture.now, &group(), &server, &command, Ok(leads));
+        }
+        let promoted = answer_actions(&mut fixture, &mut coordinator, &others);
+        assert_eq!(promoted, Vec::<String>::new(), "proxy-2 may write to s1, which leads");
+        fixture.advance(ms(20));
+        fixture.refresh();
+    }
+    assert!(is_told_again);
+}
+
 /// Guards against a crashed primary that is never replaced because only one instance
 /// has traffic and suspects it: the active coordinator must probe the primary itself.
 #[test]
