coordinator: refused step-down commands are repeated at intervals

The end of the last command was the only limit. Step-down commands now keep the interval of the status queries.

test_refused_step_down_is_not_repeated_at_once failed before (899 commands in 2 s of ticks at 2 ms, at most 25 now).

--- a/lib/proxy/src/coordinator/replacement.rs
+++ b/lib/proxy/src/coordinator/replacement.rs
@@ -121,6 +121,8 @@
     /// Whether the old primary's last answer, if it is recent, says that it is a replica. A
     /// server that restarts before a promotion leads again.
     has_stepped_down: bool,
+    /// When the old primary was last sent a step-down command.
+    step_down_sent_at: Moment,
     /// When members were last sent the record that blocked the old primary.
     notified_at: Moment,
 }
@@ -154,6 +156,7 @@
             promotion_targets: BTreeSet::new(),
             directly_confirmed: BTreeSet::new(),
             has_stepped_down: false,
+            step_down_sent_at: Moment::default(),
             notified_at: Moment::default(),
         }
     }
--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -335,7 +335,8 @@
     }
 
     /// Sends the old primary a step-down command with a term above all known
-    /// ones, unless it has stepped down or a command to it is in flight.
+    /// ones, unless it has stepped down, a command to it is in flight or the last
+    /// step-down command was sent less than [`STATUS_QUERY_INTERVAL`] ago.
     fn send_step_down(
         &mut self,
         view: &StoreView,
@@ -348,12 +349,11 @@
             return;
         };
         let command_end = replacement.command_end.get(&server.id).copied().unwrap_or_default();
-        if now < command_end {
-            return;
-        }
-        if replacement.has_stepped_down {
+        let is_recent = now.since(replacement.step_down_sent_at) < STATUS_QUERY_INTERVAL;
+        if now < command_end || is_recent || replacement.has_stepped_down {
             return;
         }
+        replacement.step_down_sent_at = now;
         replacement.command_end.insert(server.id.clone(), now + COMMAND_TIMEOUT);
         let term = Term(replacement.newest_term(record).0 + 1);
         self.actions.push(CoordinatorAction::Control {
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -298,6 +298,31 @@
     assert_eq!(promoted, ["s2"]);
 }
 
+#[test]
+fn test_refused_step_down_is_not_repeated_at_once() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    fixture.put_server("s1", Role::Primary, true);
+    fixture.refresh();
+    coordinator.work_done(fixture.now, &group(), 2);
+    let mut step_downs = 0;
+    let end = fixture.now + ms(2000);
+    while fixture.now < end {
+        for action in tick_with_store(&mut fixture, &mut coordinator) {
+            let Action::Control { server, command, .. } = action else {
+                continue;
+            };
+            step_downs += usize::from(matches!(command, Command::StepDown { .. }));
+            let refused = Err(ControlFailure::Refused);
+            coordinator.control_answered(fixture.now, &group(), &server, &command, refused);
+        }
+        fixture.advance(ms(2));
+        fixture.refresh();
+    }
+    assert!((5..=25).contains(&step_downs), "{step_downs} in 2 s");
+}
+
 /// Guards against a primary that restarts after it has stepped down and then leads again.
 #[test]
 fn test_step_down_does_not_outlast_a_restart_of_the_old_primary() {
