engine: an answer counts as recent only under the record that it was sent under

Callers saw reads that lacked acknowledged commits (STALE) at the end of a cut: an instance that had been without the store for 9 s sent a read to the primary that it knew, which had been replaced meanwhile; before the answer arrived, its view was renewed, and so the answer counted as recent and was delivered without the role check.

Cause: whether the view was fresh when the read was sent was asked of the view at the time of the answer, whose record may be another. Now a connection remembers the epoch and the freshness under which work was sent; a view that is confirmed later proves the primary only if its record is still the same. Samples of the primary's position follow the same rule.

test_read_sent_with_an_old_view_is_proved_if_the_new_view_names_another_primary failed before.

--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -68,6 +68,16 @@
     pub server_time: Duration,
 }
 
+/// What an instance knew of a group's primary at some moment.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct PrimaryKnowledge {
+    /// The epoch of the group's record, zero if there was none.
+    pub epoch: u64,
+    /// Whether the view of the store was fresh, so that the record named the primary
+    /// (see [`is_view_fresh`](crate::primary_lease::is_view_fresh)).
+    pub is_fresh: bool,
+}
+
 /// A connection to a server.
 #[derive(Debug)]
 pub struct Connection {
@@ -98,6 +108,8 @@
     pub prepared: HashSet<u64>,
     /// When the last command was sent, or the connection was started.
     pub sent_at: Moment,
+    /// What was known of the group's primary when work was last sent.
+    pub sent_under: PrimaryKnowledge,
     /// When it became idle.
     pub idle_since: Moment,
     /// Whether the server has accepted it.
@@ -266,6 +278,7 @@
             variables: SessionVariables::default(),
             prepared: HashSet::new(),
             sent_at: now,
+            sent_under: PrimaryKnowledge::default(),
             idle_since: now,
             is_open: false,
             is_answer_overdue: false,
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -12,7 +12,7 @@
 
 use super::{Action, Context, Engine};
 use crate::caller::{CallerId, ServerRequirement, Transaction};
-use crate::connections::{ConnectionId, Expected, SERVER_BACKOFF};
+use crate::connections::{Connection, ConnectionId, Expected, PrimaryKnowledge, SERVER_BACKOFF};
 use crate::engine::outcomes::WorkResult;
 use crate::engine::releases::Loss;
 use crate::moment::Moment;
@@ -101,13 +101,14 @@
         let is_detached = connection.caller.is_none();
         let server = connection.server.clone();
         let group = connection.group.clone();
+        let was_known = matches!(expected, Expected::Setup | Expected::Begin | Expected::Work)
+            && was_primary_known(context, connection);
         self.record_answer(context, &server, sent_at, position);
         // A position counts as a sample of the primary's only if the server was
-        // certainly the primary when the command was sent: either the view of
-        // the store was fresh then, or the answer itself proves it.
+        // certainly the primary when the command was sent: either the group's
+        // record named it then, or the answer itself proves it.
         let proves_primary = self.proves_primary(expected, id, partial.outcome.as_ref(), status);
-        let is_confirmed_primary =
-            primary_lease::is_view_fresh(context.view, sent_at) || proves_primary;
+        let is_confirmed_primary = was_known || proves_primary;
         if self.usable_primary(context, &group).as_ref() == Some(&server)
             && is_confirmed_primary
             && let Some(position) = position
@@ -192,15 +193,15 @@
             pending.requirement == ServerRequirement::Primary
                 && pending.work.access() == Access::Read
         });
-        let sent_at = self.connections.get(id).map(|connection| connection.sent_at);
+        let connection = self.connections.get(id);
         // A slow answer may be older than a replacement that has completed
         // since: the process that relays it may have been paused in between.
         // Even after a step-down, a replacement waits this margin longer than the
         // view of the store stays fresh, so an answer that took less time arrives
         // before its end.
-        let is_fresh = sent_at.is_some_and(|sent_at| {
-            primary_lease::is_view_fresh(context.view, sent_at)
-                && context.now.since(sent_at) < primary_lease::PRIMARY_LEASE_MARGIN
+        let is_fresh = connection.is_some_and(|connection| {
+            was_primary_known(context, connection)
+                && context.now.since(connection.sent_at) < primary_lease::PRIMARY_LEASE_MARGIN
         });
         is_latest_read && !is_read_write_transaction && !is_fresh
     }
@@ -338,3 +339,15 @@
         self.fail_attempt(context, id, failure);
     }
 }
+
+/// Returns whether the record under which work was sent on a connection named the primary
+/// at that moment.
+///
+/// A view that is confirmed only later shows that if its record is still the same. A record
+/// of another epoch may have been written long before the work was sent.
+fn was_primary_known(context: Context<'_>, connection: &Connection) -> bool {
+    let PrimaryKnowledge { epoch, is_fresh } = connection.sent_under;
+    let is_same_record =
+        context.view.group(&connection.group).is_some_and(|record| record.epoch == epoch);
+    is_fresh || (is_same_record && primary_lease::is_view_fresh(context.view, connection.sent_at))
+}
--- a/lib/proxy/src/engine/sending.rs
+++ b/lib/proxy/src/engine/sending.rs
@@ -13,7 +13,8 @@
 
 use super::{Action, Context, Engine};
 use crate::caller::{CallerId, ServerRequirement, Stage, Transaction};
-use crate::connections::{ConnectionId, Expected, sync_variables};
+use crate::connections::{ConnectionId, Expected, PrimaryKnowledge, sync_variables};
+use crate::primary_lease;
 use crate::statement::{Access, Command, Failure, FailureKind, PreparedStatement, Work};
 
 impl Engine {
@@ -50,6 +51,7 @@
         };
         connection.in_transaction = begin.is_some();
         connection.sent_at = context.now;
+        connection.sent_under = primary_knowledge(context, &connection.group);
         for command in
             sync_variables(&mut connection.variables, &mut connection.prepared, &variables)
         {
@@ -177,6 +179,7 @@
         if let Some(connection) = self.connections.get_mut(connection_id) {
             connection.expected.push_back(Expected::Work);
             connection.sent_at = context.now;
+            connection.sent_under = primary_knowledge(context, &connection.group);
         }
         self.connections.health(&server).running += 1;
         if let Some(pending) = self.callers.get_mut(&id).and_then(|caller| caller.pending.as_mut())
@@ -236,6 +239,14 @@
     Failure::new(FailureKind::Lagging, "no recent position of the primary is known")
 }
 
+/// Returns what this instance knows of a group's primary now.
+fn primary_knowledge(context: Context<'_>, group: &GroupId) -> PrimaryKnowledge {
+    PrimaryKnowledge {
+        epoch: context.view.group(group).map_or(0, |record| record.epoch),
+        is_fresh: primary_lease::is_view_fresh(context.view, context.now),
+    }
+}
+
 /// Returns the name of a prepared statement on server connections: a hash of
 /// the statement, so that all callers share it.
 fn statement_handle(statement: &PreparedStatement) -> u64 {
--- a/lib/proxy/tests/test_reads.rs
+++ b/lib/proxy/tests/test_reads.rs
@@ -192,6 +192,42 @@
     assert!(after.answers.is_empty(), "a replica's answer may not be the latest state");
 }
 
+/// Guards against an answer of a replaced primary that counts as recent because the view of
+/// the store was renewed while the read was under way.
+#[test]
+fn test_read_sent_with_an_old_view_is_proved_if_the_new_view_names_another_primary() {
+    for (epoch, phase, primary) in [(3, Phase::Serving, "s3"), (2, Phase::Changing, "s1")] {
+        let mut fixture = Fixture::serving();
+        let mut engine = engine();
+        engine.open_session(fixture.context(), CALLER, "db".into()).expect("the database exists");
+        fixture.advance(masticreel_proxy::primary_lease::MAX_FRESH_VIEW_AGE);
+        let (connection, _) = send(&mut fixture, &mut engine, read("a"));
+        fixture.put_record(epoch, phase, primary);
+        fixture.advance(ms(5));
+        fixture.refresh();
+        engine.group_changed(fixture.context(), &group());
+        take_engine_actions(&mut engine);
+        let after =
+            complete(&fixture, &mut engine, connection, SessionState::Idle, Some(position(1, 9)));
+        assert!(after.answers.is_empty(), "epoch {epoch}: s1 may have been replaced before");
+    }
+}
+
+/// Guards against role checks of reads that the renewed view shows to be right.
+#[test]
+fn test_read_sent_with_an_old_view_needs_no_proof_if_the_new_view_names_the_same_primary() {
+    let mut fixture = Fixture::serving();
+    let mut engine = engine();
+    engine.open_session(fixture.context(), CALLER, "db".into()).expect("the database exists");
+    fixture.advance(masticreel_proxy::primary_lease::MAX_FRESH_VIEW_AGE);
+    let (connection, _) = send(&mut fixture, &mut engine, read("a"));
+    fixture.advance(ms(5));
+    fixture.refresh();
+    let after =
+        complete(&fixture, &mut engine, connection, SessionState::Idle, Some(position(1, 9)));
+    assert_eq!(after.answers.len(), 1);
+}
+
 /// A write needs no role check, as a server that has stepped down refuses it.
 #[test]
 fn test_write_needs_no_proof() {
