engine: a read without a minimum position is proved like a read of the latest state

Reads that may be old, and reads of own writes, go to the primary without a minimum position where no recent sample of its position is known, as with an old view of the store. An instance that had been without the store for longer than a replacement waits delivered such answers of the replaced primary unchecked; only reads of the latest state were checked.

Now the connection remembers whether the last read, or its transaction, lacked a minimum position, and the role check depends on that instead of the route. test_read_without_a_floor_is_proved_whatever_its_route_allows failed before; test_read_with_a_floor_needs_no_proof passed before and after.

--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -108,6 +108,9 @@
     pub prepared: HashSet<u64>,
     /// When the last command was sent, or the connection was started.
     pub sent_at: Moment,
+    /// Whether the last read, or the transaction that it belongs to, was sent without a
+    /// minimum position because the server was taken for the primary.
+    pub lacks_floor: bool,
     /// What was known of the group's primary when work was last sent.
     pub sent_under: PrimaryKnowledge,
     /// When it became idle.
@@ -278,6 +281,7 @@
             variables: SessionVariables::default(),
             prepared: HashSet::new(),
             sent_at: now,
+            lacks_floor: false,
             sent_under: PrimaryKnowledge::default(),
             idle_since: now,
             is_open: false,
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -11,7 +11,7 @@
 use slog::{info, warn};
 
 use super::{Action, Context, Engine};
-use crate::caller::{CallerId, ServerRequirement, Transaction};
+use crate::caller::{CallerId, Transaction};
 use crate::connections::{Connection, ConnectionId, Expected, PrimaryKnowledge, SERVER_BACKOFF};
 use crate::engine::outcomes::WorkResult;
 use crate::engine::releases::Loss;
@@ -172,10 +172,10 @@
     /// Returns whether the server's role must be checked before an answer is
     /// delivered, because the answer may come from a primary that was replaced.
     ///
-    /// This applies to reads that require the primary, outside of read-write
-    /// transactions: a server that has stepped down refuses writes and
-    /// read-write transactions by itself, but answers other reads as a replica
-    /// does.
+    /// This applies to reads that were sent without a minimum position because the
+    /// server was taken for the primary, outside of read-write transactions: a server
+    /// that has stepped down refuses writes and read-write transactions by itself, but
+    /// answers other reads as a replica does.
     pub(super) fn requires_role_check(
         &self,
         context: Context<'_>,
@@ -189,11 +189,10 @@
             Transaction::Open(open) => !open.read_only,
             _ => false,
         };
-        let is_latest_read = caller.pending.as_ref().is_some_and(|pending| {
-            pending.requirement == ServerRequirement::Primary
-                && pending.work.access() == Access::Read
-        });
+        let is_read =
+            caller.pending.as_ref().is_some_and(|pending| pending.work.access() == Access::Read);
         let connection = self.connections.get(id);
+        let lacks_floor = connection.is_some_and(|connection| connection.lacks_floor);
         // A slow answer may be older than a replacement that has completed
         // since: the process that relays it may have been paused in between.
         // Even after a step-down, a replacement waits this margin longer than the
@@ -203,7 +202,7 @@
             was_primary_known(context, connection)
                 && context.now.since(connection.sent_at) < primary_lease::PRIMARY_LEASE_MARGIN
         });
-        is_latest_read && !is_read_write_transaction && !is_fresh
+        is_read && lacks_floor && !is_read_write_transaction && !is_fresh
     }
 
     /// Handles the answer to the role check of a read: delivers the withheld
--- a/lib/proxy/src/engine/sending.rs
+++ b/lib/proxy/src/engine/sending.rs
@@ -68,6 +68,7 @@
             };
             if let Some(connection) = self.connections.get_mut(connection_id) {
                 connection.expected.push_back(Expected::Begin);
+                connection.lacks_floor = floor.is_none();
             }
             self.actions.push(Action::Send(connection_id, Command::Begin { read_only, floor }));
         }
@@ -178,6 +179,9 @@
             Command::Run { tag: pending.tag.clone(), work: pending.work.clone(), handle, floor };
         if let Some(connection) = self.connections.get_mut(connection_id) {
             connection.expected.push_back(Expected::Work);
+            if !in_transaction {
+                connection.lacks_floor = floor.is_none();
+            }
             connection.sent_at = context.now;
             connection.sent_under = primary_knowledge(context, &connection.group);
         }
--- a/lib/proxy/tests/test_reads.rs
+++ b/lib/proxy/tests/test_reads.rs
@@ -228,6 +228,34 @@
     assert_eq!(after.answers.len(), 1);
 }
 
+/// Guards against reads without a minimum position that a replaced primary answers, for an
+/// instance whose view of the store is old.
+#[test]
+fn test_read_without_a_floor_is_proved_whatever_its_route_allows() {
+    for consistency in [Consistency::Bounded(ms(1000)), Consistency::OwnWrites(ms(1000))] {
+        let (mut fixture, mut engine) = setup_with_sample(consistency);
+        fixture.advance(masticreel_proxy::primary_lease::MAX_FRESH_VIEW_AGE);
+        let (connection, floor) = send(&mut fixture, &mut engine, read("a"));
+        assert_eq!(floor, None);
+        let after =
+            complete(&fixture, &mut engine, connection, SessionState::Idle, Some(position(1, 9)));
+        assert!(after.answers.is_empty(), "{consistency:?}: the server's role is not known");
+        assert_eq!(after.sent, [(connection, Command::Status)]);
+    }
+}
+
+/// Guards against a role check of each read that carries a minimum position.
+#[test]
+fn test_read_with_a_floor_needs_no_proof() {
+    let (mut fixture, mut engine) = setup_with_sample(Consistency::Bounded(ms(5000)));
+    fixture.advance(masticreel_proxy::primary_lease::MAX_FRESH_VIEW_AGE);
+    let (connection, floor) = send(&mut fixture, &mut engine, read("a"));
+    assert_eq!(floor, Some(position(1, 9)));
+    let after =
+        complete(&fixture, &mut engine, connection, SessionState::Idle, Some(position(1, 9)));
+    assert_eq!(after.answers.len(), 1);
+}
+
 /// A write needs no role check, as a server that has stepped down refuses it.
 #[test]
 fn test_write_needs_no_proof() {
