coordinator: no step-down after the promotion of the old primary was requested

Where the old primary is promoted again, an answer that it is busy cleared the step-down, and the next command would have told the server to step down with a term above the one that it was just promoted to: a group without a primary until the next replacement.

test_old_primary_is_not_told_to_step_down_once_its_promotion_was_requested failed before.

--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -350,7 +350,9 @@
         };
         let command_end = replacement.command_end.get(&server.id).copied().unwrap_or_default();
         let is_recent = now.since(replacement.step_down_sent_at) < STATUS_QUERY_INTERVAL;
-        if now < command_end || is_recent || replacement.has_stepped_down {
+        // Once its promotion was requested, it may lead again.
+        let may_lead = replacement.promotion_targets.contains(&record.primary);
+        if now < command_end || is_recent || may_lead || replacement.has_stepped_down {
             return;
         }
         replacement.step_down_sent_at = now;
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -323,6 +323,28 @@
     assert!((5..=25).contains(&step_downs), "{step_downs} in 2 s");
 }
 
+/// Guards against a step-down with a term above the one that the old primary is promoted to.
+#[test]
+fn test_old_primary_is_not_told_to_step_down_once_its_promotion_was_requested() {
+    let mut fixture = Fixture::serving();
+    let mut coordinator = active_coordinator(&mut fixture);
+    let promoted = promoted_after_silence(&mut coordinator, &mut fixture);
+    assert_eq!(promoted, ["s1"]);
+    for _ in 0..50 {
+        for action in tick_with_store(&mut fixture, &mut coordinator) {
+            let Action::Control { server, command, .. } = action else {
+                continue;
+            };
+            let is_step_down = matches!(command, Command::StepDown { .. });
+            assert!(!(server.as_str() == "s1" && is_step_down), "s1 may lead by now");
+            let busy = Err(ControlFailure::Rejected);
+            coordinator.control_answered(fixture.now, &group(), &server, &command, busy);
+        }
+        fixture.advance(ms(20));
+        fixture.refresh();
+    }
+}
+
 /// Guards against a primary that restarts after it has stepped down and then leads again.
 #[test]
 fn test_step_down_does_not_outlast_a_restart_of_the_old_primary() {
