coordinator: a member that is back is not removed

A membership is removed once its store lease has been gone for longer than a primary lease. The removal expected only the role and the membership's revision. An instance that came back while the removal was under way writes its live key alone, if its record is unchanged; it could then use primaries for the time of its view without being a member, so that a replacement would not wait for it.

The removal now also expects that there is no live key. test_member_whose_live_key_is_back_is_not_removed failed before.

--- a/lib/proxy/src/coordinator/coordinator_role.rs
+++ b/lib/proxy/src/coordinator/coordinator_role.rs
@@ -16,7 +16,7 @@
 use crate::moment::Moment;
 use crate::primary_lease::{PRIMARY_LEASE, PRIMARY_LEASE_MARGIN};
 use crate::records::{
-    COORDINATOR_KEY, GroupRecord, Phase, StoreCall, Write, group_key, member_key,
+    COORDINATOR_KEY, GroupRecord, Phase, StoreCall, Write, group_key, live_key, member_key,
 };
 use crate::statement::Role;
 use crate::store_view::StoreView;
@@ -127,7 +127,8 @@
                 continue;
             };
             let key = member_key(&instance);
-            let expected = vec![condition, (key.clone(), revision)];
+            // A member that is back may have written only its live key.
+            let expected = vec![condition, (key.clone(), revision), (live_key(&instance), 0)];
             let writes = vec![Write { key, value: None, lease: None }];
             let call = StoreCall::Commit { expected, writes };
             if self.call(now, Purpose::Dismiss(instance.clone()), call) {
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -37,6 +37,13 @@
     coordinator
 }
 
+/// Ticks with a view that shows none of the store's latest changes.
+fn tick_with_store_of_old_view(fixture: &mut Fixture, coordinator: &mut Coordinator) {
+    let is_cut_off = std::mem::replace(&mut fixture.is_cut_off, true);
+    tick_with_store(fixture, coordinator);
+    fixture.is_cut_off = is_cut_off;
+}
+
 fn replica(number: u64) -> ServerStatus {
     ServerStatus { role: Role::Replica, term: position(1, 0).term, received: position(1, number) }
 }
@@ -173,6 +180,31 @@
     assert_eq!(promotions_within(&mut fixture, &mut coordinator, ms(1000)), ["s2"]);
 }
 
+/// Guards against the removal of a member that comes back while the removal is under way.
+#[test]
+fn test_member_whose_live_key_is_back_is_not_removed() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    let live = live_key(&"proxy-2".into());
+    fixture.remove(&live);
+    fixture.refresh();
+    let end = fixture.now + (PRIMARY_LEASE + PRIMARY_LEASE_MARGIN - ms(500));
+    while fixture.now < end {
+        tick_with_store(&mut fixture, &mut coordinator);
+        fixture.advance(ms(100));
+        fixture.refresh();
+    }
+    // The store gets the key before the coordinator's next call, and its view does not show it.
+    fixture.put(&live, &1);
+    for _ in 0..20 {
+        tick_with_store_of_old_view(&mut fixture, &mut coordinator);
+        fixture.advance(ms(100));
+    }
+    fixture.refresh();
+    assert!(fixture.view.member(&"proxy-2".into()).is_some());
+}
+
 /// Guards against waiting for an instance whose calls the store rejects: it delayed a
 /// replacement by 12 s, because it could neither see the record that blocked the
 /// primary nor confirm in the store that its work had ended.
