--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -38,9 +38,6 @@
 /// How long a replacement waits until the view of the store contains the record that
 /// blocked the primary; the store may reject this instance's watch calls.
 const VIEW_LAG_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long to wait for members to confirm that their work has ended, before a
-/// primary whose process is not running is replaced without them.
-const CRASH_CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long after the start of a replacement the last member has to confirm the end of
 /// its work for the old primary to be waited for, which may have more commits than its
 /// replicas.
@@ -99,14 +96,17 @@
             self.publish(view, now, group, &versioned, replacement, new_primary);
             return;
         }
-        replacement.has_stepped_down |= replacement
-            .status(&record.primary, now)
-            .is_some_and(|status| status.role == Role::Replica);
+        replacement.has_stepped_down = replacement.is_replica_now(&record.primary, now);
         if now.since(replacement.blocked_at) >= STEP_DOWN_DELAY {
             self.send_step_down(view, now, group, &record, replacement);
         }
-        if !self.is_old_primary_unused(view, now, group, &record, replacement) {
+        let Some(reason) = self.why_old_primary_is_unused(view, now, group, replacement) else {
             return;
+        };
+        if replacement.selecting_since.is_none() {
+            info!(self.log, "no instance can use the old primary any more"; "group" => %group,
+                "primary" => %record.primary, "epoch" => replacement.epoch, "reason" => reason,
+                "blocked_ms_ago" => now.since(replacement.blocked_at).as_millis());
         }
         let selecting_since = *replacement.selecting_since.get_or_insert(now);
         self.send_step_down(view, now, group, &record, replacement);
@@ -223,19 +223,19 @@
             .filter(|(_, term)| *term >= newest_term)
     }
 
-    /// Returns whether no instance can be using the old primary any more.
-    fn is_old_primary_unused(
+    /// Returns why no instance can be using the old primary any more, for the log;
+    /// `None` while an instance may.
+    fn why_old_primary_is_unused(
         &self,
         view: &StoreView,
         now: Moment,
         group: &GroupId,
-        record: &GroupRecord,
         replacement: &Replacement,
-    ) -> bool {
+    ) -> Option<&'static str> {
         if now.since(replacement.blocked_at)
             >= replacement.max_use_of_old_primary() + PRIMARY_LEASE_MARGIN
         {
-            return true;
+            return Some("leases_expired");
         }
         // An instance that registered just before the primary was blocked may use it until
         // it learns of that, so the view has to show all members of that time.
@@ -246,11 +246,9 @@
                 .members()
                 .all(|(id, member)| self.has_ended_work(id, &member.value, group, replacement, now))
         {
-            return true;
+            return Some("members_ended_work");
         }
-        // No instance can use a process that isn't running.
-        let is_process_down = replacement.is_refusing(&record.primary, now);
-        is_process_down && now.since(replacement.blocked_at) >= CRASH_CONFIRMATION_TIMEOUT
+        None
     }
 
     /// Returns whether a member can't be using the old primary any more: it has
@@ -337,7 +335,8 @@
     }
 
     /// Sends the old primary a step-down command with a term above all known
-    /// ones, unless it has stepped down or a command to it is in flight.
+    /// ones, unless it has stepped down, a command to it is in flight or the last
+    /// step-down command was sent less than [`STATUS_QUERY_INTERVAL`] ago.
     fn send_step_down(
         &mut self,
         view: &StoreView,
@@ -350,12 +349,13 @@
             return;
         };
         let command_end = replacement.command_end.get(&server.id).copied().unwrap_or_default();
-        if now < command_end {
-            return;
-        }
-        if replacement.has_stepped_down {
+        let is_recent = now.since(replacement.step_down_sent_at) < STATUS_QUERY_INTERVAL;
+        // Once its promotion was requested, it may lead again.
+        let may_lead = replacement.promotion_targets.contains(&record.primary);
+        if now < command_end || is_recent || may_lead || replacement.has_stepped_down {
             return;
         }
+        replacement.step_down_sent_at = now;
         replacement.command_end.insert(server.id.clone(), now + COMMAND_TIMEOUT);
         let term = Term(replacement.newest_term(record).0 + 1);
         self.actions.push(CoordinatorAction::Control {
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -37,6 +37,13 @@
     coordinator
 }
 
+/// Ticks with a view that shows none of the store's latest changes.
+fn tick_with_store_of_old_view(fixture: &mut Fixture, coordinator: &mut Coordinator) {
+    let is_cut_off = std::mem::replace(&mut fixture.is_cut_off, true);
+    tick_with_store(fixture, coordinator);
+    fixture.is_cut_off = is_cut_off;
+}
+
 fn replica(number: u64) -> ServerStatus {
     ServerStatus { role: Role::Replica, term: position(1, 0).term, received: position(1, number) }
 }
@@ -173,6 +180,31 @@
     assert_eq!(promotions_within(&mut fixture, &mut coordinator, ms(1000)), ["s2"]);
 }
 
+/// Guards against the removal of a member that comes back while the removal is under way.
+#[test]
+fn test_member_whose_live_key_is_back_is_not_removed() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    let live = live_key(&"proxy-2".into());
+    fixture.remove(&live);
+    fixture.refresh();
+    let end = fixture.now + (PRIMARY_LEASE + PRIMARY_LEASE_MARGIN - ms(500));
+    while fixture.now < end {
+        tick_with_store(&mut fixture, &mut coordinator);
+        fixture.advance(ms(100));
+        fixture.refresh();
+    }
+    // The store gets the key before the coordinator's next call, and its view does not show it.
+    fixture.put(&live, &1);
+    for _ in 0..20 {
+        tick_with_store_of_old_view(&mut fixture, &mut coordinator);
+        fixture.advance(ms(100));
+    }
+    fixture.refresh();
+    assert!(fixture.view.member(&"proxy-2".into()).is_some());
+}
+
 /// Guards against waiting for an instance whose calls the store rejects: it delayed a
 /// replacement by 12 s, because it could neither see the record that blocked the
 /// primary nor confirm in the store that its work had ended.
@@ -238,9 +270,36 @@
     );
 }
 
-/// A crashed primary's entry is removed once the primary has missed three renewals of
-/// it. The active coordinator must still query its last known address, whose refusal
-/// proves that the process is not running.
+/// Runs a replacement in which the old primary refuses this instance's connections, and
+/// returns the servers whose promotion was requested.
+fn promotions_while_refused(
+    fixture: &mut Fixture,
+    coordinator: &mut Coordinator,
+    time: Duration,
+) -> Vec<String> {
+    let end = fixture.now + time;
+    while fixture.now < end {
+        let actions = tick_with_store(fixture, coordinator);
+        let (to_old, others): (Vec<Action>, Vec<Action>) = actions.into_iter().partition(
+            |action| matches!(action, Action::Control { server, .. } if server.as_str() == "s1"),
+        );
+        for action in to_old {
+            if let Action::Control { server, command, .. } = action {
+                let refused = Err(ControlFailure::Refused);
+                coordinator.control_answered(fixture.now, &group(), &server, &command, refused);
+            }
+        }
+        let promoted = answer_actions(fixture, coordinator, &others);
+        if !promoted.is_empty() {
+            return promoted;
+        }
+        fixture.advance(ms(20));
+        fixture.refresh();
+    }
+    Vec::new()
+}
+
+/// A crashed primary's entry is removed once the primary has missed three renewals of it.
 #[test]
 fn test_crashed_primary_is_replaced_also_when_its_entry_is_gone() {
     let mut fixture = Fixture::serving();
@@ -249,24 +308,106 @@
     fixture.remove("server/s1");
     fixture.refresh();
     coordinator.work_done(fixture.now, &group(), 2);
-    let start = fixture.now;
-    let mut promoted = Vec::new();
-    while promoted.is_empty() && fixture.now.since(start) < ms(5000) {
+    fixture.confirm_stop("proxy-2", 1, 2);
+    let promoted = promotions_while_refused(&mut fixture, &mut coordinator, ms(5000));
+    assert_eq!(promoted, ["s2"]);
+}
+
+/// Guards against a primary that only this side of a cut can't connect to, while a member
+/// on the other side goes on writing to it.
+#[test]
+fn test_refused_connections_do_not_end_the_lease_of_a_silent_member() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    fixture.remove("server/s1");
+    fixture.refresh();
+    coordinator.work_done(fixture.now, &group(), 2);
+    let lease = PRIMARY_LEASE + PRIMARY_LEASE_MARGIN;
+    let promoted = promotions_while_refused(&mut fixture, &mut coordinator, lease);
+    assert_eq!(promoted, Vec::<String>::new(), "proxy-2 may still write");
+    let promoted = promotions_while_refused(&mut fixture, &mut coordinator, ms(5000));
+    assert_eq!(promoted, ["s2"]);
+}
+
+#[test]
+fn test_refused_step_down_is_not_repeated_at_once() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    fixture.put_server("s1", Role::Primary, true);
+    fixture.refresh();
+    coordinator.work_done(fixture.now, &group(), 2);
+    let mut step_downs = 0;
+    let end = fixture.now + ms(2000);
+    while fixture.now < end {
+        for action in tick_with_store(&mut fixture, &mut coordinator) {
+            let Action::Control { server, command, .. } = action else {
+                continue;
+            };
+            step_downs += usize::from(matches!(command, Command::StepDown { .. }));
+            let refused = Err(ControlFailure::Refused);
+            coordinator.control_answered(fixture.now, &group(), &server, &command, refused);
+        }
+        fixture.advance(ms(2));
+        fixture.refresh();
+    }
+    assert!((5..=25).contains(&step_downs), "{step_downs} in 2 s");
+}
+
+/// Guards against a step-down with a term above the one that the old primary is promoted to.
+#[test]
+fn test_old_primary_is_not_told_to_step_down_once_its_promotion_was_requested() {
+    let mut fixture = Fixture::serving();
+    let mut coordinator = active_coordinator(&mut fixture);
+    let promoted = promoted_after_silence(&mut coordinator, &mut fixture);
+    assert_eq!(promoted, ["s1"]);
+    for _ in 0..50 {
+        for action in tick_with_store(&mut fixture, &mut coordinator) {
+            let Action::Control { server, command, .. } = action else {
+                continue;
+            };
+            let is_step_down = matches!(command, Command::StepDown { .. });
+            assert!(!(server.as_str() == "s1" && is_step_down), "s1 may lead by now");
+            let busy = Err(ControlFailure::Rejected);
+            coordinator.control_answered(fixture.now, &group(), &server, &command, busy);
+        }
+        fixture.advance(ms(20));
+        fixture.refresh();
+    }
+}
+
+/// Guards against a primary that restarts after it has stepped down and then leads again.
+#[test]
+fn test_step_down_does_not_outlast_a_restart_of_the_old_primary() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    fixture.put_server("s1", Role::Primary, true);
+    fixture.refresh();
+    coordinator.work_done(fixture.now, &group(), 2);
+    assert!(promotions_within(&mut fixture, &mut coordinator, ms(2000)).is_empty());
+    let restarted_until = fixture.now + (PRIMARY_LEASE - ms(3000));
+    let mut is_told_again = false;
+    while fixture.now < restarted_until {
         let actions = tick_with_store(&mut fixture, &mut coordinator);
         let (to_old, others): (Vec<Action>, Vec<Action>) = actions.into_iter().partition(
             |action| matches!(action, Action::Control { server, .. } if server.as_str() == "s1"),
         );
         for action in to_old {
-            if let Action::Control { server, command, .. } = action {
-                let refused = Err(ControlFailure::Refused);
-                coordinator.control_answered(fixture.now, &group(), &server, &command, refused);
-            }
+            let Action::Control { server, command, .. } = action else {
+                continue;
+            };
+            is_told_again |= matches!(command, Command::StepDown { .. });
+            let leads = ServerStatus { role: Role::Primary, ..replica(9) };
+            coordinator.control_answered(fixture.now, &group(), &server, &command, Ok(leads));
         }
-        promoted = answer_actions(&mut fixture, &mut coordinator, &others);
+        let promoted = answer_actions(&mut fixture, &mut coordinator, &others);
+        assert_eq!(promoted, Vec::<String>::new(), "proxy-2 may write to s1, which leads");
         fixture.advance(ms(20));
         fixture.refresh();
     }
-    assert_eq!(promoted, ["s2"], "proxy-2 can't use a process that isn't running");
+    assert!(is_told_again);
 }
 
 /// Guards against a crashed primary that is never replaced because only one instance
