standins: a store that goes back to a copy of its keys

No test of the PostgreSQL product could play this, as the stand-in of the store only refused, delayed and lost answers.

`/copy` keeps the keys, leases and revision, `/restore` goes back to them.

--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -52,6 +52,8 @@
 #[derive(Debug)]
 struct Shared {
     keyspace: Mutex<Keyspace>,
+    /// What [`Shared::restore`] goes back to; empty unless a copy was made.
+    copy: Mutex<Keyspace>,
     changed: Condvar,
     faults: Faults,
 }
@@ -64,6 +66,24 @@
         keyspace
     }
 
+    /// Keeps a copy of the keyspace for [`Shared::restore`].
+    fn copy(&self) {
+        let copy = self.lock().clone();
+        *self.lock_copy() = copy;
+    }
+
+    /// Replaces the keyspace with the copy, as if the store had been restored from it:
+    /// later changes are lost, and their revisions are given out again.
+    fn restore(&self) {
+        let copy = self.lock_copy().clone();
+        *self.lock() = copy;
+        self.changed.notify_all();
+    }
+
+    fn lock_copy(&self) -> MutexGuard<'_, Keyspace> {
+        self.copy.lock().expect("no thread panics while it holds the lock of the copy")
+    }
+
     /// Waits for a change, at most until the next check for expired leases.
     fn wait_for_change<'a>(&self, keyspace: MutexGuard<'a, Keyspace>) -> MutexGuard<'a, Keyspace> {
         let waited = self.changed.wait_timeout(keyspace, EXPIRY_INTERVAL);
@@ -90,15 +110,19 @@
     /// Fails when it can't listen.
     pub fn start(settings: &StoreSettings) -> io::Result<Self> {
         let faults = Faults::new(settings.reads_per_second, settings.writes_per_second);
-        let shared =
-            Arc::new(Shared { keyspace: Mutex::default(), changed: Condvar::new(), faults });
+        let shared = Arc::new(Shared {
+            keyspace: Mutex::default(),
+            copy: Mutex::default(),
+            changed: Condvar::new(),
+            faults,
+        });
         let gateway = {
             let shared = Arc::clone(&shared);
             HttpServer::start(settings.listen, move |request| requests::handle(&shared, request))?
         };
         let control = {
             let shared = Arc::clone(&shared);
-            HttpServer::start(settings.control, move |request| control(&shared.faults, request))?
+            HttpServer::start(settings.control, move |request| control(&shared, request))?
         };
         Ok(Self { shared, gateway, control })
     }
@@ -130,20 +154,23 @@
 ///
 /// Every request is answered with the counts, and with status 404 if its command
 /// is unknown or has a malformed argument.
-fn control(faults: &Faults, request: tiny_http::Request) {
+fn control(shared: &Shared, request: tiny_http::Request) {
     let path = request.url().trim_matches('/').to_owned();
-    let is_applied = apply_command(faults, &path).is_some();
+    let is_applied = apply_command(shared, &path).is_some();
     let status = if is_applied { 200 } else { 404 };
-    respond_json(request, status, &faults.counts());
+    respond_json(request, status, &shared.faults.counts());
 }
 
-fn apply_command(faults: &Faults, path: &str) -> Option<()> {
+fn apply_command(shared: &Shared, path: &str) -> Option<()> {
+    let faults = &shared.faults;
     match path.split('/').collect::<Vec<_>>().as_slice() {
         ["counts"] => {}
         ["counts", "reset"] => faults.reset_counts(),
         ["down"] => faults.set_outage(Outage::Refusing),
         ["silent"] => faults.set_outage(Outage::Silent),
         ["up"] => faults.clear(),
+        ["copy"] => shared.copy(),
+        ["restore"] => shared.restore(),
         ["slow_ms", delay_ms] => {
             faults.set_slowness(Duration::from_millis(delay_ms.parse().ok()?));
         }
--- a/standins/src/store/keyspace.rs
+++ b/standins/src/store/keyspace.rs
@@ -94,7 +94,7 @@
 }
 
 /// The keys, the leases and the most recent events.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Keyspace {
     revision: i64,
     records: BTreeMap<Vec<u8>, KeyRecord>,
--- a/standins/tests/test_store.rs
+++ b/standins/tests/test_store.rs
@@ -113,6 +113,18 @@
     assert_eq!(post(format!("{control}/nonsense"), &json!({})).0, 404);
 }
 
+#[test]
+fn test_restored_store_loses_later_writes_and_gives_their_revisions_out_again() {
+    let (store, adapter) = start();
+    let control = format!("http://{}", store.control_address());
+    adapter.commit(&[], &[put("a", "kept")]).unwrap();
+    assert_eq!(post(format!("{control}/copy"), &json!({})).0, 200);
+    let lost = adapter.commit(&[], &[put("a", "lost")]).unwrap();
+    assert_eq!(post(format!("{control}/restore"), &json!({})).0, 200);
+    assert_eq!(adapter.read_prefix("a").unwrap().entries[0].value, b"kept");
+    assert_eq!(adapter.commit(&[], &[put("b", "x")]).unwrap(), lost);
+}
+
 #[test]
 fn test_watch_streams_events_from_a_revision() {
     let (store, adapter) = start();
