document: edits take effect after the store was restored from a copy

Instances keep revision 4 in force, the store shows 2. An operator's edit is acknowledged as revision 3 and every instance ignores it; so is the next one, which makes revision 4 again with another text.

Cause: the revision is taken for a position in the one history of the document, and the store that hands it out may go back.

The instances hold what the store lost. A linearizable read that started while revision R was in force shows a lower revision, or another edit at R, only if the store lost edits. Whoever reads such a head rewrites it under its version: `lost` names the revisions that are gone, and the next edit makes R + 1. If the head's newest edit did not lead to the document in force, it was accepted after the restore; the head then gets R + 1 itself, and the edit takes effect. Whether an attempt's revision can still be found in the head no longer assumes that revisions have no gaps.

The rule "a lower revision is never put in force" stays as it is, and so do `test_lower_revision_is_never_applied`, lib/fleet and the datagrams: with the raised head no instance needs to compare anything but the revision. Old heads, old documents and old instances' answers are read through serde defaults; a version that drops `lost` makes a revision that is too low, and the next read of a watcher raises the head again.

In test_racing_edits.rs an attribute moved into the support file, which says the same for all its users.

--- a/daemon/src/documents.rs
+++ b/daemon/src/documents.rs
@@ -6,9 +6,11 @@
 use arc_swap::ArcSwap;
 use masticreel_base::ids::Revision;
 use masticreel_document::document::Document;
+use masticreel_document::edit::FenceCommit;
+use masticreel_document::records::{HeadRecord, Versioned};
 use masticreel_report::instances::StoreState;
-use masticreel_store::document_store::{ReadError, read_document, read_head};
-use masticreel_store::store::PlatformStore;
+use masticreel_store::document_store::{ReadError, commit_fence, read_document, read_head};
+use masticreel_store::store::{CommitOutcome, PlatformStore};
 use slog::{Logger, info, warn};
 
 use crate::metrics::Metrics;
@@ -111,7 +113,12 @@
     where
         Store: PlatformStore,
     {
-        let newest = read_head(store)?.record.revision;
+        let in_force = self.current();
+        let head = read_head(store)?;
+        if let Some(raised) = head.record.after_restore(&in_force) {
+            return self.raise_head(store, &head, raised);
+        }
+        let newest = head.record.revision;
         let is_refused =
             self.apply_state().refused.as_ref().is_some_and(|it| it.revision == newest);
         if newest <= self.current().revision() || is_refused {
@@ -127,6 +134,27 @@
         Ok(())
     }
 
+    /// Writes the head that a restored store needs, unless another instance or an edit
+    /// was first; the next read tells then.
+    fn raise_head<Store>(
+        &self,
+        store: &Store,
+        head: &Versioned<HeadRecord>,
+        raised: HeadRecord,
+    ) -> Result<(), ReadError>
+    where
+        Store: PlatformStore,
+    {
+        let lost = raised.lost;
+        let fence = FenceCommit { head_version: head.version, head: raised };
+        if let CommitOutcome::Committed(_) = commit_fence(store, &fence)? {
+            let lost = lost.map(|lost| lost.to_string()).unwrap_or_default();
+            warn!(self.logger, "store lost edits";
+                "lost" => lost, "stored" => %head.record.revision);
+        }
+        Ok(())
+    }
+
     /// Records that a revision is faulty, for the metrics and status requests.
     pub fn refuse(&self, revision: Revision, reason: &str) {
         warn!(self.logger, "document refused"; "revision" => %revision, "error" => reason);
--- a/lib/document/src/document.rs
+++ b/lib/document/src/document.rs
@@ -5,11 +5,13 @@
 use derive_more::Display;
 use masticreel_base::ids::{GroupId, Revision, SectionName};
 
+use crate::edit_id::EditId;
 use crate::error::DocumentError;
 use crate::groups::GroupSpec;
 use crate::instances::InstanceSpec;
 use crate::levels::ServiceLevel;
 use crate::policy::Policy;
+use crate::records::RECENT_EDITS;
 use crate::rules::StatementRule;
 use crate::section::{ParsedSection, SectionContent, SectionText};
 use crate::validation;
@@ -21,6 +23,7 @@
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct Document {
     revision: Revision,
+    edits: Vec<EditId>,
     sections: BTreeMap<SectionName, SectionText>,
     groups: Vec<GroupSpec>,
     rules: Vec<StatementRule>,
@@ -81,6 +84,28 @@
         document
     }
 
+    /// Adds the ids of the last edits that led to the document, newest first.
+    #[must_use]
+    pub fn with_edits(mut self, edits: Vec<EditId>) -> Self {
+        self.edits = edits;
+        self
+    }
+
+    /// Returns the ids of the last edits that led to the document, newest first; none
+    /// if it came from a version that does not send them.
+    pub fn edits(&self) -> &[EditId] {
+        &self.edits
+    }
+
+    /// Returns whether an edit led to the document, or may have: the ids of old edits
+    /// are not kept.
+    pub fn may_contain(&self, edit: &EditId) -> bool {
+        let is_complete = (1..RECENT_EDITS).contains(&self.edits.len());
+        let is_listed_since =
+            is_complete || self.edits.last().is_some_and(|oldest| oldest.revision <= edit.revision);
+        !is_listed_since || self.edits.contains(edit)
+    }
+
     /// Returns the number of the last accepted edit.
     pub fn revision(&self) -> Revision {
         self.revision
--- a/lib/document/src/edit.rs
+++ b/lib/document/src/edit.rs
@@ -332,9 +332,9 @@
         return if attempt.refused { AttemptOutcome::NotLanded } else { AttemptOutcome::Undecided };
     }
     // A write that compares the old head version can no longer take effect. It
-    // took none if its revision does not exist yet or belongs to another edit.
+    // took none if its revision does not exist yet or the list of edits goes back to it.
     let is_conclusive =
-        head.record.revision < edit.revision || head.record.edit_of(edit.revision).is_some();
+        head.record.revision < edit.revision || head.record.lists_edits_since(edit.revision);
     if is_conclusive { AttemptOutcome::NotLanded } else { AttemptOutcome::NoLongerListed }
 }
 
@@ -380,7 +380,7 @@
 /// Builds the conditional write of an edit on the document as it was read.
 fn build_commit(request: &EditRequest, stored: &StoredDocument, nonce: &Nonce) -> EditCommit {
     let section = stored.sections.get(&request.section);
-    let revision = stored.head.record.revision.next();
+    let revision = stored.head.record.next_revision();
     let edit = EditId { revision, head_version: stored.head.version, nonce: nonce.clone() };
     let entry = EditEntry {
         revision,
--- a/lib/document/src/records.rs
+++ b/lib/document/src/records.rs
@@ -56,6 +56,10 @@
     pub revision: Revision,
     /// The most recent edits, newest first; at most [`RECENT_EDITS`].
     pub recent: Vec<EditEntry>,
+    /// The edits that the store lost when it was last restored from a copy; `None`
+    /// if it never was.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lost: Option<LostEdits>,
 }
 
 impl HeadRecord {
@@ -64,14 +68,62 @@
         let revision = entry.revision;
         let recent =
             std::iter::once(entry).chain(self.recent.iter().cloned()).take(RECENT_EDITS).collect();
-        Self { revision, recent }
+        Self { revision, recent, lost: self.lost }
     }
 
-    /// Returns the edit that made a revision; `None` if the head no longer
-    /// lists it.
-    pub fn edit_of(&self, revision: Revision) -> Option<&EditEntry> {
-        self.recent.iter().find(|entry| entry.revision == revision)
+    /// Returns the revision that the next edit makes: higher than all that were ever
+    /// given out, also by edits that the store lost.
+    pub fn next_revision(&self) -> Revision {
+        let lost = self.lost.map_or_else(Revision::default, |lost| lost.through);
+        self.revision.max(lost).next()
     }
+
+    /// Returns whether the head lists every edit that made this revision or a later
+    /// one.
+    pub fn lists_edits_since(&self, revision: Revision) -> bool {
+        let is_complete = self.recent.len() < RECENT_EDITS;
+        is_complete || self.recent.last().is_some_and(|oldest| oldest.revision <= revision)
+    }
+
+    /// Returns the ids of the edits that the head lists, newest first.
+    pub fn edits(&self) -> Vec<EditId> {
+        self.recent.iter().map(|entry| entry.edit.clone()).collect()
+    }
+
+    /// Returns the head to be written if the store was restored from a copy older than
+    /// the document in force; `None` if it was not.
+    ///
+    /// The head must come from a linearizable read that started while the document was
+    /// in force. Only a restored store can then show a lower revision, or another
+    /// edit with the same one. With the returned head, the next edit makes a higher
+    /// revision than that in force. If an edit was accepted after the restore already,
+    /// the returned head itself has a higher revision, so that the edit takes effect.
+    pub fn after_restore(&self, in_force: &Document) -> Option<Self> {
+        let through = in_force.revision();
+        let has_unseen_edit = self.revision <= through
+            && self.recent.first().is_some_and(|newest| !in_force.may_contain(&newest.edit));
+        if !has_unseen_edit && self.next_revision() > through {
+            return None;
+        }
+        let kept = self.recent.iter().find(|entry| in_force.may_contain(&entry.edit));
+        let after = kept.map_or_else(Revision::default, |entry| entry.revision);
+        let revision = if has_unseen_edit { through.next() } else { self.revision };
+        let lost = Some(LostEdits { after, through });
+        Some(Self { revision, recent: self.recent.clone(), lost })
+    }
+}
+
+/// The revisions of edits that were accepted, and lost when the store was restored from
+/// a copy.
+///
+/// Instances keep the last of them in force until the next edit is accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[display("revisions {} to {through}", after.next())]
+pub struct LostEdits {
+    /// The last revision that the copy contains.
+    pub after: Revision,
+    /// The last revision that was in force.
+    pub through: Revision,
 }
 
 /// One accepted edit, without its text.
@@ -180,7 +232,8 @@
     ///
     /// Fails with every error found, as [`Document::parse`] does.
     pub fn to_document(&self) -> Result<Document, Vec<DocumentError>> {
-        Document::parse(self.texts(), self.head.record.revision)
+        let document = Document::parse(self.texts(), self.head.record.revision)?;
+        Ok(document.with_edits(self.head.record.edits()))
     }
 }
 
--- a/lib/document/src/wire.rs
+++ b/lib/document/src/wire.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::document::{Document, DocumentErrors};
+use crate::edit_id::EditId;
 use crate::section::SectionText;
 
 /// All sections at one revision.
@@ -17,13 +18,21 @@
 pub struct WireDocument {
     /// The number of the last accepted edit.
     pub revision: Revision,
+    /// The ids of the last edits, newest first; empty if the sender's version does not
+    /// send them.
+    #[serde(default)]
+    pub edits: Vec<EditId>,
     /// The sections by name.
     pub sections: BTreeMap<SectionName, SectionText>,
 }
 
 impl From<&Document> for WireDocument {
     fn from(document: &Document) -> Self {
-        Self { revision: document.revision(), sections: document.sections().clone() }
+        Self {
+            revision: document.revision(),
+            edits: document.edits().to_vec(),
+            sections: document.sections().clone(),
+        }
     }
 }
 
@@ -31,6 +40,7 @@
     type Error = DocumentErrors;
 
     fn try_from(wire: WireDocument) -> Result<Self, Self::Error> {
-        Self::parse(wire.sections, wire.revision).map_err(DocumentErrors)
+        let document = Self::parse(wire.sections, wire.revision).map_err(DocumentErrors)?;
+        Ok(document.with_edits(wire.edits))
     }
 }
--- a/lib/store/tests/support/faulty_store.rs
+++ b/lib/store/tests/support/faulty_store.rs
@@ -1,5 +1,6 @@
 //! A store in memory whose calls can fail, whose responses can be lost and whose
 //! writes can be delayed.
+#![allow(dead_code, reason = "each test file uses a part")]
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -69,6 +70,21 @@
         }
     }
 
+    /// Returns a store that holds a copy of this one's keys and has no faults.
+    pub fn copy(&self) -> Self {
+        let state = self.lock();
+        let (revision, values) = (state.revision, state.values.clone());
+        let state = State { revision, values, ..State::default() };
+        Self { state: Arc::new(Mutex::new(state)), clock: self.clock.clone() }
+    }
+
+    /// Goes back to a copy: later writes are lost, their revisions given out again.
+    pub fn restore(&self, copy: &Self) {
+        let copy = copy.lock();
+        let mut state = self.lock();
+        (state.revision, state.values) = (copy.revision, copy.values.clone());
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder of the store panics")
     }
--- a/lib/store/tests/test_racing_edits.rs
+++ b/lib/store/tests/test_racing_edits.rs
@@ -2,7 +2,6 @@
 //! random on a store that fails.
 
 #[path = "support/faulty_store.rs"]
-#[allow(dead_code, reason = "only other tests use every kind of fault")]
 mod faulty_store;
 
 use faulty_store::{Fault, FaultyStore};
