document: settle of an edit that the store lost ends as unknown

Callers saw (in tests): an edit was acknowledged as revision 2 and is in force; the store comes back without it, and `masticreel document settle ID` tells "not landed, and never will be".

Cause: the verdict takes an id that the head does not list, at a revision that the head has not reached, for an attempt without effect. That holds only for a store that never goes back.

The head of a restored store names the revisions that it lost. An id with one of these is unknown, also after later edits. Attempts that the store refused are tried anew as before.

--- a/cli/src/commands/outcome.rs
+++ b/cli/src/commands/outcome.rs
@@ -46,7 +46,8 @@
         /// All errors found.
         errors: Vec<ErrorOutput>,
     },
-    /// The store did not answer, so the edit may have been accepted.
+    /// The store did not answer, or lost the edit when it was restored, so the edit may
+    /// have been accepted.
     Unknown {
         /// The edit's id.
         edit: String,
@@ -130,7 +131,8 @@
                 format!("Refused, nothing was written:\n{lines}")
             }
             Self::Unknown { edit } => format!(
-                "Unknown: the store did not answer, so the edit may have landed.\n\
+                "Unknown: the store did not answer or has lost the edit, which may have landed.\n\
+                 `masticreel document show` tells which revisions a restored store lost.\n\
                  When the store is back: masticreel document settle {edit}\n"
             ),
         }
--- a/lib/document/src/edit.rs
+++ b/lib/document/src/edit.rs
@@ -64,6 +64,7 @@
     Invalid(Vec<DocumentError>),
     /// The store did not respond in time, so the edit may have been accepted; with
     /// the id of its last attempt, [`Edit::settle`] can determine the outcome later.
+    /// Also the outcome of an edit whose revision a restored store lost.
     Unknown(EditId),
 }
 
@@ -195,6 +196,9 @@
     NoLongerListed,
     /// The head that was read is older than the one that the attempt compared.
     StaleRead,
+    /// The store was restored from a copy, and its record of the attempt, if there was
+    /// one, is lost.
+    Lost,
 }
 
 impl Edit {
@@ -293,6 +297,7 @@
                 EditAction::ReadHistory(revision)
             }
             AttemptOutcome::StaleRead => self.verify(attempt),
+            AttemptOutcome::Lost => EditAction::Finish(EditOutcome::Unknown(attempt.edit)),
         }
     }
 
@@ -324,6 +329,10 @@
     if let Some(entry) = head.record.recent.iter().find(|entry| entry.edit == *edit) {
         return AttemptOutcome::Landed(entry.revision);
     }
+    let is_lost = head.record.lost.is_some_and(|lost| lost.contains(edit.revision));
+    if is_lost && !attempt.refused {
+        return AttemptOutcome::Lost;
+    }
     if head.version < edit.head_version {
         return AttemptOutcome::StaleRead;
     }
--- a/lib/document/src/records.rs
+++ b/lib/document/src/records.rs
@@ -126,6 +126,13 @@
     pub through: Revision,
 }
 
+impl LostEdits {
+    /// Returns whether a revision is among the lost ones.
+    pub fn contains(&self, revision: Revision) -> bool {
+        self.after < revision && revision <= self.through
+    }
+}
+
 /// One accepted edit, without its text.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EditEntry {
--- a/lib/store/tests/test_restored_store.rs
+++ b/lib/store/tests/test_restored_store.rs
@@ -210,6 +210,21 @@
     assert_eq!(patterns(&in_force), ["lab-3"]);
 }
 
+#[test]
+fn test_lost_edit_is_not_told_to_have_had_no_effect() {
+    let mut fixture = Fixture::new();
+    fixture.edit("lab");
+    let copy = fixture.store.copy();
+    let lost = fixture.edit("lab");
+    let mut in_force = fixture.stored();
+    fixture.store.restore(&copy);
+    fixture.poll(&mut in_force);
+    assert_eq!(fixture.editor.settle(lost.clone()), EditOutcome::Unknown(lost.clone()));
+    let after = fixture.edit("lab");
+    assert_eq!(fixture.editor.settle(lost.clone()), EditOutcome::Unknown(lost));
+    assert_eq!(fixture.editor.settle(after), EditOutcome::Landed(Revision(3)));
+}
+
 #[test]
 fn test_head_without_lost_edits_is_stored_as_before() {
     let mut fixture = Fixture::new();
