cli, daemon: operators are told which edits the store lost

After a restore of the store, instances kept a revision in force that the store does not show, and nothing named it: operators had to compare `document show` with `instances`.

`document show` tells from the head which revisions were lost and whether the last of them is still in force. The field of the report has a serde default, so clients read the answers of older instances and older clients ignore it.

--- a/cli/src/commands/show.rs
+++ b/cli/src/commands/show.rs
@@ -6,7 +6,7 @@
 use masticreel_base::clock::{Clock as _, SystemClock};
 use masticreel_base::ids::{Revision, SectionName};
 use masticreel_document::layout::REPORT_PREFIX;
-use masticreel_document::records::decode;
+use masticreel_document::records::{LostEdits, decode};
 use masticreel_document::section::SectionText;
 use masticreel_document::wire::WireDocument;
 use masticreel_report::fleet::{FleetReport, instances_by_revision};
@@ -27,6 +27,8 @@
     revision: Revision,
     /// Whether the document comes from the store and not from an instance.
     from_store: bool,
+    /// The edits that the store lost when it was last restored from a copy.
+    lost: Option<LostEdits>,
     sections: BTreeMap<SectionName, SectionText>,
     reported: Vec<FleetReport>,
 }
@@ -72,6 +74,7 @@
     Ok(DocumentOutput {
         revision: stored.head.record.revision,
         from_store: true,
+        lost: stored.head.record.lost,
         sections: stored.texts(),
         reported,
     })
@@ -85,6 +88,7 @@
         Ok(document) => Ok(DocumentOutput {
             revision: document.revision,
             from_store: false,
+            lost: None,
             sections: document.sections,
             reported: Vec::new(),
         }),
@@ -97,6 +101,9 @@
     if !output.from_store {
         text.push_str("# the store does not answer; this is in force at an instance\n");
     }
+    if let Some(lost) = output.lost {
+        text.push_str(&render_lost(lost, output.revision));
+    }
     for (name, section) in &output.sections {
         text.push_str(&format!(
             "\n## section {name}, revision {}, by {}\n{}",
@@ -112,6 +119,15 @@
     text
 }
 
+fn render_lost(lost: LostEdits, stored: Revision) -> String {
+    let in_force = if stored <= lost.through {
+        format!("revision {} stays in force until the next edit", lost.through)
+    } else {
+        "edits since then have replaced them".to_owned()
+    };
+    format!("# the store was restored from a copy and lost {lost}; {in_force}\n")
+}
+
 fn render_report(report: &FleetReport, now_ms: u64) -> String {
     let revisions: Vec<String> = instances_by_revision(&report.members)
         .iter()
--- a/cli/src/commands/views.rs
+++ b/cli/src/commands/views.rs
@@ -41,7 +41,9 @@
     Out: Write,
 {
     let members: Vec<MemberReport> = context.instances.get(INSTANCES_PATH)?;
-    context.print(&members, |members| render_members(members))?;
+    let status: Option<InstanceReport> = context.instances.get(STATUS_PATH).ok();
+    let lost = status.as_ref().map_or_else(String::new, render_lost);
+    context.print(&members, |members| format!("{}{lost}", render_members(members)))?;
     Ok(Exit::Done)
 }
 
@@ -106,8 +108,9 @@
         Some(reason) => format!("refused   {reason}\n"),
         None => String::new(),
     };
+    let lost = render_lost(report);
     format!(
-        "instance  {}\nversion   {}\ndomain    {}\nstate     {}\nrevision  {}\nstore     {}\n{refused}",
+        "instance  {}\nversion   {}\ndomain    {}\nstate     {}\nrevision  {}\nstore     {}\n{lost}{refused}",
         report.name,
         report.version,
         report.failure_domain,
@@ -117,6 +120,13 @@
     )
 }
 
+fn render_lost(report: &InstanceReport) -> String {
+    match &report.lost_edits {
+        Some(lost) => format!("lost      {lost} by the store; in force until the next edit\n"),
+        None => String::new(),
+    }
+}
+
 /// Renders one line for each member of the fleet.
 pub fn render_members(members: &[MemberReport]) -> String {
     let mut table = format!(
--- a/cli/tests/test_processes.rs
+++ b/cli/tests/test_processes.rs
@@ -297,6 +297,31 @@
     assert!(report.refused.unwrap().contains("key \"rules[0].clas\""));
 }
 
+#[test]
+fn test_operators_are_told_that_the_store_lost_edits() {
+    let test_env = TestEnvironment::start("lost-edits");
+    test_env.write_section_file("lab.toml", "lab", 0, "a");
+    test_env.send_store_command("copy");
+    assert_eq!(test_env.run(&["document", "apply", "lab.toml"]).code, 0);
+    test_env.wait_for_status(|report| report.revision == Revision(2));
+    test_env.send_store_command("restore");
+    let report = test_env.wait_for_status(|report| report.lost_edits.is_some());
+    assert_eq!(report.revision, Revision(2));
+    for command in ["status", "instances"] {
+        let output = test_env.run(&[command]);
+        assert!(output.out.contains("lost      revisions 2 to 2 by the store"), "{}", output.out);
+    }
+    let output = test_env.run(&["document", "show"]);
+    let told = "lost revisions 2 to 2; revision 2 stays in force until the next edit";
+    assert!(output.out.contains(told), "{}", output.out);
+
+    let output = test_env.run(&["document", "apply", "--wait", "lab.toml"]);
+    assert!(output.out.starts_with("Landed as revision 3.\nIn force on 2 of 2"), "{}", output.out);
+    let output = test_env.run(&["document", "show"]);
+    assert!(output.out.contains("edits since then have replaced them"), "{}", output.out);
+    test_env.wait_for_status(|report| report.lost_edits.is_none());
+}
+
 #[test]
 fn test_a_document_handed_over_is_in_force_while_the_store_is_down() {
     let test_env = TestEnvironment::start("hand-over");
--- a/daemon/src/documents.rs
+++ b/daemon/src/documents.rs
@@ -7,7 +7,7 @@
 use masticreel_base::ids::Revision;
 use masticreel_document::document::Document;
 use masticreel_document::edit::FenceCommit;
-use masticreel_document::records::{HeadRecord, Versioned};
+use masticreel_document::records::{HeadRecord, LostEdits, Versioned};
 use masticreel_report::instances::StoreState;
 use masticreel_store::document_store::{ReadError, commit_fence, read_document, read_head};
 use masticreel_store::store::{CommitOutcome, PlatformStore};
@@ -35,6 +35,8 @@
 struct ApplyState {
     store: StoreState,
     refused: Option<Refused>,
+    /// As the store's head told it at the last read.
+    lost: Option<LostEdits>,
 }
 
 /// A newer revision that was not applied, since it is faulty.
@@ -47,7 +49,7 @@
 impl Documents {
     /// Starts with an empty document.
     pub fn new(metrics: Metrics, logger: Logger) -> Self {
-        let apply_state = ApplyState { store: StoreState::Unused, refused: None };
+        let apply_state = ApplyState { store: StoreState::Unused, refused: None, lost: None };
         let apply_state = Arc::new(Mutex::new(apply_state));
         Self { cell: DocumentCell::default(), apply_state, metrics, logger }
     }
@@ -62,6 +64,12 @@
         self.apply_state().refused.as_ref().map(|refused| refused.reason.clone())
     }
 
+    /// Returns which edits the store lost, if the last of them is still in force.
+    pub fn lost_edits(&self) -> Option<LostEdits> {
+        let lost = self.apply_state().lost;
+        lost.filter(|lost| self.current().revision() <= lost.through)
+    }
+
     /// Returns whether the store answered the last read.
     pub fn store_state(&self) -> StoreState {
         self.apply_state().store
@@ -115,6 +123,7 @@
     {
         let in_force = self.current();
         let head = read_head(store)?;
+        self.apply_state().lost = head.record.lost;
         if let Some(raised) = head.record.after_restore(&in_force) {
             return self.raise_head(store, &head, raised);
         }
@@ -148,6 +157,7 @@
         let lost = raised.lost;
         let fence = FenceCommit { head_version: head.version, head: raised };
         if let CommitOutcome::Committed(_) = commit_fence(store, &fence)? {
+            self.apply_state().lost = lost;
             let lost = lost.map(|lost| lost.to_string()).unwrap_or_default();
             warn!(self.logger, "store lost edits";
                 "lost" => lost, "stored" => %head.record.revision);
--- a/daemon/src/operator/endpoints.rs
+++ b/daemon/src/operator/endpoints.rs
@@ -62,6 +62,7 @@
             revision: document.revision(),
             refused: self.documents.refused(),
             store: self.documents.store_state(),
+            lost_edits: self.documents.lost_edits().map(|lost| lost.to_string().into()),
         }
     }
 
--- a/daemon/tests/test_restored_store.rs
+++ b/daemon/tests/test_restored_store.rs
@@ -9,7 +9,7 @@
 use masticreel_base::ids::{Revision, SectionName};
 use masticreel_document::edit::{EditOutcome, EditRequest};
 use masticreel_document::wire::WireDocument;
-use masticreel_report::operators::{DOCUMENT_PATH, SIGNATURE_HEADER};
+use masticreel_report::operators::{DOCUMENT_PATH, SIGNATURE_HEADER, STATUS_PATH};
 use masticreel_store::document_store::read_document;
 use masticreel_store::editor::{EditTiming, Editor};
 use masticreel_store::etcd::EtcdStore;
@@ -17,6 +17,7 @@
 use masticreel_testutils::processes::deployment::{Deployment, DeploymentSettings};
 use masticreel_wire::frame::SharedKey;
 use masticreel_wire::signature::sign;
+use serde_json::Value;
 
 /// Instances in the fleet; only three of them watch the store.
 const SIZE: usize = 6;
@@ -185,6 +186,19 @@
     fleet.assert_stays_in_force("lost-2");
 }
 
+#[test]
+fn test_status_tells_that_the_store_lost_edits() {
+    let fleet = Fleet::start("restored-status");
+    fleet.lose_edits();
+    std::thread::sleep(SEVERAL_POLLS);
+    let told = (0..SIZE).filter(|instance| {
+        let address = fleet.deployment.addresses[*instance].operators;
+        let status: Value = serde_json::from_str(&get(address, STATUS_PATH).unwrap()).unwrap();
+        status["lost_edits"] == "revisions 3 to 4"
+    });
+    assert!(told.count() >= 3, "the three watchers of the store tell it");
+}
+
 #[test]
 fn test_document_of_before_the_restore_does_not_come_back() {
     let fleet = Fleet::start("restored-outdated");
--- a/lib/report/src/instances.rs
+++ b/lib/report/src/instances.rs
@@ -52,6 +52,10 @@
     pub refused: Option<Arc<str>>,
     /// Whether the platform's store is reachable.
     pub store: StoreState,
+    /// The edits that the store lost when it was restored from a copy, as long as the
+    /// last of them is in force; `None` also if the instance's version doesn't tell.
+    #[serde(default)]
+    pub lost_edits: Option<Arc<str>>,
 }
 
 /// The health of a member as known to another instance: its state in the membership
