store, document: a write from before a restore doesn't land on another head

Callers saw (in a test): an edit is under way when the store comes back from a copy. The next edit gives the head the version again that the delayed write compares. The delayed write lands, replaces the head with one of the lost history, and the edit made after the restore is no longer listed: `settle` would tell that it had no effect, although its text is stored.

Cause: the write compares only the version of the head, which a restored store gives out again.

Writes compare the head's value as well (target VALUE of the store's transactions). It lists the last edits with their random ids, so equal values mean the same history. The value is kept as read, not encoded anew, so that fields of later versions don't make the comparison fail. A head that does not exist is compared by version 0 as before.

--- a/daemon/src/documents.rs
+++ b/daemon/src/documents.rs
@@ -7,7 +7,7 @@
 use masticreel_base::ids::Revision;
 use masticreel_document::document::Document;
 use masticreel_document::edit::FenceCommit;
-use masticreel_document::records::{HeadRecord, LostEdits, Versioned};
+use masticreel_document::records::{HeadRecord, LostEdits, StoredHead};
 use masticreel_report::instances::StoreState;
 use masticreel_store::document_store::{ReadError, commit_fence, read_document, read_head};
 use masticreel_store::store::{CommitOutcome, PlatformStore};
@@ -148,14 +148,14 @@
     fn raise_head<Store>(
         &self,
         store: &Store,
-        head: &Versioned<HeadRecord>,
+        head: &StoredHead,
         raised: HeadRecord,
     ) -> Result<(), ReadError>
     where
         Store: PlatformStore,
     {
         let lost = raised.lost;
-        let fence = FenceCommit { head_version: head.version, head: raised };
+        let fence = FenceCommit { head_state: head.state.clone(), head: raised };
         if let CommitOutcome::Committed(_) = commit_fence(store, &fence)? {
             self.apply_state().lost = lost;
             let lost = lost.map(|lost| lost.to_string()).unwrap_or_default();
--- a/lib/document/src/edit.rs
+++ b/lib/document/src/edit.rs
@@ -26,7 +26,7 @@
 use crate::edit_id::{EditId, Nonce};
 use crate::error::DocumentError;
 use crate::records::{
-    EditEntry, HeadRecord, HistoryRecord, SectionRecord, StoreVersion, StoredDocument,
+    EditEntry, HeadRecord, HeadState, HistoryRecord, SectionRecord, StoreVersion, StoredDocument,
 };
 
 /// Maximum number of attempts of one edit; an attempt is repeated when an edit of
@@ -101,8 +101,8 @@
     pub section: SectionName,
     /// The version that the section must still have.
     pub section_version: StoreVersion,
-    /// The version that the head must still have.
-    pub head_version: StoreVersion,
+    /// The state that the head must still have.
+    pub head_state: HeadState,
     /// The section's new record.
     pub section_record: SectionRecord,
     /// The new head.
@@ -117,8 +117,8 @@
 /// compares the old version fails.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FenceCommit {
-    /// The version that the head must still have.
-    pub head_version: StoreVersion,
+    /// The state that the head must still have.
+    pub head_state: HeadState,
     /// The head, unchanged.
     pub head: HeadRecord,
 }
@@ -287,7 +287,7 @@
             AttemptOutcome::Undecided => {
                 self.state = State::Fencing(attempt);
                 EditAction::Fence(FenceCommit {
-                    head_version: stored.head.version,
+                    head_state: stored.head.state.clone(),
                     head: stored.head.record.clone(),
                 })
             }
@@ -333,10 +333,10 @@
     if is_lost && !attempt.refused {
         return AttemptOutcome::Lost;
     }
-    if head.version < edit.head_version {
+    if head.state.version < edit.head_version {
         return AttemptOutcome::StaleRead;
     }
-    if head.version == edit.head_version {
+    if head.state.version == edit.head_version {
         // A refusal is final. Without a response, the write may still be delayed.
         return if attempt.refused { AttemptOutcome::NotLanded } else { AttemptOutcome::Undecided };
     }
@@ -390,7 +390,7 @@
 fn build_commit(request: &EditRequest, stored: &StoredDocument, nonce: &Nonce) -> EditCommit {
     let section = stored.sections.get(&request.section);
     let revision = stored.head.record.next_revision();
-    let edit = EditId { revision, head_version: stored.head.version, nonce: nonce.clone() };
+    let edit = EditId { revision, head_version: stored.head.state.version, nonce: nonce.clone() };
     let entry = EditEntry {
         revision,
         edit: edit.clone(),
@@ -402,7 +402,7 @@
     EditCommit {
         section: request.section.clone(),
         section_version: section.map_or_else(StoreVersion::default, |section| section.version),
-        head_version: stored.head.version,
+        head_state: stored.head.state.clone(),
         section_record: SectionRecord {
             revision,
             edit,
--- a/lib/document/src/records.rs
+++ b/lib/document/src/records.rs
@@ -36,6 +36,39 @@
     pub record: Record,
 }
 
+/// The head as it was read.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct StoredHead {
+    /// What a conditional write compares.
+    pub state: HeadState,
+    /// The decoded value.
+    pub record: HeadRecord,
+}
+
+impl StoredHead {
+    /// Decodes the head from the value and the version of its key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the value is not a valid record.
+    pub fn decode(version: StoreVersion, value: &[u8]) -> Result<Self, RecordError> {
+        let state = HeadState { version, value: value.into() };
+        Ok(Self { state, record: decode(HEAD_KEY, value)? })
+    }
+}
+
+/// The state of the head that a conditional write was prepared for.
+///
+/// A restored store gives versions out again, so the version alone may belong to two
+/// heads. Edits with their random ids make the values differ.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct HeadState {
+    /// The store's version of the key; 0 if it does not exist.
+    pub version: StoreVersion,
+    /// The value as stored; empty if the key does not exist.
+    pub value: Arc<[u8]>,
+}
+
 /// A section's text and the edit that wrote it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SectionRecord {
@@ -196,7 +229,7 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct StoredDocument {
     /// The head; the default if no edit was ever accepted.
-    pub head: Versioned<HeadRecord>,
+    pub head: StoredHead,
     /// The sections by name.
     pub sections: BTreeMap<SectionName, Versioned<SectionRecord>>,
 }
@@ -216,7 +249,7 @@
         let mut stored = Self::default();
         for (key, value, version) in entries {
             if key == HEAD_KEY {
-                stored.head = Versioned { version, record: decode(key, value)? };
+                stored.head = StoredHead::decode(version, value)?;
             } else if let Some(section) = section_of_key(key) {
                 let record = decode(key, value)?;
                 stored.sections.insert(section, Versioned { version, record });
--- a/lib/store/src/document_store.rs
+++ b/lib/store/src/document_store.rs
@@ -11,7 +11,7 @@
 use masticreel_document::edit::{EditCommit, FenceCommit};
 use masticreel_document::layout::{DOCUMENT_PREFIX, HEAD_KEY, history_key, section_key};
 use masticreel_document::records::{
-    HeadRecord, HistoryRecord, RecordError, StoreVersion, StoredDocument, Versioned, decode, encode,
+    HeadState, HistoryRecord, RecordError, StoreVersion, StoredDocument, StoredHead, decode, encode,
 };
 
 use crate::store::{CommitOutcome, Compare, PlatformStore, Put, StoreError};
@@ -62,16 +62,15 @@
 /// # Errors
 ///
 /// Fails when the store does not answer or holds an invalid record.
-pub fn read_head<Store>(store: &Store) -> Result<Versioned<HeadRecord>, ReadError>
+pub fn read_head<Store>(store: &Store) -> Result<StoredHead, ReadError>
 where
     Store: PlatformStore,
 {
     let snapshot = store.read_prefix(HEAD_KEY)?;
     let Some(entry) = snapshot.entries.iter().find(|entry| entry.key == HEAD_KEY) else {
-        return Ok(Versioned::default());
+        return Ok(StoredHead::default());
     };
-    let version = StoreVersion(entry.mod_revision);
-    Ok(Versioned { version, record: decode(HEAD_KEY, &entry.value)? })
+    Ok(StoredHead::decode(StoreVersion(entry.mod_revision), &entry.value)?)
 }
 
 /// Reads the record in a revision's history slot, if there is one.
@@ -105,8 +104,8 @@
 {
     let section = section_key(&edit.section);
     let conditions = [
-        Compare { key: section.clone(), mod_revision: edit.section_version.0 },
-        compare_head(edit.head_version),
+        Compare { key: section.clone(), mod_revision: edit.section_version.0, value: None },
+        compare_head(&edit.head_state),
     ];
     let puts = [
         Put { key: section, value: encode(&edit.section_record) },
@@ -130,9 +129,11 @@
     Store: PlatformStore,
 {
     let put = Put { key: HEAD_KEY.to_owned(), value: encode(&fence.head) };
-    store.commit(&[compare_head(fence.head_version)], &[put])
+    store.commit(&[compare_head(&fence.head_state)], &[put])
 }
 
-fn compare_head(version: StoreVersion) -> Compare {
-    Compare { key: HEAD_KEY.to_owned(), mod_revision: version.0 }
+fn compare_head(state: &HeadState) -> Compare {
+    let StoreVersion(mod_revision) = state.version;
+    let value = (mod_revision != 0).then(|| state.value.to_vec());
+    Compare { key: HEAD_KEY.to_owned(), mod_revision, value }
 }
--- a/lib/store/src/etcd.rs
+++ b/lib/store/src/etcd.rs
@@ -4,6 +4,7 @@
 //! is a response that stays open, with one JSON object per line.
 
 use std::io::{self, BufRead as _, BufReader};
+use std::iter;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,7 +57,7 @@
 
     fn commit(&self, conditions: &[Compare], puts: &[Put]) -> Result<CommitOutcome, StoreError> {
         let request = TxnRequest {
-            compare: conditions.iter().map(WireCompare::from).collect(),
+            compare: conditions.iter().flat_map(WireCompare::all_of).collect(),
             success: puts.iter().map(WireOperation::from).collect(),
         };
         let response: TxnResponse = self.call("/v3/kv/txn", &request)?;
@@ -187,17 +188,30 @@
     key: String,
     target: &'static str,
     result: &'static str,
-    mod_revision: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    mod_revision: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    value: Option<String>,
 }
 
-impl From<&Compare> for WireCompare {
-    fn from(compare: &Compare) -> Self {
-        Self {
-            key: STANDARD.encode(&compare.key),
+impl WireCompare {
+    fn all_of(compare: &Compare) -> impl Iterator<Item = Self> {
+        let key = STANDARD.encode(&compare.key);
+        let revision = Self {
+            key: key.clone(),
             target: "MOD",
             result: "EQUAL",
-            mod_revision: compare.mod_revision.to_string(),
-        }
+            mod_revision: Some(compare.mod_revision.to_string()),
+            value: None,
+        };
+        let value = compare.value.as_ref().map(|value| Self {
+            key,
+            target: "VALUE",
+            result: "EQUAL",
+            mod_revision: None,
+            value: Some(STANDARD.encode(value)),
+        });
+        iter::once(revision).chain(value)
     }
 }
 
--- a/lib/store/src/store.rs
+++ b/lib/store/src/store.rs
@@ -25,13 +25,16 @@
 }
 
 /// A condition on a key: it was last changed at this revision, or does not
-/// exist if the revision is 0.
+/// exist if the revision is 0. It may have to hold a value, too, since a store that was
+/// restored from a copy gives revisions out again.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Compare {
     /// The key compared.
     pub key: String,
     /// The expected revision of the key's last change.
     pub mod_revision: u64,
+    /// The expected value; `None` if it is not compared.
+    pub value: Option<Vec<u8>>,
 }
 
 /// A value to be written.
--- a/lib/store/tests/support/faulty_store.rs
+++ b/lib/store/tests/support/faulty_store.rs
@@ -111,8 +111,11 @@
 impl State {
     fn commit(&mut self, conditions: &[Compare], puts: &[Put]) -> CommitOutcome {
         let holds = |compare: &Compare| {
-            let version = self.values.get(&compare.key).map_or(0, |(_, version)| *version);
+            let stored = self.values.get(&compare.key);
+            let version = stored.map_or(0, |(_, version)| *version);
+            let value = stored.map(|(value, _)| value);
             version == compare.mod_revision
+                && compare.value.as_ref().is_none_or(|expected| value == Some(expected))
         };
         if !conditions.iter().all(holds) {
             return CommitOutcome::Conflict;
--- a/lib/store/tests/test_etcd.rs
+++ b/lib/store/tests/test_etcd.rs
@@ -85,7 +85,7 @@
 
 #[test]
 fn test_a_transaction_is_committed_or_in_conflict() {
-    let compare = [Compare { key: "k".to_owned(), mod_revision: 3 }];
+    let compare = [Compare { key: "k".to_owned(), mod_revision: 3, value: None }];
     let put = [Put { key: "k".to_owned(), value: b"v".to_vec() }];
     let committed = r#"{"header":{"revision":"9"},"succeeded":true}"#;
     let store = serve(committed, Ending::Close);
--- a/lib/store/tests/test_restored_store.rs
+++ b/lib/store/tests/test_restored_store.rs
@@ -69,7 +69,7 @@
     fn poll(&self, in_force: &mut Document) {
         let head = read_head(&self.store).unwrap();
         if let Some(raised) = head.record.after_restore(in_force) {
-            let fence = FenceCommit { head_version: head.version, head: raised };
+            let fence = FenceCommit { head_state: head.state, head: raised };
             commit_fence(&self.store, &fence).unwrap();
         }
         let stored = self.stored();
@@ -79,6 +79,16 @@
     }
 }
 
+fn new_section(section: &str) -> EditRequest {
+    EditRequest {
+        section: section.into(),
+        base: Revision(0),
+        text: "[[rules]]\npattern = \"x\"\nclass = \"urgent\"\n".into(),
+        author: "an engineer".into(),
+        edited_at_ms: 7,
+    }
+}
+
 fn patterns(document: &Document) -> Vec<String> {
     document.rules().iter().map(|rule| rule.pattern.to_string()).collect()
 }
@@ -133,16 +143,12 @@
     fixture.edit("lab");
     let raised = fixture.head().after_restore(&in_force).unwrap();
     let raise = Put { key: HEAD_KEY.to_owned(), value: encode(&raised) };
-    let request = EditRequest {
-        section: "grids".into(),
-        base: Revision(0),
-        text: "[[rules]]\npattern = \"x\"\nclass = \"urgent\"\n".into(),
-        author: "an engineer".into(),
-        edited_at_ms: 7,
-    };
     // The calls are the read and the write, which the raised head overtakes.
     fixture.store.script([Fault::None, Fault::PrecededBy(vec![raise])]);
-    assert_eq!(fixture.editor.apply(request, Nonce::from(99)), EditOutcome::Landed(Revision(5)));
+    assert_eq!(
+        fixture.editor.apply(new_section("grids"), Nonce::from(99)),
+        EditOutcome::Landed(Revision(5))
+    );
 }
 
 #[test]
@@ -225,6 +231,24 @@
     assert_eq!(fixture.editor.settle(after), EditOutcome::Landed(Revision(3)));
 }
 
+#[test]
+fn test_write_of_before_the_restore_does_not_land_on_another_head() {
+    let mut fixture = Fixture::new();
+    fixture.edit("lab");
+    let copy = fixture.store.copy();
+    fixture.edit("lab");
+    // The calls are the read and the write, which arrives only after the restore.
+    fixture.store.script([Fault::None, Fault::Late(1_000), Fault::Down]);
+    let delayed = fixture.editor.apply(new_section("grids"), Nonce::from(99));
+    assert!(matches!(delayed, EditOutcome::Landed(_)), "{delayed:?}");
+    fixture.store.restore(&copy);
+    // The head has the version again that the delayed write compares.
+    let after = fixture.edit("lab");
+    fixture.store.deliver_late_writes();
+    assert_eq!(fixture.head().recent[0].edit, after);
+    assert_eq!(fixture.editor.settle(after), EditOutcome::Landed(Revision(2)));
+}
+
 #[test]
 fn test_head_without_lost_edits_is_stored_as_before() {
     let mut fixture = Fixture::new();
--- a/standins/tests/test_store.rs
+++ b/standins/tests/test_store.rs
@@ -22,7 +22,7 @@
 }
 
 fn unchanged_since(key: &str, mod_revision: u64) -> Compare {
-    Compare { key: key.to_owned(), mod_revision }
+    Compare { key: key.to_owned(), mod_revision, value: None }
 }
 
 fn post(url: String, body: &Value) -> (u16, Value) {
@@ -55,6 +55,21 @@
     assert_eq!(entries, [("a/1", b"x".as_slice(), 2), ("a/2", b"z".as_slice(), 3)]);
 }
 
+#[test]
+fn test_adapter_compares_values_of_equal_revision() {
+    let (_store, adapter) = start();
+    let CommitOutcome::Committed(revision) = adapter.commit(&[], &[put("a", "x")]).unwrap() else {
+        panic!("a write without conditions was refused");
+    };
+    let holding = |value: &str| Compare {
+        value: Some(value.as_bytes().to_vec()),
+        ..unchanged_since("a", revision)
+    };
+    assert_eq!(adapter.commit(&[holding("y")], &[put("a", "z")]), Ok(CommitOutcome::Conflict));
+    let committed = adapter.commit(&[holding("x")], &[put("a", "z")]);
+    assert_eq!(committed, Ok(CommitOutcome::Committed(revision + 1)));
+}
+
 #[test]
 fn test_values_of_a_megabyte_fit() {
     let (_store, adapter) = start();
