--- a/daemon/src/documents.rs
+++ b/daemon/src/documents.rs
@@ -6,9 +6,11 @@
 use arc_swap::ArcSwap;
 use masticreel_base::ids::Revision;
 use masticreel_document::document::Document;
+use masticreel_document::edit::FenceCommit;
+use masticreel_document::records::{HeadRecord, LostEdits, StoredHead};
 use masticreel_report::instances::StoreState;
-use masticreel_store::document_store::{ReadError, read_document, read_head};
-use masticreel_store::store::PlatformStore;
+use masticreel_store::document_store::{ReadError, commit_fence, read_document, read_head};
+use masticreel_store::store::{CommitOutcome, PlatformStore};
 use slog::{Logger, info, warn};
 
 use crate::metrics::Metrics;
@@ -33,6 +35,8 @@
 struct ApplyState {
     store: StoreState,
     refused: Option<Refused>,
+    /// As the store's head told it at the last read.
+    lost: Option<LostEdits>,
 }
 
 /// A newer revision that was not applied, since it is faulty.
@@ -45,7 +49,7 @@
 impl Documents {
     /// Starts with an empty document.
     pub fn new(metrics: Metrics, logger: Logger) -> Self {
-        let apply_state = ApplyState { store: StoreState::Unused, refused: None };
+        let apply_state = ApplyState { store: StoreState::Unused, refused: None, lost: None };
         let apply_state = Arc::new(Mutex::new(apply_state));
         Self { cell: DocumentCell::default(), apply_state, metrics, logger }
     }
@@ -60,6 +64,12 @@
         self.apply_state().refused.as_ref().map(|refused| refused.reason.clone())
     }
 
+    /// Returns which edits the store lost, if the last of them is still in force.
+    pub fn lost_edits(&self) -> Option<LostEdits> {
+        let lost = self.apply_state().lost;
+        lost.filter(|lost| self.current().revision() <= lost.through)
+    }
+
     /// Returns whether the store answered the last read.
     pub fn store_state(&self) -> StoreState {
         self.apply_state().store
@@ -111,7 +121,13 @@
     where
         Store: PlatformStore,
     {
-        let newest = read_head(store)?.record.revision;
+        let in_force = self.current();
+        let head = read_head(store)?;
+        self.apply_state().lost = head.record.lost;
+        if let Some(raised) = head.record.after_restore(&in_force) {
+            return self.raise_head(store, &head, raised);
+        }
+        let newest = head.record.revision;
         let is_refused =
             self.apply_state().refused.as_ref().is_some_and(|it| it.revision == newest);
         if newest <= self.current().revision() || is_refused {
@@ -127,6 +143,28 @@
         Ok(())
     }
 
+    /// Writes the head that a restored store needs, unless another instance or an edit
+    /// was first; the next read tells then.
+    fn raise_head<Store>(
+        &self,
+        store: &Store,
+        head: &StoredHead,
+        raised: HeadRecord,
+    ) -> Result<(), ReadError>
+    where
+        Store: PlatformStore,
+    {
+        let lost = raised.lost;
+        let fence = FenceCommit { head_state: head.state.clone(), head: raised };
+        if let CommitOutcome::Committed(_) = commit_fence(store, &fence)? {
+            self.apply_state().lost = lost;
+            let lost = lost.map(|lost| lost.to_string()).unwrap_or_default();
+            warn!(self.logger, "store lost edits";
+                "lost" => lost, "stored" => %head.record.revision);
+        }
+        Ok(())
+    }
+
     /// Records that a revision is faulty, for the metrics and status requests.
     pub fn refuse(&self, revision: Revision, reason: &str) {
         warn!(self.logger, "document refused"; "revision" => %revision, "error" => reason);
--- a/lib/document/src/edit.rs
+++ b/lib/document/src/edit.rs
@@ -26,7 +26,7 @@
 use crate::edit_id::{EditId, Nonce};
 use crate::error::DocumentError;
 use crate::records::{
-    EditEntry, HeadRecord, HistoryRecord, SectionRecord, StoreVersion, StoredDocument,
+    EditEntry, HeadRecord, HeadState, HistoryRecord, SectionRecord, StoreVersion, StoredDocument,
 };
 
 /// Maximum number of attempts of one edit; an attempt is repeated when an edit of
@@ -64,6 +64,7 @@
     Invalid(Vec<DocumentError>),
     /// The store did not respond in time, so the edit may have been accepted; with
     /// the id of its last attempt, [`Edit::settle`] can determine the outcome later.
+    /// Also the outcome of an edit whose revision a restored store lost.
     Unknown(EditId),
 }
 
@@ -100,8 +101,8 @@
     pub section: SectionName,
     /// The version that the section must still have.
     pub section_version: StoreVersion,
-    /// The version that the head must still have.
-    pub head_version: StoreVersion,
+    /// The state that the head must still have.
+    pub head_state: HeadState,
     /// The section's new record.
     pub section_record: SectionRecord,
     /// The new head.
@@ -116,8 +117,8 @@
 /// compares the old version fails.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FenceCommit {
-    /// The version that the head must still have.
-    pub head_version: StoreVersion,
+    /// The state that the head must still have.
+    pub head_state: HeadState,
     /// The head, unchanged.
     pub head: HeadRecord,
 }
@@ -195,6 +196,9 @@
     NoLongerListed,
     /// The head that was read is older than the one that the attempt compared.
     StaleRead,
+    /// The store was restored from a copy, and its record of the attempt, if there was
+    /// one, is lost.
+    Lost,
 }
 
 impl Edit {
@@ -283,7 +287,7 @@
             AttemptOutcome::Undecided => {
                 self.state = State::Fencing(attempt);
                 EditAction::Fence(FenceCommit {
-                    head_version: stored.head.version,
+                    head_state: stored.head.state.clone(),
                     head: stored.head.record.clone(),
                 })
             }
@@ -293,6 +297,7 @@
                 EditAction::ReadHistory(revision)
             }
             AttemptOutcome::StaleRead => self.verify(attempt),
+            AttemptOutcome::Lost => EditAction::Finish(EditOutcome::Unknown(attempt.edit)),
         }
     }
 
@@ -324,17 +329,21 @@
     if let Some(entry) = head.record.recent.iter().find(|entry| entry.edit == *edit) {
         return AttemptOutcome::Landed(entry.revision);
     }
-    if head.version < edit.head_version {
+    let is_lost = head.record.lost.is_some_and(|lost| lost.contains(edit.revision));
+    if is_lost && !attempt.refused {
+        return AttemptOutcome::Lost;
+    }
+    if head.state.version < edit.head_version {
         return AttemptOutcome::StaleRead;
     }
-    if head.version == edit.head_version {
+    if head.state.version == edit.head_version {
         // A refusal is final. Without a response, the write may still be delayed.
         return if attempt.refused { AttemptOutcome::NotLanded } else { AttemptOutcome::Undecided };
     }
     // A write that compares the old head version can no longer take effect. It
-    // took none if its revision does not exist yet or belongs to another edit.
+    // took none if its revision does not exist yet or the list of edits goes back to it.
     let is_conclusive =
-        head.record.revision < edit.revision || head.record.edit_of(edit.revision).is_some();
+        head.record.revision < edit.revision || head.record.lists_edits_since(edit.revision);
     if is_conclusive { AttemptOutcome::NotLanded } else { AttemptOutcome::NoLongerListed }
 }
 
@@ -380,8 +389,8 @@
 /// Builds the conditional write of an edit on the document as it was read.
 fn build_commit(request: &EditRequest, stored: &StoredDocument, nonce: &Nonce) -> EditCommit {
     let section = stored.sections.get(&request.section);
-    let revision = stored.head.record.revision.next();
-    let edit = EditId { revision, head_version: stored.head.version, nonce: nonce.clone() };
+    let revision = stored.head.record.next_revision();
+    let edit = EditId { revision, head_version: stored.head.state.version, nonce: nonce.clone() };
     let entry = EditEntry {
         revision,
         edit: edit.clone(),
@@ -393,7 +402,7 @@
     EditCommit {
         section: request.section.clone(),
         section_version: section.map_or_else(StoreVersion::default, |section| section.version),
-        head_version: stored.head.version,
+        head_state: stored.head.state.clone(),
         section_record: SectionRecord {
             revision,
             edit,
--- a/lib/document/src/records.rs
+++ b/lib/document/src/records.rs
@@ -36,6 +36,39 @@
     pub record: Record,
 }
 
+/// The head as it was read.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct StoredHead {
+    /// What a conditional write compares.
+    pub state: HeadState,
+    /// The decoded value.
+    pub record: HeadRecord,
+}
+
+impl StoredHead {
+    /// Decodes the head from the value and the version of its key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the value is not a valid record.
+    pub fn decode(version: StoreVersion, value: &[u8]) -> Result<Self, RecordError> {
+        let state = HeadState { version, value: value.into() };
+        Ok(Self { state, record: decode(HEAD_KEY, value)? })
+    }
+}
+
+/// The state of the head that a conditional write was prepared for.
+///
+/// A restored store gives versions out again, so the version alone may belong to two
+/// heads. Edits with their random ids make the values differ.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct HeadState {
+    /// The store's version of the key; 0 if it does not exist.
+    pub version: StoreVersion,
+    /// The value as stored; empty if the key does not exist.
+    pub value: Arc<[u8]>,
+}
+
 /// A section's text and the edit that wrote it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SectionRecord {
@@ -56,6 +89,10 @@
     pub revision: Revision,
     /// The most recent edits, newest first; at most [`RECENT_EDITS`].
     pub recent: Vec<EditEntry>,
+    /// The edits that the store lost when it was last restored from a copy; `None`
+    /// if it never was.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lost: Option<LostEdits>,
 }
 
 impl HeadRecord {
@@ -64,13 +101,68 @@
         let revision = entry.revision;
         let recent =
             std::iter::once(entry).chain(self.recent.iter().cloned()).take(RECENT_EDITS).collect();
-        Self { revision, recent }
+        Self { revision, recent, lost: self.lost }
     }
 
-    /// Returns the edit that made a revision; `None` if the head no longer
-    /// lists it.
-    pub fn edit_of(&self, revision: Revision) -> Option<&EditEntry> {
-        self.recent.iter().find(|entry| entry.revision == revision)
+    /// Returns the revision that the next edit makes: higher than all that were ever
+    /// given out, also by edits that the store lost.
+    pub fn next_revision(&self) -> Revision {
+        let lost = self.lost.map_or_else(Revision::default, |lost| lost.through);
+        self.revision.max(lost).next()
+    }
+
+    /// Returns whether the head lists every edit that made this revision or a later
+    /// one.
+    pub fn lists_edits_since(&self, revision: Revision) -> bool {
+        let is_complete = self.recent.len() < RECENT_EDITS;
+        is_complete || self.recent.last().is_some_and(|oldest| oldest.revision <= revision)
+    }
+
+    /// Returns the ids of the edits that the head lists, newest first.
+    pub fn edits(&self) -> Vec<EditId> {
+        self.recent.iter().map(|entry| entry.edit.clone()).collect()
+    }
+
+    /// Returns the head to be written if the store was restored from a copy older than
+    /// the document in force; `None` if it was not.
+    ///
+    /// The head must come from a linearizable read that started while the document was
+    /// in force. Only a restored store can then show a lower revision, or another
+    /// edit with the same one. With the returned head, the next edit makes a higher
+    /// revision than that in force. If an edit was accepted after the restore already,
+    /// the returned head itself has a higher revision, so that the edit takes effect.
+    pub fn after_restore(&self, in_force: &Document) -> Option<Self> {
+        let through = in_force.revision();
+        let has_unseen_edit = self.revision <= through
+            && self.recent.first().is_some_and(|newest| !in_force.may_contain(&newest.edit));
+        if !has_unseen_edit && self.next_revision() > through {
+            return None;
+        }
+        let kept = self.recent.iter().find(|entry| in_force.may_contain(&entry.edit));
+        let after = kept.map_or_else(Revision::default, |entry| entry.revision);
+        let revision = if has_unseen_edit { through.next() } else { self.revision };
+        let lost = Some(LostEdits { after, through });
+        Some(Self { revision, recent: self.recent.clone(), lost })
+    }
+}
+
+/// The revisions of edits that were accepted, and lost when the store was restored from
+/// a copy.
+///
+/// Instances keep the last of them in force until the next edit is accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[display("revisions {} to {through}", after.next())]
+pub struct LostEdits {
+    /// The last revision that the copy contains.
+    pub after: Revision,
+    /// The last revision that was in force.
+    pub through: Revision,
+}
+
+impl LostEdits {
+    /// Returns whether a revision is among the lost ones.
+    pub fn contains(&self, revision: Revision) -> bool {
+        self.after < revision && revision <= self.through
     }
 }
 
@@ -137,7 +229,7 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct StoredDocument {
     /// The head; the default if no edit was ever accepted.
-    pub head: Versioned<HeadRecord>,
+    pub head: StoredHead,
     /// The sections by name.
     pub sections: BTreeMap<SectionName, Versioned<SectionRecord>>,
 }
@@ -157,7 +249,7 @@
         let mut stored = Self::default();
         for (key, value, version) in entries {
             if key == HEAD_KEY {
-                stored.head = Versioned { version, record: decode(key, value)? };
+                stored.head = StoredHead::decode(version, value)?;
             } else if let Some(section) = section_of_key(key) {
                 let record = decode(key, value)?;
                 stored.sections.insert(section, Versioned { version, record });
@@ -180,7 +272,8 @@
     ///
     /// Fails with every error found, as [`Document::parse`] does.
     pub fn to_document(&self) -> Result<Document, Vec<DocumentError>> {
-        Document::parse(self.texts(), self.head.record.revision)
+        let document = Document::parse(self.texts(), self.head.record.revision)?;
+        Ok(document.with_edits(self.head.record.edits()))
     }
 }
 
--- a/standins/tests/test_store.rs
+++ b/standins/tests/test_store.rs
@@ -22,7 +22,7 @@
 }
 
 fn unchanged_since(key: &str, mod_revision: u64) -> Compare {
-    Compare { key: key.to_owned(), mod_revision }
+    Compare { key: key.to_owned(), mod_revision, value: None }
 }
 
 fn post(url: String, body: &Value) -> (u16, Value) {
@@ -55,6 +55,21 @@
     assert_eq!(entries, [("a/1", b"x".as_slice(), 2), ("a/2", b"z".as_slice(), 3)]);
 }
 
+#[test]
+fn test_adapter_compares_values_of_equal_revision() {
+    let (_store, adapter) = start();
+    let CommitOutcome::Committed(revision) = adapter.commit(&[], &[put("a", "x")]).unwrap() else {
+        panic!("a write without conditions was refused");
+    };
+    let holding = |value: &str| Compare {
+        value: Some(value.as_bytes().to_vec()),
+        ..unchanged_since("a", revision)
+    };
+    assert_eq!(adapter.commit(&[holding("y")], &[put("a", "z")]), Ok(CommitOutcome::Conflict));
+    let committed = adapter.commit(&[holding("x")], &[put("a", "z")]);
+    assert_eq!(committed, Ok(CommitOutcome::Committed(revision + 1)));
+}
+
 #[test]
 fn test_values_of_a_megabyte_fit() {
     let (_store, adapter) = start();
@@ -113,6 +128,18 @@
     assert_eq!(post(format!("{control}/nonsense"), &json!({})).0, 404);
 }
 
+#[test]
+fn test_restored_store_loses_later_writes_and_gives_their_revisions_out_again() {
+    let (store, adapter) = start();
+    let control = format!("http://{}", store.control_address());
+    adapter.commit(&[], &[put("a", "kept")]).unwrap();
+    assert_eq!(post(format!("{control}/copy"), &json!({})).0, 200);
+    let lost = adapter.commit(&[], &[put("a", "lost")]).unwrap();
+    assert_eq!(post(format!("{control}/restore"), &json!({})).0, 200);
+    assert_eq!(adapter.read_prefix("a").unwrap().entries[0].value, b"kept");
+    assert_eq!(adapter.commit(&[], &[put("b", "x")]).unwrap(), lost);
+}
+
 #[test]
 fn test_watch_streams_events_from_a_revision() {
     let (store, adapter) = start();
