event_loop: an address without a route raises the suspicion that its primary is gone

Callers of a group got nothing as long as its record named a primary at an address that the system refuses to connect to at once, such as a subnet's broadcast address in an entry of another writer, or any address while the machine has no route to it. A connection that times out or is refused later raises a suspicion and leads to a replacement; one that can't even be opened counted as closed, which raises none, so the primary was never replaced.

An unreachable network or host now counts like a machine that answers nothing, for connections of callers, of owners and of the coordinator. Other errors on opening, such as too many open files, still say nothing of the server.

--- a/lib/proxy/src/event_loop/outbound.rs
+++ b/lib/proxy/src/event_loop/outbound.rs
@@ -17,6 +17,7 @@
 use slog::{debug, info, warn};
 
 use super::followers::InstanceCall;
+use super::serve::loss_of_unopened;
 use super::{CONNECT_TIMEOUT, Connection, EventLoop, Loss, StoreUse, Use};
 use crate::coordinator::{ControlFailure, CoordinatorAction, Purpose};
 use crate::engine::Context;
@@ -306,7 +307,7 @@
                     Err(error) => {
                         warn!(self.log, "connection for a command to a server can't be opened";
                             "server" => %server, "error" => %error);
-                        self.control_failed(&group, &server, &command, Loss::Closed);
+                        self.control_failed(&group, &server, &command, loss_of_unopened(&error));
                     }
                 }
             }
--- a/lib/proxy/src/event_loop/relayed.rs
+++ b/lib/proxy/src/event_loop/relayed.rs
@@ -13,7 +13,7 @@
 
 use super::{CONNECT_TIMEOUT, Connection, EventLoop, Use};
 use crate::engine::{Context, Loss};
-use crate::event_loop::serve::take_status;
+use crate::event_loop::serve::{loss_of_unopened, take_status};
 use crate::frames;
 use crate::moment::SteadyClock;
 use crate::protocol::{Platform, UpstreamProtocol};
@@ -91,7 +91,7 @@
                 warn!(self.log, "pooled connection to a server can't be opened"; "server" => %server,
                     "error" => %error);
                 let context = Context { view: &self.view, now: self.now };
-                self.engine.relays.remove_connection(context, id, Loss::Closed);
+                self.engine.relays.remove_connection(context, id, loss_of_unopened(&error));
             }
         }
     }
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -196,7 +196,7 @@
                 warn!(self.log, "connection to a server for this instance's callers can't be opened"; "server" => %server,
                     "error" => %error);
                 let context = Context { view: &self.view, now: self.now };
-                self.engine.connection_lost(context, id, Loss::Closed);
+                self.engine.connection_lost(context, id, loss_of_unopened(&error));
             }
         }
     }
@@ -532,6 +532,18 @@
     }
 }
 
+/// Returns how a connection counts that the system refused to open.
+///
+/// An address without a route is the same to callers as a machine that answers nothing.
+/// Other errors, such as too many open files, say nothing of the server.
+pub(super) fn loss_of_unopened(error: &io::Error) -> Loss {
+    match error.kind() {
+        io::ErrorKind::NetworkUnreachable | io::ErrorKind::HostUnreachable => Loss::Silent,
+        io::ErrorKind::ConnectionRefused => Loss::Refused,
+        _ => Loss::Closed,
+    }
+}
+
 /// Returns the timeout of a connection once it is established, `None` if it has
 /// none.
 fn established_timeout(used_for: &Use) -> Option<Duration> {
