store_sync: items are listed again if a watch's answer is too long to be read

After an outage of the store an instance stopped following it for good if the changes of meanwhile took more than 8 MiB: its watch names the revision that it knows, so each repeat got the same answer and more, was refused for its length, and was made again. Configurations, servers that came or left, and group records didn't reach it any more. One writer that rewrites one entry of 1 MiB ten times while the store is out is enough; a few large configurations would do it too.

Such an answer now ends the watch, and the items are listed: a list has only the last value of each item, and the store sends it in pages of about 1 MB. The usual backoff after a failure applies. Answers that can't be read for another reason are repeated as before, since a list would fare no better.

--- a/lib/proxy/src/event_loop/outbound.rs
+++ b/lib/proxy/src/event_loop/outbound.rs
@@ -149,6 +149,11 @@
                 warn!(self.log, "answer to a store call can't be read"; "call" => store_call.name(),
                     "reason" => error.reason);
                 self.close(token);
+                if error.is_too_large && matches!(store_use, StoreUse::Sync) {
+                    // The same watch would get the same changes and more. A list has only
+                    // the last value of each item, and comes in pages.
+                    self.store_sync.list_again();
+                }
                 self.store_answered(store_use, &store_call, called_at, None);
             }
         }
--- a/lib/proxy/src/store_sync.rs
+++ b/lib/proxy/src/store_sync.rs
@@ -174,7 +174,7 @@
                 effect.changes = view.apply(&events, store);
                 view.confirm(self.called_at.saturating_sub(age), revision);
             }
-            Some(StoreAnswer::HistoryGone) => self.restart(),
+            Some(StoreAnswer::HistoryGone) => self.list_again(),
             Some(_) | None => {
                 self.failures += 1;
                 // Eight times the initial backoff is `MAX_BACKOFF`.
@@ -183,7 +183,7 @@
                 self.not_before = now + backoff.min(longest);
                 effect.is_newly_failing = !std::mem::replace(&mut self.is_failing, true);
                 if !self.is_complete() {
-                    self.restart();
+                    self.list_again();
                 }
                 return effect;
             }
@@ -228,8 +228,8 @@
         }
     }
 
-    /// Discards the list and starts a new one.
-    fn restart(&mut self) {
+    /// Lists all items with the next calls, from the first page on.
+    pub fn list_again(&mut self) {
         self.state = State::Listing { after: None, items: Vec::new(), started: None };
     }
 
