store_cache: the history of changes is bounded in bytes

Each instance keeps the last 4096 changes of the store for the instances that follow it, whatever their length. A writer that rewrites one entry of 1 MiB, the longest value that the store takes, would have filled 4 GiB of each instance's memory, after which the system ends the process. Followers would not have had those changes either: an answer of more than 8 MiB isn't read.

The history is now also bounded to 4 MiB, half of what an answer may have. A follower that is further behind lists the items, as one that is more than 4096 changes behind already did.

--- a/lib/proxy/src/store_cache.rs
+++ b/lib/proxy/src/store_cache.rs
@@ -20,6 +20,9 @@
 /// How many changes are kept for followers; a follower that is further behind has to
 /// list all items.
 const MAX_HISTORY_CHANGES: usize = 4096;
+/// The most bytes of keys and values in the changes that are kept; half of what an answer
+/// to another instance may have.
+const MAX_HISTORY_BYTES: usize = 4 << 20;
 /// The age of the view from which other instances' calls are not answered from the
 /// cache.
 ///
@@ -33,6 +36,8 @@
 pub struct StoreCache {
     items: BTreeMap<Arc<str>, Item>,
     history: VecDeque<(u64, StoreEvent)>,
+    /// The bytes of the history's keys and values.
+    history_bytes: usize,
     /// The revision after which the history holds all changes.
     history_after: u64,
 }
@@ -43,6 +48,7 @@
     pub fn replace(&mut self, items: &[Item], revision: u64) {
         self.items = items.iter().map(|item| (item.key.clone(), item.clone())).collect();
         self.history.clear();
+        self.history_bytes = 0;
         self.history_after = revision;
     }
 
@@ -59,12 +65,15 @@
                     *revision
                 }
             };
+            self.history_bytes += size_of_event(event);
             self.history.push_back((revision, event.clone()));
         }
-        while self.history.len() > MAX_HISTORY_CHANGES {
-            if let Some((revision, _)) = self.history.pop_front() {
-                self.history_after = revision;
-            }
+        while self.history.len() > MAX_HISTORY_CHANGES || self.history_bytes > MAX_HISTORY_BYTES {
+            let Some((revision, event)) = self.history.pop_front() else {
+                return;
+            };
+            self.history_bytes -= size_of_event(&event);
+            self.history_after = revision;
         }
     }
 
@@ -119,6 +128,14 @@
     }
 }
 
+/// Returns the bytes of a change's key and value.
+fn size_of_event(event: &StoreEvent) -> usize {
+    match event {
+        StoreEvent::Written(item) => item.key.len() + item.value.len(),
+        StoreEvent::Removed { key, .. } => key.len(),
+    }
+}
+
 /// Returns the instance of a failure domain that watches the store, none if the domain has
 /// no live instance. All instances with the same view get the same result.
 ///
