store_view: an item that can't be used is reported once and not with each write

Each instance logged a warning whenever an odd entry was written again, so a writer that renews its entry like a server with each heartbeat filled the logs of the whole fleet with one line. The view now remembers the reason that it reported for an item, until the item is used or removed, or the reason changes; a full list keeps what was reported.

--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -4,7 +4,7 @@
 //! by the events of a watch. Group records also reach it from other instances and
 //! from this instance's own commits; the record of the highest epoch wins.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -51,7 +51,8 @@
     /// A membership, live key, suspicion or the coordinator role changed, or a group's
     /// record was written, even if unchanged, or removed.
     Coordination,
-    /// The item of this key can't be used, for this reason.
+    /// The item of this key can't be used, for this reason. Reported once until the item
+    /// is used or removed, or the reason changes.
     Unusable(Arc<str>, &'static str),
 }
 
@@ -69,6 +70,8 @@
     live: BTreeMap<InstanceId, u64>,
     suspicions: BTreeMap<(GroupId, InstanceId), Versioned<DoubtRecord>>,
     coordinator_role: Option<CoordinatorRole>,
+    /// The items that can't be used, with the reasons that were reported.
+    unusable: HashMap<Arc<str>, &'static str>,
     confirmed_at: Option<Moment>,
     revision: u64,
 }
@@ -237,6 +240,8 @@
         self.live.clear();
         self.suspicions.clear();
         self.coordinator_role = None;
+        let listed: HashSet<&Arc<str>> = items.iter().map(|item| &item.key).collect();
+        self.unusable.retain(|key, _| listed.contains(key));
         for item in items {
             self.apply_item(item, store, &mut changes);
         }
@@ -279,6 +284,7 @@
     where
         Store: StoreProtocol,
     {
+        let previous_reason = self.unusable.remove(&item.key);
         match store.parse_content(&item.key, &item.value) {
             StoreContent::Document(document) => {
                 let known = self.document.as_ref().map(|known| known.version);
@@ -298,16 +304,36 @@
                     self.remove_from_group(&known);
                 }
             }
-            StoreContent::Record => self.apply_record(item, changes),
+            StoreContent::Record => self.apply_record(item, previous_reason, changes),
             StoreContent::Unrelated => {}
             StoreContent::Unusable(reason) => {
                 self.remove(&item.key, changes);
-                changes.push(ViewChange::Unusable(item.key.clone(), reason));
+                self.report_unusable(item, reason, previous_reason, changes);
             }
         }
     }
 
-    fn apply_record(&mut self, item: &Item, changes: &mut Vec<ViewChange>) {
+    /// Reports an item that can't be used, unless it was reported for the same reason: its
+    /// writer may write it again and again.
+    fn report_unusable(
+        &mut self,
+        item: &Item,
+        reason: &'static str,
+        previous_reason: Option<&'static str>,
+        changes: &mut Vec<ViewChange>,
+    ) {
+        self.unusable.insert(item.key.clone(), reason);
+        if previous_reason != Some(reason) {
+            changes.push(ViewChange::Unusable(item.key.clone(), reason));
+        }
+    }
+
+    fn apply_record(
+        &mut self,
+        item: &Item,
+        previous_reason: Option<&'static str>,
+        changes: &mut Vec<ViewChange>,
+    ) {
         let Some(key) = StoreKey::parse(&item.key) else {
             return;
         };
@@ -341,7 +367,8 @@
         if is_decoded {
             changes.push(ViewChange::Coordination);
         } else {
-            changes.push(ViewChange::Unusable(item.key.clone(), "the record can't be read"));
+            let reason = "the record can't be read";
+            self.report_unusable(item, reason, previous_reason, changes);
         }
     }
 
@@ -402,6 +429,7 @@
     }
 
     fn remove(&mut self, key: &Arc<str>, changes: &mut Vec<ViewChange>) {
+        self.unusable.remove(key);
         if let Some(id) = self.server_keys.remove(key) {
             if let Some(server) = self.servers.remove(&id) {
                 self.remove_from_group(&server);
