store, instance_list: an entry that can't be parsed leaves the others in place

Instances of the PostgreSQL product kept their last list of instances, or had none after a start, as long as one entry of the platform's list was nested more than 128 levels deep, had a number such as 1e400, half of a surrogate pair, or bytes that are not UTF-8: the list was parsed as a whole before its entries were, and failed as a whole. It was reported as unreachable, at the debug level only.

The list is now split into its entries first, which are then parsed one by one; the splitting needs neither numbers nor texts and is not recursive. Entries that aren't understood are left out as before. Bytes that are not UTF-8 are replaced, so they only spoil their own entry.

--- a/lib/store/src/instance_list.rs
+++ b/lib/store/src/instance_list.rs
@@ -10,6 +10,7 @@
 use displaydoc::Display;
 use masticreel_base::ids::{FailureDomain, InstanceId};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::http::http_client;
 
@@ -74,12 +75,14 @@
 
 impl InstanceList for HttpInstanceList {
     fn read(&self) -> Result<Vec<ListedInstance>, ListError> {
-        let entries: Vec<serde_json::Value> = self
-            .client
-            .get(&*self.url)
-            .call()
-            .and_then(|mut response| response.body_mut().read_json())
+        let unavailable = |error: ureq::Error| ListError::Unavailable(error.to_string());
+        let mut response = self.client.get(&*self.url).call().map_err(unavailable)?;
+        let body = response.body_mut().read_to_vec().map_err(unavailable)?;
+        // Entries are parsed one by one, since an error in one, such as a number that is
+        // too large or deep nesting, would otherwise make the list as a whole invalid.
+        let body = String::from_utf8_lossy(&body);
+        let entries: Vec<&RawValue> = serde_json::from_str(&body)
             .map_err(|error| ListError::Unavailable(error.to_string()))?;
-        Ok(entries.into_iter().filter_map(|entry| serde_json::from_value(entry).ok()).collect())
+        Ok(entries.into_iter().filter_map(|entry| serde_json::from_str(entry.get()).ok()).collect())
     }
 }
