daemon, tests: a failed count names its write

test_thawed_primary_acknowledges_nothing counts three writes in a loop. It failed in one of 22 runs beside load (0 instead of 1), and nothing told which of them was missing: an acknowledged write that was lost, or one of another session that a replica had not applied yet.

--- a/daemon/tests/test_failover.rs
+++ b/daemon/tests/test_failover.rs
@@ -80,7 +80,7 @@
     deployment.wait_for_role(0, "replica", FAILOVER_TIMEOUT).expect("the old primary follows");
     insert(&mut client, "later");
     for id in ["before", &after, "later"] {
-        assert_eq!(count(&mut other, id), "1");
+        assert_eq!(count(&mut other, id), "1", "the write of {id}");
     }
 }
 
