--- a/lib/proxy/src/event_loop/outbound.rs
+++ b/lib/proxy/src/event_loop/outbound.rs
@@ -17,6 +17,7 @@
 use slog::{debug, info, warn};
 
 use super::followers::InstanceCall;
+use super::serve::loss_of_unopened;
 use super::{CONNECT_TIMEOUT, Connection, EventLoop, Loss, StoreUse, Use};
 use crate::coordinator::{ControlFailure, CoordinatorAction, Purpose};
 use crate::engine::Context;
@@ -148,6 +149,11 @@
                 warn!(self.log, "answer to a store call can't be read"; "call" => store_call.name(),
                     "reason" => error.reason);
                 self.close(token);
+                if error.is_too_large && matches!(store_use, StoreUse::Sync) {
+                    // The same watch would get the same changes and more. A list has only
+                    // the last value of each item, and comes in pages.
+                    self.store_sync.list_again();
+                }
                 self.store_answered(store_use, &store_call, called_at, None);
             }
         }
@@ -306,7 +312,7 @@
                     Err(error) => {
                         warn!(self.log, "connection for a command to a server can't be opened";
                             "server" => %server, "error" => %error);
-                        self.control_failed(&group, &server, &command, Loss::Closed);
+                        self.control_failed(&group, &server, &command, loss_of_unopened(&error));
                     }
                 }
             }
