proxy: a group's record that the store lost is written again

What callers saw: where the primary had been replaced in the seconds that the store lost, the new primary could not be replaced any more.

Cause: the instances keep the newest record that they know, as they must, but with the revision that it had in the lost store.

Fix: the record that is kept takes the revision of what the store has instead, and the instances write it again under that condition: the active coordinator at once, the others one after the other by a rank, 40 ms apart, because the coordinator may not know the newest. So instances that start then learn of it. Epochs have the era in their upper half: a record that is written in an era prevails over all that were lost, also if its writer did not know them.

Tests: the three new ones of test_store_restored failed with a view that treats a list of a new era like any other (as before). `cargo test -p masticreel-proxy -p masticreel-platform`: all pass.

--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -59,6 +59,8 @@
     Choose(GroupId),
     /// Allow the use of a group's new primary.
     Publish(GroupId),
+    /// Write a group's record again that the store has lost.
+    Restore(GroupId),
 }
 
 /// An action that the event loop carries out for the coordinator.
@@ -125,6 +127,8 @@
     members_checked_at: Moment,
     /// Calls to the store that failed in a row.
     store_failures: u32,
+    /// Since when the store has been known to have lost the groups' records.
+    lost_since: HashMap<GroupId, Moment>,
     /// When this instance last committed a new primary of a group.
     replaced_at: HashMap<GroupId, Moment>,
     /// The replacements in progress; empty unless this instance is the active
@@ -189,6 +193,7 @@
             members_without_lease: HashMap::new(),
             members_checked_at: Moment::default(),
             store_failures: 0,
+            lost_since: HashMap::new(),
             replaced_at: HashMap::new(),
             replacements: BTreeMap::new(),
             replaced_primaries: HashMap::new(),
@@ -244,6 +249,7 @@
         self.probe_suspected_primaries(view, now);
         self.write_suspicions(view, now);
         self.maintain_role(view, now);
+        self.restore_lost_records(view, now);
         if self.is_active(view, now) {
             self.remove_expired_members(view, now);
             self.create_group_records(view, now);
@@ -295,6 +301,7 @@
         self.registers_unconditionally = false;
         self.stored_suspicions.clear();
         self.replacements.clear();
+        self.announcements.clear();
         self.active_since = None;
         self.vacant_since = None;
         self.members_without_lease.clear();
--- a/lib/proxy/src/coordinator/coordinator_role.rs
+++ b/lib/proxy/src/coordinator/coordinator_role.rs
@@ -19,6 +19,7 @@
     COORDINATOR_KEY, GroupRecord, Phase, StoreAnswer, StoreCall, Write, group_key, member_key,
 };
 use crate::statement::Role;
+use crate::store_era::next_epoch;
 use crate::store_view::StoreView;
 
 /// How much of the lifetime of the holder's store lease must be left for the
@@ -186,7 +187,7 @@
                 continue;
             };
             let record = GroupRecord {
-                epoch: 1,
+                epoch: next_epoch(0, view.era()),
                 phase: Phase::Serving,
                 primary,
                 term: Term(0),
--- a/lib/proxy/src/coordinator/replacement.rs
+++ b/lib/proxy/src/coordinator/replacement.rs
@@ -21,6 +21,7 @@
 
 use masticreel_base::ids::{GroupId, InstanceId, ServerId, Term};
 use slog::{info, warn};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::coordinator::registration::{PROBING_MEMBER_COUNT, probing_members};
 use crate::coordinator::{Coordinator, CoordinatorAction, Purpose};
@@ -30,6 +31,7 @@
 use crate::records::{GroupRecord, Phase, StoreAnswer, StoreCall, SuspicionKind, Write, group_key};
 use crate::relays::{is_relayed, rank_owners};
 use crate::statement::{Command, Role, ServerStatus};
+use crate::store_era::next_epoch;
 use crate::store_view::StoreView;
 
 /// How long a server's status is used in a replacement after it was received, how
@@ -47,6 +49,11 @@
 /// How long a primary that dropped all work, or that has just been made the primary again,
 /// is not made the primary again.
 const UNFIT_PERIOD: Duration = Duration::from_secs(30);
+/// The time between the writes of two instances that write the same lost record again, longer
+/// than most writes take to be seen.
+const RESTORE_INTERVAL: Duration = Duration::from_millis(40);
+/// The most such times that an instance waits.
+const MAX_RESTORE_RANK: u32 = 75;
 /// How long step-down commands are sent to a replaced primary.
 const DEMOTION_PERIOD: Duration = Duration::from_secs(10);
 /// The time between two step-down commands to a replaced primary.
@@ -191,6 +198,18 @@
     }
 }
 
+/// Returns how many members come before an instance in the order in which they write a
+/// group's lost record again.
+fn rank_of(view: &StoreView, own: &InstanceId, group: &GroupId) -> u32 {
+    let seed = xxh3_64(group.as_str().as_bytes());
+    let place = |instance: &InstanceId| {
+        (xxh3_64_with_seed(instance.as_str().as_bytes(), seed), instance.clone())
+    };
+    let own = place(own);
+    let before = view.members().filter(|(instance, _)| place(instance) < own).count();
+    u32::try_from(before).unwrap_or(u32::MAX)
+}
+
 impl Coordinator {
     /// Requests the write of the record that blocks the primary, for each group whose
     /// primary is leaving, missing or suspected, and creates the [`Replacement`] of
@@ -227,7 +246,7 @@
                 continue;
             };
             let blocked = GroupRecord {
-                epoch: record.epoch + 1,
+                epoch: next_epoch(record.epoch, view.era()),
                 phase: Phase::Changing,
                 candidate: None,
                 ..record.clone()
@@ -351,6 +370,39 @@
         is_called
     }
 
+    /// Writes the records again that the store lost when it came back from an older copy, so
+    /// that instances which start now learn of them: the active coordinator at once, the
+    /// others one after the other, as it may not know the newest.
+    pub(super) fn restore_lost_records(&mut self, view: &StoreView, now: Moment) {
+        self.lost_since.retain(|group, _| view.lost_records().any(|(lost, _)| lost == group));
+        if !view.shows_present_era() {
+            return;
+        }
+        let is_active = self.is_active(view, now);
+        for (group, revision) in view.lost_records() {
+            let Some(record) = view.group(group).cloned() else {
+                continue;
+            };
+            let since = *self.lost_since.entry(group.clone()).or_insert(now);
+            let delay =
+                RESTORE_INTERVAL * rank_of(view, &self.instance, group).min(MAX_RESTORE_RANK);
+            if !is_active && now < since + delay {
+                continue;
+            }
+            let key = group_key(group);
+            let value = serde_json::to_vec(&record).expect("a record is made of plain values");
+            let writes = vec![Write { key: key.clone(), value: Some(value), lease: None }];
+            let call = StoreCall::Commit { expected: vec![(key, revision)], writes };
+            let purpose = Purpose::Restore(group.clone());
+            if self.call(now, purpose.clone(), call) {
+                info!(self.log, "record that the store has lost is written again";
+                    "group" => %group, "epoch" => record.epoch, "phase" => %record.phase,
+                    "primary" => %record.primary);
+                self.uncommitted_records.insert(purpose, (group.clone(), record));
+            }
+        }
+    }
+
     pub(super) fn handle_record_answer(
         &mut self,
         now: Moment,
--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -20,6 +20,7 @@
 use crate::protocol::PromotionRequest;
 use crate::records::{GroupRecord, MemberRecord, Phase};
 use crate::statement::{Command, Role};
+use crate::store_era::next_epoch;
 use crate::store_view::{StoreView, Versioned};
 
 /// The time from a server's answer to the next status query to it, shortly after
@@ -468,7 +469,7 @@
             return;
         };
         let published = GroupRecord {
-            epoch: record.epoch + 1,
+            epoch: next_epoch(record.epoch, view.era()),
             phase: Phase::Serving,
             primary: new_primary.clone(),
             term,
--- a/lib/proxy/src/store_era.rs
+++ b/lib/proxy/src/store_era.rs
@@ -27,3 +27,15 @@
 pub fn revision_of_store(revision: u64) -> u64 {
     revision & ((1 << REVISION_BITS) - 1)
 }
+
+/// The first epoch of a group's records that are written in an era. Epochs of an era are
+/// higher than all of earlier ones, also those of records that the store has lost.
+fn first_epoch(era: u64) -> u64 {
+    (era << 32) + 1
+}
+
+/// Returns the epoch of the record that follows one of the given epoch, zero for the group's
+/// first record.
+pub fn next_epoch(epoch: u64, era: u64) -> u64 {
+    (epoch + 1).max(first_epoch(era))
+}
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -66,6 +66,9 @@
     /// Primaries whose entries were removed, with their last values.
     removed_primaries: HashMap<ServerId, Server>,
     groups: HashMap<GroupId, Versioned<GroupRecord>>,
+    /// Groups of which a store that came back from an older copy has an older record than
+    /// this view or none, with the revision of that, zero if there is none.
+    lost_records: HashMap<GroupId, u64>,
     members: BTreeMap<InstanceId, Versioned<MemberRecord>>,
     live: BTreeMap<InstanceId, u64>,
     suspicions: BTreeMap<(GroupId, InstanceId), Versioned<DoubtRecord>>,
@@ -134,6 +137,12 @@
         self.groups.iter()
     }
 
+    /// Returns the groups whose newest record was lost when the store came back from an older
+    /// copy, with the revision of what it has instead, zero if it has none.
+    pub fn lost_records(&self) -> impl Iterator<Item = (&GroupId, u64)> {
+        self.lost_records.iter().map(|(group, revision)| (group, *revision))
+    }
+
     /// Returns an instance's membership.
     pub fn member(&self, instance: &InstanceId) -> Option<&MemberRecord> {
         self.members.get(instance).map(|versioned| &versioned.value)
@@ -251,6 +260,8 @@
         let servers = std::mem::take(&mut self.servers);
         let previous_ids: Vec<ServerId> = servers.keys().cloned().collect();
         let groups = std::mem::take(&mut self.groups);
+        let were_lost = std::mem::take(&mut self.lost_records);
+        let is_new_era = !self.shows_present_era();
         self.server_keys.clear();
         self.servers_by_group.clear();
         self.members.clear();
@@ -267,8 +278,16 @@
         }
         changes.extend(previous_ids.into_iter().map(ViewChange::Server));
         // A record received from another instance may be newer than the listed one.
-        for (group, record) in groups {
-            self.keep_newer_record(&group, record, &mut changes);
+        for (group, mut record) in groups {
+            let listed = self.groups.get(&group);
+            let is_older = listed.is_none_or(|listed| listed.value.epoch < record.value.epoch);
+            if is_older && (is_new_era || were_lost.contains_key(&group)) {
+                record.revision = listed.map_or(0, |listed| listed.revision);
+                self.lost_records.insert(group.clone(), record.revision);
+                self.groups.insert(group, record);
+            } else {
+                self.keep_newer_record(&group, record, &mut changes);
+            }
         }
         changes.push(ViewChange::Coordination);
         changes
@@ -411,10 +430,21 @@
         record: Versioned<GroupRecord>,
         changes: &mut Vec<ViewChange>,
     ) {
-        let known = self.groups.get(group);
-        let is_newer = known.is_none_or(|known| {
+        let known = self.groups.get_mut(group);
+        let is_newer = known.as_ref().is_none_or(|known| {
             (record.value.epoch, record.revision) > (known.value.epoch, known.revision)
         });
+        if is_newer && record.revision > 0 {
+            self.lost_records.remove(group);
+        }
+        // Another instance has written a record that is older too.
+        if let (false, Some(known), Some(lost)) =
+            (is_newer, known, self.lost_records.get_mut(group))
+            && record.revision > *lost
+        {
+            known.revision = record.revision;
+            *lost = record.revision;
+        }
         if is_newer {
             self.groups.insert(group.clone(), record);
             changes.push(ViewChange::Group(group.clone()));
@@ -434,6 +464,7 @@
             Some(StoreKey::Coordinator) => self.coordinator_role = None,
             Some(StoreKey::Group(group)) => {
                 self.groups.remove(&group);
+                self.lost_records.remove(&group);
                 changes.push(ViewChange::Group(group));
             }
             Some(StoreKey::Member(instance)) => {
--- a/lib/proxy/tests/test_store_restored.rs
+++ b/lib/proxy/tests/test_store_restored.rs
@@ -5,8 +5,10 @@
 
 use masticreel_proxy::coordinator::{Coordinator, CoordinatorAction as Action, Purpose};
 use masticreel_proxy::records::{
-    COORDINATOR_KEY, DoubtRecord, StoreAnswer, StoreCall, SuspicionKind, live_key, suspicion_key,
+    COORDINATOR_KEY, DoubtRecord, GroupRecord, Phase, StoreAnswer, StoreCall, StoreEvent,
+    SuspicionKind, group_key, live_key, suspicion_key,
 };
+use masticreel_proxy::statement::Role;
 use masticreel_proxy::store_era::era_of;
 use support::{Fixture, OWN, coordinator, group, is_for, ms, tick_with_store};
 
@@ -165,3 +167,100 @@
     };
     assert_eq!(writes[0].lease, Some(SECOND_ERA + 5));
 }
+
+/// Lets the store come back from a copy that has the group's first record, while the instance
+/// knows the second one, which has another primary; returns the revision of the copy's record.
+fn restore_older_record(fixture: &mut Fixture, coordinator: &mut Coordinator) -> u64 {
+    let key = group_key(&group());
+    let copy = fixture.items[&key].clone();
+    fixture.put_record(2, Phase::Serving, "s2");
+    fixture.refresh();
+    fixture.items.insert(key.clone(), copy);
+    restore(fixture, coordinator);
+    fixture.refresh();
+    let record = fixture.view.versioned_group(&group()).expect("it has a record");
+    assert_eq!((record.value.primary.as_str(), record.value.epoch), ("s2", 2));
+    fixture.items[&key].revision
+}
+
+/// Guards against a primary that can't be replaced any more: all conditions named the revision
+/// of a record that the store had lost.
+#[test]
+fn test_primary_is_replaced_though_the_store_has_lost_its_record() {
+    let mut fixture = Fixture::serving();
+    fixture.make_coordinator();
+    let mut coordinator = settled(&mut fixture);
+    restore_older_record(&mut fixture, &mut coordinator);
+    fixture.put_server("s2", Role::Primary, true);
+    let mut blocked = None;
+    for _ in 0..40 {
+        fixture.refresh();
+        coordinator.tick(&fixture.view, fixture.now);
+        for action in coordinator.take_actions() {
+            let Action::Store(purpose, call) = action else { continue };
+            let answer = match &call {
+                StoreCall::Grant { lifetime } => {
+                    StoreAnswer::Lease { lease: 6, lifetime: *lifetime }
+                }
+                StoreCall::Renew { .. } => StoreAnswer::Lease { lease: 0, lifetime: ms(3200) },
+                call => fixture.commit(call),
+            };
+            coordinator.store_answered(fixture.now, fixture.now, &purpose, Some(&answer));
+        }
+        fixture.advance(ms(50));
+        let key = group_key(&group());
+        let record: GroupRecord =
+            serde_json::from_slice(&fixture.items[&key].value).expect("it is a record");
+        blocked = Some(record).filter(|record| record.phase == Phase::Changing).or(blocked);
+    }
+    let blocked = blocked.expect("the primary is blocked");
+    assert_eq!(blocked.primary.as_str(), "s2");
+    assert!(blocked.epoch > 1 << 32, "higher than any that was lost: {}", blocked.epoch);
+}
+
+/// Guards against instances that start after the restore and use the primary that the copy
+/// names.
+#[test]
+fn test_lost_record_is_written_again_by_those_who_know_it() {
+    let mut fixture = Fixture::serving();
+    for number in 2..=9 {
+        fixture.put_member(&format!("proxy-{number}"), 1);
+    }
+    let mut coordinator = settled(&mut fixture);
+    let revision = restore_older_record(&mut fixture, &mut coordinator);
+    let mut written = Vec::new();
+    for _ in 0..50 {
+        coordinator.tick(&fixture.view, fixture.now);
+        written.extend(commits(&coordinator.take_actions(), &Purpose::Restore(group())));
+        fixture.advance(ms(10));
+    }
+    let [call @ StoreCall::Commit { expected, .. }] = written.as_slice() else {
+        panic!("expected one write, got {written:?}");
+    };
+    assert_eq!(expected, &[(group_key(&group()), revision)]);
+    let answer = fixture.commit(call);
+    coordinator.store_answered(fixture.now, fixture.now, &Purpose::Restore(group()), Some(&answer));
+    fixture.refresh();
+    assert_eq!(fixture.view.lost_records().count(), 0);
+    coordinator.tick(&fixture.view, fixture.now + ms(1000));
+    assert!(commits(&coordinator.take_actions(), &Purpose::Restore(group())).is_empty());
+}
+
+/// Guards against a lost record that is never written again because an instance that knew only
+/// an older one was faster.
+#[test]
+fn test_lost_record_replaces_an_older_one_that_was_written_again() {
+    let mut fixture = Fixture::serving();
+    let mut coordinator = settled(&mut fixture);
+    restore_older_record(&mut fixture, &mut coordinator);
+    fixture.revision += 1;
+    let key = group_key(&group());
+    let item = fixture.items.get_mut(&key).expect("the copy has a record");
+    item.revision = fixture.revision;
+    let event = StoreEvent::Written(item.clone());
+    fixture.view.apply(&[event], &fixture.store);
+    let record = fixture.view.versioned_group(&group()).expect("it has a record");
+    assert_eq!((record.value.epoch, record.revision), (2, fixture.revision));
+    let lost: Vec<_> = fixture.view.lost_records().collect();
+    assert_eq!(lost, [(&group(), fixture.revision)]);
+}
