proxy: a primary lease is extended in a new era once the record is settled

An instance that started after the store had come back from an older copy used the primary that the copy named at once, though it may have been replaced in the lost seconds: it read from a replica as from the primary.

Now a record of an earlier era confirms nothing: an instance goes on by its lease of before, a new one has none. The active coordinator settles each record 2.4 s after it learned of the era, when no promotion of the lost seconds can be under way: if the statuses show that the recorded primary leads and no server has a newer term, it writes the record with an epoch of the era; otherwise it replaces the primary. That is one write and one status query per server and group. Records without an era in their epoch are used as before.

Tests: the three new ones of test_store_restored failed with the leases extended as before and without the settlement. `cargo test -p masticreel-proxy -p masticreel-platform`: all pass.

--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -13,6 +13,7 @@
 mod coordinator_role;
 mod registration;
 mod replacement;
+mod settlement;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -59,6 +60,8 @@
     Choose(GroupId),
     /// Allow the use of a group's new primary.
     Publish(GroupId),
+    /// Write a group's record with an epoch of the store's new era.
+    Settle(GroupId),
     /// Write a group's record again that the store has lost.
     Restore(GroupId),
 }
@@ -112,6 +115,8 @@
     in_flight: BTreeMap<Purpose, u64>,
     /// The era of the store.
     era: u64,
+    /// The era of the view, and since when that has been known.
+    era_known_since: Option<(u64, Moment)>,
     /// Until when the next call for a purpose is delayed.
     not_before: HashMap<Purpose, Moment>,
     /// Purposes whose last call failed, so that their delay is a backoff.
@@ -127,6 +132,8 @@
     members_checked_at: Moment,
     /// Calls to the store that failed in a row.
     store_failures: u32,
+    /// The settlements of groups' records in progress.
+    settlements: HashMap<GroupId, settlement::Settlement>,
     /// Since when the store has been known to have lost the groups' records.
     lost_since: HashMap<GroupId, Moment>,
     /// When this instance last committed a new primary of a group.
@@ -185,6 +192,7 @@
             probes: HashMap::new(),
             in_flight: BTreeMap::new(),
             era: 0,
+            era_known_since: None,
             not_before: HashMap::new(),
             failed_calls: BTreeSet::new(),
             active_since: None,
@@ -193,6 +201,7 @@
             members_without_lease: HashMap::new(),
             members_checked_at: Moment::default(),
             store_failures: 0,
+            settlements: HashMap::new(),
             lost_since: HashMap::new(),
             replaced_at: HashMap::new(),
             replacements: BTreeMap::new(),
@@ -238,12 +247,15 @@
     /// Returns whether this instance is replacing a primary or has no store lease,
     /// without which it can't use primaries; both need frequent ticks.
     pub fn is_busy(&self) -> bool {
-        !self.replacements.is_empty() || !self.lease.is_granted()
+        !self.replacements.is_empty() || !self.settlements.is_empty() || !self.lease.is_granted()
     }
 
     /// Adds the actions that are due at this time, given the view of the store.
     pub fn tick(&mut self, view: &StoreView, now: Moment) {
         self.store_era_changed(view.era());
+        if self.era_known_since.is_none_or(|(era, _)| era < view.era()) {
+            self.era_known_since = Some((view.era(), now));
+        }
         self.track_members_without_lease(view, now);
         self.maintain_registration(view, now);
         self.probe_suspected_primaries(view, now);
@@ -253,12 +265,14 @@
         if self.is_active(view, now) {
             self.remove_expired_members(view, now);
             self.create_group_records(view, now);
+            self.settle_records(view, now);
             self.start_replacements(view, now);
             self.advance_replacements(view, now);
             self.demote_replaced_primaries(view, now);
             self.announce_new_primaries(view, now);
         } else {
             self.replacements.clear();
+            self.settlements.clear();
             self.active_since = None;
         }
     }
@@ -302,6 +316,7 @@
         self.stored_suspicions.clear();
         self.replacements.clear();
         self.announcements.clear();
+        self.settlements.clear();
         self.active_since = None;
         self.vacant_since = None;
         self.members_without_lease.clear();
@@ -452,6 +467,7 @@
         result: Result<ServerStatus, ControlFailure>,
     ) {
         self.handle_probe_answer(group, server, &result);
+        self.handle_settlement_answer(group, server, &result);
         self.handle_control_answer(now, group, server, command, result);
     }
 
--- a/lib/proxy/src/coordinator/replacement.rs
+++ b/lib/proxy/src/coordinator/replacement.rs
@@ -23,6 +23,7 @@
 use slog::{info, warn};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+pub(super) use self::steps::{COMMAND_TIMEOUT, FIRST_PROMOTION_DELAY};
 use crate::coordinator::registration::{PROBING_MEMBER_COUNT, probing_members};
 use crate::coordinator::{Coordinator, CoordinatorAction, Purpose};
 use crate::moment::Moment;
@@ -350,7 +351,7 @@
     /// Writes a group's record on the `condition` that this instance is still the
     /// active coordinator, and that the stored record has this `revision`; returns
     /// whether the store was called.
-    fn write_record(
+    pub(super) fn write_record(
         &mut self,
         now: Moment,
         purpose: Purpose,
--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -32,7 +32,7 @@
 /// Also how long the choice of a candidate waits for servers that don't answer, how
 /// long after the start of a replacement status queries are frequent, and the
 /// interval of the later ones.
-const COMMAND_TIMEOUT: Duration = Duration::from_millis(450);
+pub(in crate::coordinator) const COMMAND_TIMEOUT: Duration = Duration::from_millis(450);
 /// How long a replacement waits for a replica to catch up with an old primary that
 /// still answers.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -49,7 +49,7 @@
 /// How long an instance that has just become the active coordinator waits before its
 /// first promotion request, so that no request of its predecessor is still in flight:
 /// `PROMOTION_WINDOW` and the timeout of the call.
-const FIRST_PROMOTION_DELAY: Duration = Duration::from_millis(1400);
+pub(in crate::coordinator) const FIRST_PROMOTION_DELAY: Duration = Duration::from_millis(1400);
 /// The time between two promotion requests for one replacement.
 const PROMOTION_INTERVAL: Duration = Duration::from_millis(300);
 /// The time until the next promotion request for one replacement after one that was
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -107,7 +107,7 @@
         // the store was fresh then, or the answer itself proves it.
         let proves_primary = self.proves_primary(expected, id, partial.outcome.as_ref(), status);
         let is_confirmed_primary =
-            primary_lease::is_view_fresh(context.view, sent_at) || proves_primary;
+            primary_lease::is_view_fresh(context.view, &group, sent_at) || proves_primary;
         if self.usable_primary(context, &group).as_ref() == Some(&server)
             && is_confirmed_primary
             && let Some(position) = position
@@ -192,15 +192,15 @@
             pending.requirement == ServerRequirement::Primary
                 && pending.work.access() == Access::Read
         });
-        let sent_at = self.connections.get(id).map(|connection| connection.sent_at);
+        let connection = self.connections.get(id);
         // A slow answer may be older than a replacement that has completed
         // since: the process that relays it may have been paused in between.
         // Even after a step-down, a replacement waits this margin longer than the
         // view of the store stays fresh, so an answer that took less time arrives
         // before its end.
-        let is_fresh = sent_at.is_some_and(|sent_at| {
-            primary_lease::is_view_fresh(context.view, sent_at)
-                && context.now.since(sent_at) < primary_lease::PRIMARY_LEASE_MARGIN
+        let is_fresh = connection.is_some_and(|connection| {
+            primary_lease::is_view_fresh(context.view, &connection.group, connection.sent_at)
+                && context.now.since(connection.sent_at) < primary_lease::PRIMARY_LEASE_MARGIN
         });
         is_latest_read && !is_read_write_transaction && !is_fresh
     }
--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -163,7 +163,7 @@
     /// either.
     fn is_primary_unreachable(&self, context: Context<'_>, pending: &Pending) -> bool {
         if pending.requirement != ServerRequirement::Primary
-            || primary_lease::is_view_fresh(context.view, context.now)
+            || primary_lease::is_view_fresh(context.view, &pending.route.group, context.now)
         {
             return false;
         }
--- a/lib/proxy/src/primary_lease.rs
+++ b/lib/proxy/src/primary_lease.rs
@@ -9,6 +9,11 @@
 //! or after the member's live key was removed. If no process listens at the primary's
 //! address any more, it waits only a short time.
 //!
+//! A store that comes back from an older copy may show an older record and lack
+//! memberships. There the primary lease is not extended until the active coordinator has
+//! settled the group's record in the store's new era (module `settlement` of the
+//! coordinator).
+//!
 //! Once the last such exchange is older than [`MAX_FRESH_VIEW_AGE`], an instance
 //! delivers a primary's answer to a read outside a read-write transaction only
 //! after the server has confirmed its role. Writes and read-write transactions need
@@ -51,14 +56,14 @@
     let record = view.group(group)?;
     let has_primary_lease = is_registered(view, own, incarnation)
         && view.is_live(own)
-        && now < view.confirmed_at()? + PRIMARY_LEASE;
+        && now < view.confirmed_at_of(group)? + PRIMARY_LEASE;
     (record.phase == Phase::Serving && has_primary_lease).then_some(record)
 }
 
 /// Returns whether a moment is less than [`MAX_FRESH_VIEW_AGE`] after the last
-/// exchange in which the store showed the newest records.
-pub fn is_view_fresh(view: &StoreView, at: Moment) -> bool {
-    view.confirmed_at().is_some_and(|confirmed_at| at < confirmed_at + MAX_FRESH_VIEW_AGE)
+/// exchange in which the store showed that a group's record is the newest.
+pub fn is_view_fresh(view: &StoreView, group: &GroupId, at: Moment) -> bool {
+    view.confirmed_at_of(group).is_some_and(|confirmed_at| at < confirmed_at + MAX_FRESH_VIEW_AGE)
 }
 
 /// Returns whether the store lists this incarnation of the instance as a member.
--- a/lib/proxy/src/store_era.rs
+++ b/lib/proxy/src/store_era.rs
@@ -39,3 +39,8 @@
 pub fn next_epoch(epoch: u64, era: u64) -> u64 {
     (epoch + 1).max(first_epoch(era))
 }
+
+/// Returns the era in which a record of a group was written.
+pub fn era_of_epoch(epoch: u64) -> u64 {
+    epoch >> 32
+}
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -14,7 +14,7 @@
 use crate::moment::Moment;
 use crate::protocol::{StoreContent, StoreProtocol};
 use crate::records::{DoubtRecord, GroupRecord, Item, MemberRecord, StoreEvent, StoreKey};
-use crate::store_era::era_of;
+use crate::store_era::{era_of, era_of_epoch};
 
 /// The coordinator role, while an instance holds it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -74,6 +74,8 @@
     suspicions: BTreeMap<(GroupId, InstanceId), Versioned<DoubtRecord>>,
     coordinator_role: Option<CoordinatorRole>,
     confirmed_at: Option<Moment>,
+    /// The start of the last exchange in each era of the store that this view has shown.
+    confirmed_in: BTreeMap<u64, Moment>,
     revision: u64,
     era: u64,
 }
@@ -219,6 +221,26 @@
         self.confirmed_at
     }
 
+    /// Returns the start of the last exchange with the store that showed that a group's record
+    /// is the newest.
+    ///
+    /// A store that comes back from an older copy may have lost a newer record. So until the
+    /// active coordinator has settled the record in the new era, that is the last exchange of
+    /// the era in which it was written. A record without an era may be from an active
+    /// coordinator of an earlier version, which settles none.
+    pub fn confirmed_at_of(&self, group: &GroupId) -> Option<Moment> {
+        let era = era_of_epoch(self.group(group)?.epoch);
+        if era == 0 || self.is_settled(group) {
+            return self.confirmed_at;
+        }
+        self.confirmed_in.get(&era).copied()
+    }
+
+    /// Returns whether a group's record was written in the era that the view shows.
+    pub fn is_settled(&self, group: &GroupId) -> bool {
+        self.group(group).is_none_or(|record| era_of_epoch(record.epoch) >= era_of(self.revision))
+    }
+
     /// Returns the store's revision up to which the view contains all changes.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -245,6 +267,8 @@
     /// Records that the view was up to date at the start of an exchange with the store.
     pub fn confirm(&mut self, called_at: Moment, revision: u64) {
         self.confirmed_at = self.confirmed_at.max(Some(called_at));
+        let confirmed = self.confirmed_in.entry(era_of(revision)).or_insert(called_at);
+        *confirmed = called_at.max(*confirmed);
         self.revision = self.revision.max(revision);
     }
 
--- a/lib/proxy/tests/test_store_restored.rs
+++ b/lib/proxy/tests/test_store_restored.rs
@@ -4,13 +4,18 @@
 mod support;
 
 use masticreel_proxy::coordinator::{Coordinator, CoordinatorAction as Action, Purpose};
+use masticreel_proxy::moment::Moment;
+use masticreel_proxy::primary_lease::{PRIMARY_LEASE, is_view_fresh, usable_primary};
 use masticreel_proxy::records::{
-    COORDINATOR_KEY, DoubtRecord, GroupRecord, Phase, StoreAnswer, StoreCall, StoreEvent,
+    COORDINATOR_KEY, DoubtRecord, GroupRecord, Item, Phase, StoreAnswer, StoreCall, StoreEvent,
     SuspicionKind, group_key, live_key, suspicion_key,
 };
-use masticreel_proxy::statement::Role;
+use masticreel_proxy::statement::{Role, ServerStatus};
 use masticreel_proxy::store_era::era_of;
-use support::{Fixture, OWN, coordinator, group, is_for, ms, tick_with_store};
+use masticreel_proxy::store_view::StoreView;
+use support::{
+    Fixture, INCARNATION, OWN, coordinator, group, is_for, ms, position, tick_with_store,
+};
 
 const SECOND_ERA: u64 = 1 << 40;
 
@@ -22,8 +27,9 @@
         item.created += SECOND_ERA;
     }
     fixture.revision += SECOND_ERA;
-    fixture.view.observe_era(1);
-    coordinator.store_era_changed(1);
+    let era = fixture.view.era() + 1;
+    fixture.view.observe_era(era);
+    coordinator.store_era_changed(era);
 }
 
 /// Returns an instance that holds a lease and, if it was given it, the coordinator role.
@@ -264,3 +270,78 @@
     let lost: Vec<_> = fixture.view.lost_records().collect();
     assert_eq!(lost, [(&group(), fixture.revision)]);
 }
+
+/// Answers the status queries among these actions as the group's servers would, if `leader`
+/// leads.
+fn answer_statuses(now: Moment, coordinator: &mut Coordinator, actions: &[Action], leader: &str) {
+    for action in actions {
+        if let Action::Control { server, command, .. } = action {
+            let is_leader = server.as_str() == leader;
+            let role = if is_leader { Role::Primary } else { Role::Replica };
+            let term = position(if is_leader { 2 } else { 1 }, 0).term;
+            let status = ServerStatus { role, term, received: position(1, 9) };
+            coordinator.control_answered(now, &group(), server, command, Ok(status));
+        }
+    }
+}
+
+/// Runs the active coordinator after a restore for a while and returns the group's last record.
+fn record_after_restore(leader: &str) -> (GroupRecord, Fixture) {
+    let mut fixture = Fixture::serving();
+    fixture.make_coordinator();
+    let mut coordinator = settled(&mut fixture);
+    restore(&mut fixture, &mut coordinator);
+    for _ in 0..100 {
+        fixture.refresh();
+        let actions = tick_with_store(&mut fixture, &mut coordinator);
+        answer_statuses(fixture.now, &mut coordinator, &actions, leader);
+        fixture.advance(ms(50));
+    }
+    fixture.refresh();
+    (fixture.view.group(&group()).expect("it has a record").clone(), fixture)
+}
+
+/// Guards against a primary that nobody can use any more after a restore.
+#[test]
+fn test_record_of_a_primary_that_leads_is_settled_in_the_new_era() {
+    let (record, fixture) = record_after_restore("s1");
+    assert_eq!((record.phase, record.primary.as_str()), (Phase::Serving, "s1"));
+    assert!(fixture.view.is_settled(&group()));
+}
+
+/// Guards against a primary that was replaced in the seconds that the store has lost.
+#[test]
+fn test_record_of_a_primary_that_was_replaced_is_not_settled() {
+    let (record, _) = record_after_restore("s2");
+    assert_eq!((record.phase, record.primary.as_str()), (Phase::Serving, "s2"));
+}
+
+/// Guards against an instance that starts after the restore and reads at a primary that had
+/// been replaced in the seconds that the store has lost.
+#[test]
+fn test_primary_of_a_record_that_is_not_settled_is_used_only_by_the_lease_of_before() {
+    let mut fixture = Fixture::serving();
+    let mut coordinator = settled(&mut fixture);
+    let is_usable = |view: &StoreView, now: Moment| {
+        usable_primary(view, &OWN.into(), INCARNATION, &group(), now).is_some()
+    };
+    restore(&mut fixture, &mut coordinator);
+    fixture.put_record((1 << 32) + 1, Phase::Serving, "s1");
+    fixture.refresh();
+    let confirmed_at = fixture.view.confirmed_at().expect("it is confirmed");
+    restore(&mut fixture, &mut coordinator);
+    fixture.advance(ms(5000));
+    fixture.refresh();
+    assert!(is_usable(&fixture.view, fixture.now), "by the lease of before");
+    assert!(!is_view_fresh(&fixture.view, &group(), fixture.now), "reads are checked");
+    assert!(!is_usable(&fixture.view, confirmed_at + PRIMARY_LEASE));
+    let mut started = StoreView::default();
+    started.observe_era(2);
+    let items: Vec<Item> = fixture.items.values().cloned().collect();
+    started.replace(&items, &fixture.store);
+    started.confirm(fixture.now, fixture.revision);
+    assert!(!is_usable(&started, fixture.now), "it has no lease of before");
+    fixture.put_record((2 << 32) + 1, Phase::Serving, "s1");
+    fixture.refresh();
+    assert!(is_view_fresh(&fixture.view, &group(), fixture.now));
+}
