--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -348,5 +348,7 @@
     let PrimaryKnowledge { epoch, is_fresh } = connection.sent_under;
     let is_same_record =
         context.view.group(&connection.group).is_some_and(|record| record.epoch == epoch);
-    is_fresh || (is_same_record && primary_lease::is_view_fresh(context.view, connection.sent_at))
+    is_fresh
+        || (is_same_record
+            && primary_lease::is_view_fresh(context.view, &connection.group, connection.sent_at))
 }
--- a/lib/proxy/src/engine/sending.rs
+++ b/lib/proxy/src/engine/sending.rs
@@ -247,7 +247,7 @@
 fn primary_knowledge(context: Context<'_>, group: &GroupId) -> PrimaryKnowledge {
     PrimaryKnowledge {
         epoch: context.view.group(group).map_or(0, |record| record.epoch),
-        is_fresh: primary_lease::is_view_fresh(context.view, context.now),
+        is_fresh: primary_lease::is_view_fresh(context.view, group, context.now),
     }
 }
 
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -14,6 +14,7 @@
 use crate::moment::Moment;
 use crate::protocol::{StoreContent, StoreProtocol};
 use crate::records::{DoubtRecord, GroupRecord, Item, MemberRecord, StoreEvent, StoreKey};
+use crate::store_era::{era_of, era_of_epoch};
 
 /// The coordinator role, while an instance holds it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -66,6 +67,9 @@
     /// Primaries whose entries were removed, with their last values.
     removed_primaries: HashMap<ServerId, Server>,
     groups: HashMap<GroupId, Versioned<GroupRecord>>,
+    /// Groups of which a store that came back from an older copy has an older record than
+    /// this view or none, with the revision of that, zero if there is none.
+    lost_records: HashMap<GroupId, u64>,
     members: BTreeMap<InstanceId, Versioned<MemberRecord>>,
     live: BTreeMap<InstanceId, u64>,
     suspicions: BTreeMap<(GroupId, InstanceId), Versioned<DoubtRecord>>,
@@ -73,7 +77,10 @@
     /// The items that can't be used, with the reasons that were reported.
     unusable: HashMap<Arc<str>, &'static str>,
     confirmed_at: Option<Moment>,
+    /// The start of the last exchange in each era of the store that this view has shown.
+    confirmed_in: BTreeMap<u64, Moment>,
     revision: u64,
+    era: u64,
 }
 
 impl StoreView {
@@ -135,6 +142,12 @@
         self.groups.iter()
     }
 
+    /// Returns the groups whose newest record was lost when the store came back from an older
+    /// copy, with the revision of what it has instead, zero if it has none.
+    pub fn lost_records(&self) -> impl Iterator<Item = (&GroupId, u64)> {
+        self.lost_records.iter().map(|(group, revision)| (group, *revision))
+    }
+
     /// Returns an instance's membership.
     pub fn member(&self, instance: &InstanceId) -> Option<&MemberRecord> {
         self.members.get(instance).map(|versioned| &versioned.value)
@@ -211,14 +224,54 @@
         self.confirmed_at
     }
 
+    /// Returns the start of the last exchange with the store that showed that a group's record
+    /// is the newest.
+    ///
+    /// A store that comes back from an older copy may have lost a newer record. So until the
+    /// active coordinator has settled the record in the new era, that is the last exchange of
+    /// the era in which it was written. A record without an era may be from an active
+    /// coordinator of an earlier version, which settles none.
+    pub fn confirmed_at_of(&self, group: &GroupId) -> Option<Moment> {
+        let era = era_of_epoch(self.group(group)?.epoch);
+        if era == 0 || self.is_settled(group) {
+            return self.confirmed_at;
+        }
+        self.confirmed_in.get(&era).copied()
+    }
+
+    /// Returns whether a group's record was written in the era that the view shows.
+    pub fn is_settled(&self, group: &GroupId) -> bool {
+        self.group(group).is_none_or(|record| era_of_epoch(record.epoch) >= era_of(self.revision))
+    }
+
     /// Returns the store's revision up to which the view contains all changes.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
+    /// Returns the newest era of the store that any of its answers has shown.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Returns whether the items were listed in the store's present era.
+    pub fn shows_present_era(&self) -> bool {
+        era_of(self.revision) == self.era
+    }
+
+    /// Records the era of an answer of the store; returns whether it is newer than those
+    /// before, so that the items have to be listed again.
+    pub fn observe_era(&mut self, era: u64) -> bool {
+        let is_newer = era > self.era;
+        self.era = self.era.max(era);
+        is_newer
+    }
+
     /// Records that the view was up to date at the start of an exchange with the store.
     pub fn confirm(&mut self, called_at: Moment, revision: u64) {
         self.confirmed_at = self.confirmed_at.max(Some(called_at));
+        let confirmed = self.confirmed_in.entry(era_of(revision)).or_insert(called_at);
+        *confirmed = called_at.max(*confirmed);
         self.revision = self.revision.max(revision);
     }
 
@@ -234,6 +287,8 @@
         let servers = std::mem::take(&mut self.servers);
         let previous_ids: Vec<ServerId> = servers.keys().cloned().collect();
         let groups = std::mem::take(&mut self.groups);
+        let were_lost = std::mem::take(&mut self.lost_records);
+        let is_new_era = !self.shows_present_era();
         self.server_keys.clear();
         self.servers_by_group.clear();
         self.members.clear();
@@ -252,8 +307,16 @@
         }
         changes.extend(previous_ids.into_iter().map(ViewChange::Server));
         // A record received from another instance may be newer than the listed one.
-        for (group, record) in groups {
-            self.keep_newer_record(&group, record, &mut changes);
+        for (group, mut record) in groups {
+            let listed = self.groups.get(&group);
+            let is_older = listed.is_none_or(|listed| listed.value.epoch < record.value.epoch);
+            if is_older && (is_new_era || were_lost.contains_key(&group)) {
+                record.revision = listed.map_or(0, |listed| listed.revision);
+                self.lost_records.insert(group.clone(), record.revision);
+                self.groups.insert(group, record);
+            } else {
+                self.keep_newer_record(&group, record, &mut changes);
+            }
         }
         changes.push(ViewChange::Coordination);
         changes
@@ -418,10 +481,21 @@
         record: Versioned<GroupRecord>,
         changes: &mut Vec<ViewChange>,
     ) {
-        let known = self.groups.get(group);
-        let is_newer = known.is_none_or(|known| {
+        let known = self.groups.get_mut(group);
+        let is_newer = known.as_ref().is_none_or(|known| {
             (record.value.epoch, record.revision) > (known.value.epoch, known.revision)
         });
+        if is_newer && record.revision > 0 {
+            self.lost_records.remove(group);
+        }
+        // Another instance has written a record that is older too.
+        if let (false, Some(known), Some(lost)) =
+            (is_newer, known, self.lost_records.get_mut(group))
+            && record.revision > *lost
+        {
+            known.revision = record.revision;
+            *lost = record.revision;
+        }
         if is_newer {
             self.groups.insert(group.clone(), record);
             changes.push(ViewChange::Group(group.clone()));
@@ -442,6 +516,7 @@
             Some(StoreKey::Coordinator) => self.coordinator_role = None,
             Some(StoreKey::Group(group)) => {
                 self.groups.remove(&group);
+                self.lost_records.remove(&group);
                 changes.push(ViewChange::Group(group));
             }
             Some(StoreKey::Member(instance)) => {
