event_loop: a connection established after its deadline is not used

What could be seen: a coordinator that was stopped while it connected to the promoter sent its promotion request after it went on, more than a second late and with the fencing token of that time, although another coordinator may have replaced the primary meanwhile.

Cause: the request waits in the output buffer while the connection is being opened. If the system establishes the connection while the process is stopped, the event is handled before the periodic work ends what has timed out. It gave the connection a new deadline without a look at the old one, and the buffer was sent. Other connections that an instance opens were treated in the same way.

Change: a connection that is found established only after its deadline is ended like one that timed out. The user of the connection is told so, and tries again with what is current then. Since the connection was established, work of callers reports it as closed, which raises no suspicion of the server; a command of the coordinator reports silence, as it does for a timeout before the session is open.

All tests of masticreel-platform and masticreel-proxy pass with it (128).

--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -236,6 +236,12 @@
         match connection.socket.check_connected() {
             Ok(true) => {
                 if !was_connected {
+                    // A process that was stopped can find the connection established
+                    // long after what it wanted to send has become outdated.
+                    if connection.deadline.is_some_and(|deadline| self.now >= deadline) {
+                        self.connection_timed_out(token);
+                        return;
+                    }
                     let timeout = established_timeout(&connection.used_for);
                     connection.deadline = timeout.map(|timeout| self.now + timeout);
                 }
