--- a/lib/proxy/src/coordinator/settlement.rs
+++ b/lib/proxy/src/coordinator/settlement.rs
@@ -4,9 +4,9 @@
 //! primary, and promotions of the lost seconds may still take effect. So instances don't
 //! extend their primary leases by a record of an earlier era. The active coordinator waits,
 //! from when it learned of the era, until no such promotion can be under way and the
-//! instances have written lost records again, and queries the servers' statuses. If the recorded primary leads and no server has
-//! a newer term, it writes the same record with an epoch of the new era. Otherwise it
-//! replaces the primary.
+//! instances have written lost records again, and queries the servers' statuses. If the
+//! recorded primary leads and no server has a newer term, it writes the same record with an
+//! epoch of the new era. Otherwise it replaces the primary.
 
 use std::collections::HashMap;
 use std::time::Duration;
