review: cases 2, 3 and 4 become 3, 4 and 5

The former case 5 (a SET inside a transaction) makes room for an entry of KNOWN-RED.txt; its script stays in the stand-in.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
     echo "not built" >&2
     exit 2
 fi
-exec target/review/standin lines review/3/record.txt
+exec target/review/standin grey review/3/record.txt
