--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -31,11 +31,11 @@
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
-    group: Group,
+    groups: Vec<Group>,
 }
 
 impl Store {
-    pub fn start(group: &Group) -> Store {
+    pub fn start(groups: &[Group]) -> Store {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the listener has an address");
         let state = State {
@@ -45,7 +45,7 @@
             leases: HashMap::new(),
         };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
-        let store = Store { address, state, group: group.clone() };
+        let store = Store { address, state, groups: groups.to_vec() };
         let serving = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -205,7 +205,9 @@
                 let holder = headers.get("lease-holder").cloned().unwrap_or_default();
                 let token = headers.get("fencing-token").cloned().unwrap_or_default();
                 let id = body.get("id").text();
-                (if self.group.promote(id, &holder, &token) { 200 } else { 409 }, "{}".to_owned())
+                let group = self.groups.iter().find(|group| group.has(id));
+                let is_running = group.is_some_and(|group| group.promote(id, &holder, &token));
+                (if is_running { 200 } else { 409 }, "{}".to_owned())
             }
             (method, path) => {
                 let mut state = lock.lock().unwrap();
