replacement: promote only servers with all acknowledged commits

Cause: the choice of a candidate did not know what had been acknowledged. It skipped servers that were leaving, waited 0.45 s for those that did not answer, did not know of those whose entries had expired or that had left, and used statuses of up to 1 s ago. `sync_replicas` was parsed and used nowhere.

Where commits are acknowledged by replicas, a server is now promoted only if it has received a position that no acknowledged commit is above: that of the old primary, or the highest one of all other servers, by statuses that were requested once no instance could use the old primary. A command to a server carries when it was requested. A primary that is leaving is replaced once a replica that stays has caught up with it. Groups without synchronous replicas are treated as before.

Ruled out: a wrong comparison of positions; servers report the term of their last commit.

--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -24,7 +24,7 @@
 
 pub use crate::coordinator::registration::StoreLease;
 pub use crate::coordinator::replacement::ControlFailure;
-use crate::coordinator::replacement::Replacement;
+use crate::coordinator::replacement::{Replacement, Succession};
 use crate::moment::Moment;
 use crate::peers::PeerMessage;
 use crate::protocol::{PromoterAnswer, PromotionRequest};
@@ -73,16 +73,7 @@
     Store(Purpose, StoreCall),
     /// Send one command to a server over a new connection; the answer, or the
     /// failure, goes to [`Coordinator::control_answered`].
-    Control {
-        /// The server.
-        server: ServerId,
-        /// The server's address.
-        address: SocketAddr,
-        /// The server's group.
-        group: GroupId,
-        /// The command.
-        command: Command,
-    },
+    Control(ControlRequest),
     /// Request the promotion of a server; the answer goes to
     /// [`Coordinator::promoter_answered`].
     Promote(PromotionRequest),
@@ -90,6 +81,22 @@
     SendToPeer(SocketAddr, PeerMessage),
 }
 
+/// A command of the coordinator to a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ControlRequest {
+    /// The server.
+    pub server: ServerId,
+    /// The server's address.
+    pub address: SocketAddr,
+    /// The server's group.
+    pub group: GroupId,
+    /// The command.
+    pub command: Command,
+    /// When the command was requested; the answer shows the server's state at a later
+    /// moment.
+    pub sent_at: Moment,
+}
+
 /// Manages an instance's registration in the store and, while the instance is the
 /// active coordinator, the replacement of primaries.
 #[derive(Debug)]
@@ -142,6 +149,10 @@
     /// coordinator.
     replacements: BTreeMap<GroupId, Replacement>,
     replaced_primaries: HashMap<ServerId, replacement::ReplacedPrimary>,
+    /// What is known of replicas that are to take over from servers that leave.
+    successions: HashMap<GroupId, Succession>,
+    /// Servers that have left, and whose commits another server has.
+    handed_over: BTreeSet<ServerId>,
     /// Since when servers are not to be made the primary again after their replacement.
     unfit_primaries: HashMap<ServerId, Moment>,
     announcements: Vec<replacement::Announcement>,
@@ -206,6 +217,8 @@
             replaced_at: HashMap::new(),
             replacements: BTreeMap::new(),
             replaced_primaries: HashMap::new(),
+            successions: HashMap::new(),
+            handed_over: BTreeSet::new(),
             unfit_primaries: HashMap::new(),
             announcements: Vec::new(),
             placement,
@@ -247,7 +260,10 @@
     /// Returns whether this instance is replacing a primary or has no store lease,
     /// without which it can't use primaries; both need frequent ticks.
     pub fn is_busy(&self) -> bool {
-        !self.replacements.is_empty() || !self.settlements.is_empty() || !self.lease.is_granted()
+        !self.replacements.is_empty()
+            || !self.settlements.is_empty()
+            || !self.successions.is_empty()
+            || !self.lease.is_granted()
     }
 
     /// Adds the actions that are due at this time, given the view of the store.
@@ -266,6 +282,7 @@
             self.remove_expired_members(view, now);
             self.create_group_records(view, now);
             self.settle_records(view, now);
+            self.track_successions(view, now);
             self.start_replacements(view, now);
             self.advance_replacements(view, now);
             self.demote_replaced_primaries(view, now);
@@ -273,6 +290,8 @@
         } else {
             self.replacements.clear();
             self.settlements.clear();
+            self.successions.clear();
+            self.handed_over.clear();
             self.active_since = None;
         }
     }
@@ -315,6 +334,7 @@
         self.registers_unconditionally = false;
         self.stored_suspicions.clear();
         self.replacements.clear();
+        self.successions.clear();
         self.announcements.clear();
         self.settlements.clear();
         self.active_since = None;
@@ -461,14 +481,13 @@
     pub fn control_answered(
         &mut self,
         now: Moment,
-        group: &GroupId,
-        server: &ServerId,
-        command: &Command,
+        request: &ControlRequest,
         result: Result<ServerStatus, ControlFailure>,
     ) {
-        self.handle_probe_answer(group, server, &result);
-        self.handle_settlement_answer(group, server, &result);
-        self.handle_control_answer(now, group, server, command, result);
+        self.handle_probe_answer(&request.group, &request.server, &result);
+        self.handle_settlement_answer(&request.group, &request.server, &result);
+        self.handle_succession_answer(request, &result);
+        self.handle_control_answer(now, request, result);
     }
 
     /// Handles the answer to a promotion request, or its loss (`None`).
--- a/lib/proxy/src/coordinator/registration.rs
+++ b/lib/proxy/src/coordinator/registration.rs
@@ -10,7 +10,7 @@
 use masticreel_base::ids::{GroupId, InstanceId, ServerId};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::coordinator::{ControlFailure, Coordinator, CoordinatorAction, Purpose};
+use crate::coordinator::{ControlFailure, ControlRequest, Coordinator, CoordinatorAction, Purpose};
 use crate::moment::Moment;
 use crate::primary_lease;
 use crate::records::{
@@ -320,12 +320,13 @@
                 group.clone(),
                 StatusProbe { primary: primary.clone(), epoch: record.epoch, sent_at: now },
             );
-            self.actions.push(CoordinatorAction::Control {
+            self.actions.push(CoordinatorAction::Control(ControlRequest {
                 server: primary,
                 address: server.address,
                 group: group.clone(),
                 command: Command::Status,
-            });
+                sent_at: now,
+            }));
         }
     }
 
--- a/lib/proxy/src/coordinator/replacement.rs
+++ b/lib/proxy/src/coordinator/replacement.rs
@@ -13,19 +13,23 @@
 //! answers to the calls and demotes replaced primaries for some time afterwards;
 //! `steps` carries out the rest. See `docs/design/10-platform.md`.
 
+mod candidates;
 mod steps;
+mod succession;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use masticreel_base::ids::{GroupId, InstanceId, ServerId, Term};
+use masticreel_base::position::TermPosition;
 use slog::{info, warn};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 pub(super) use self::steps::{COMMAND_TIMEOUT, FIRST_PROMOTION_DELAY};
+pub(super) use self::succession::Succession;
 use crate::coordinator::registration::{PROBING_MEMBER_COUNT, probing_members};
-use crate::coordinator::{Coordinator, CoordinatorAction, Purpose};
+use crate::coordinator::{ControlRequest, Coordinator, CoordinatorAction, Purpose};
 use crate::moment::Moment;
 use crate::primary_lease::{MAX_FRESH_VIEW_AGE, PRIMARY_LEASE};
 use crate::protocol::{PromoterAnswer, PromotionRequest};
@@ -94,6 +98,16 @@
     commanded_at: Moment,
 }
 
+/// The last status that a server has reported.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KnownStatus {
+    status: ServerStatus,
+    /// When it was requested. The server held at least the log that it reports at some
+    /// moment after that.
+    requested_at: Moment,
+    received_at: Moment,
+}
+
 /// The replacement of a group's primary, in progress.
 #[derive(Debug)]
 pub(super) struct Replacement {
@@ -108,7 +122,7 @@
     /// time of its timeout, which may be in the future. Intervals between status
     /// queries count from it.
     command_end: HashMap<ServerId, Moment>,
-    statuses: HashMap<ServerId, (ServerStatus, Moment)>,
+    statuses: HashMap<ServerId, KnownStatus>,
     /// Servers that did not answer the last command.
     failed: HashMap<ServerId, (ControlFailure, Moment)>,
     /// When the promoter last refused to promote a server.
@@ -133,6 +147,8 @@
     step_down_sent_at: Moment,
     /// When members were last sent the record that blocked the old primary.
     notified_at: Moment,
+    /// Whether it was logged that no server is known to have all acknowledged commits.
+    is_shortage_logged: bool,
 }
 
 /// The record of a new primary, which is sent to members that may not see it in the
@@ -166,6 +182,7 @@
             has_stepped_down: false,
             step_down_sent_at: Moment::default(),
             notified_at: Moment::default(),
+            is_shortage_logged: false,
         }
     }
 
@@ -185,8 +202,30 @@
     }
 
     fn status(&self, server: &ServerId, now: Moment) -> Option<ServerStatus> {
-        let (status, at) = self.statuses.get(server)?;
-        (now.since(*at) < STATUS_LIFETIME).then_some(*status)
+        let known = self.statuses.get(server)?;
+        (now.since(known.received_at) < STATUS_LIFETIME).then_some(known.status)
+    }
+
+    fn record_status(
+        &mut self,
+        server: &ServerId,
+        status: ServerStatus,
+        requested_at: Moment,
+        received_at: Moment,
+    ) {
+        let is_older =
+            self.statuses.get(server).is_some_and(|known| known.requested_at > requested_at);
+        if !is_older {
+            let known = KnownStatus { status, requested_at, received_at };
+            self.statuses.insert(server.clone(), known);
+        }
+    }
+
+    /// Returns the position that a server has received, according to its last status that
+    /// was requested at or after a moment.
+    fn received_since(&self, server: &ServerId, moment: Moment) -> Option<TermPosition> {
+        let known = self.statuses.get(server)?;
+        (known.requested_at >= moment).then_some(known.status.received)
     }
 
     /// Returns whether a server has just answered that it is a replica, and has not failed
@@ -204,7 +243,7 @@
     }
 
     fn newest_term(&self, record: &GroupRecord) -> Term {
-        let seen = self.statuses.values().map(|(status, _)| status.term).max();
+        let seen = self.statuses.values().map(|known| known.status.term).max();
         seen.unwrap_or_default().max(record.term)
     }
 }
@@ -291,7 +330,7 @@
         match view.server(&record.primary) {
             Some(server) => {
                 self.missing_since.remove(&record.primary);
-                if server.is_leaving {
+                if server.is_leaving && self.may_replace_leaving_primary(view, group, record) {
                     return Some("leaving");
                 }
             }
@@ -457,23 +496,23 @@
                 continue;
             }
             replaced.commanded_at = now;
-            self.actions.push(CoordinatorAction::Control {
+            self.actions.push(CoordinatorAction::Control(ControlRequest {
                 server: server.id.clone(),
                 address: server.address,
                 group: replaced.group.clone(),
                 command: Command::StepDown { term: replaced.term },
-            });
+                sent_at: now,
+            }));
         }
     }
 
     pub(super) fn handle_control_answer(
         &mut self,
         now: Moment,
-        group: &GroupId,
-        server: &ServerId,
-        command: &Command,
+        request: &ControlRequest,
         result: Result<ServerStatus, ControlFailure>,
     ) {
+        let ControlRequest { group, server, command, sent_at, .. } = request;
         if let Ok(status) = result
             && status.role == Role::Replica
             && self
@@ -492,7 +531,7 @@
         replacement.command_end.insert(server.clone(), now);
         match result {
             Ok(status) => {
-                replacement.statuses.insert(server.clone(), (status, now));
+                replacement.record_status(server, status, *sent_at, now);
                 replacement.failed.remove(server);
             }
             Err(failure) => {
--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 
 use masticreel_base::ids::{GroupId, InstanceId, ServerId, Term};
-use masticreel_base::position::TermPosition;
 use slog::info;
 
-use super::{Announcement, ReplacedPrimary, Replacement, STATUS_LIFETIME, UNFIT_PERIOD};
-use crate::coordinator::{Coordinator, CoordinatorAction, Purpose};
+use super::candidates::has_sync_replicas;
+use super::{Announcement, ReplacedPrimary, Replacement};
+use crate::coordinator::{ControlRequest, Coordinator, CoordinatorAction, Purpose};
 use crate::moment::Moment;
 use crate::peers::PeerMessage;
 use crate::primary_lease::PRIMARY_LEASE_MARGIN;
@@ -26,23 +26,16 @@
 /// The time from a server's answer to the next status query to it, shortly after
 /// the start of a replacement and while a candidate is chosen; otherwise it is
 /// [`COMMAND_TIMEOUT`].
-const STATUS_QUERY_INTERVAL: Duration = Duration::from_millis(80);
+pub(super) const STATUS_QUERY_INTERVAL: Duration = Duration::from_millis(80);
 /// How long a command may be unanswered before the next one is sent.
 ///
 /// Also how long the choice of a candidate waits for servers that don't answer, how
 /// long after the start of a replacement status queries are frequent, and the
 /// interval of the later ones.
 pub(in crate::coordinator) const COMMAND_TIMEOUT: Duration = Duration::from_millis(450);
-/// How long a replacement waits for a replica to catch up with an old primary that
-/// still answers.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1500);
 /// How long a replacement waits until the view of the store contains the record that
 /// blocked the primary; the store may reject this instance's watch calls.
 const VIEW_LAG_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long after the start of a replacement the last member has to confirm the end of
-/// its work for the old primary to be waited for, which may have more commits than its
-/// replicas.
-const LATE_CONFIRMATION_TIME: Duration = Duration::from_secs(1);
 /// How long an instance that has just become the active coordinator waits before its
 /// first promotion request, so that no request of its predecessor is still in flight:
 /// `PROMOTION_WINDOW` and the timeout of the call.
@@ -165,7 +158,11 @@
     ) {
         let old =
             view.last_known_server(&record.primary).filter(|old| view.server(&old.id).is_none());
-        for server in view.servers_of(group).chain(old) {
+        // Missing replicas matter only where acknowledged commits must not be lost.
+        let missing = view
+            .missing_servers_of(group)
+            .filter(|server| server.id != record.primary && has_sync_replicas(view, group));
+        for server in view.servers_of(group).chain(old).chain(missing) {
             let command_end = replacement.command_end.get(&server.id).copied();
             let is_early = now.since(replacement.blocked_at) < COMMAND_TIMEOUT
                 || replacement.selecting_since.is_some();
@@ -180,12 +177,13 @@
                 continue;
             }
             replacement.command_end.insert(server.id.clone(), now + COMMAND_TIMEOUT);
-            self.actions.push(CoordinatorAction::Control {
+            self.actions.push(CoordinatorAction::Control(ControlRequest {
                 server: server.id.clone(),
                 address: server.address,
                 group: group.clone(),
                 command: Command::Status,
-            });
+                sent_at: now,
+            }));
         }
     }
 
@@ -359,98 +357,13 @@
         replacement.step_down_sent_at = now;
         replacement.command_end.insert(server.id.clone(), now + COMMAND_TIMEOUT);
         let term = Term(replacement.newest_term(record).0 + 1);
-        self.actions.push(CoordinatorAction::Control {
+        self.actions.push(CoordinatorAction::Control(ControlRequest {
             server: server.id.clone(),
             address: server.address,
             group: group.clone(),
             command: Command::StepDown { term },
-        });
-    }
-
-    /// Chooses the replica whose received position is highest; returns none while
-    /// it waits for answers or for the replica to catch up.
-    fn choose_candidate(
-        &self,
-        view: &StoreView,
-        now: Moment,
-        group: &GroupId,
-        record: &GroupRecord,
-        replacement: &Replacement,
-        selecting_since: Moment,
-    ) -> Option<ServerId> {
-        if let Some(chosen) = &record.candidate
-            && replacement.promotion_targets.contains(chosen)
-            && !replacement.refused_promotions.contains_key(chosen)
-        {
-            // A promotion that was requested and not refused may still take effect.
-            return Some(chosen.clone());
-        }
-        let waited = now.since(selecting_since);
-        let mut is_complete = true;
-        let mut best: Option<(TermPosition, &ServerId)> = None;
-        for server in view.servers_of(group) {
-            if server.id == record.primary || server.is_leaving {
-                continue;
-            }
-            let was_refused = replacement
-                .refused_promotions
-                .get(&server.id)
-                .is_some_and(|at| now.since(*at) < STATUS_LIFETIME);
-            if was_refused {
-                continue;
-            }
-            match replacement.status(&server.id, now) {
-                Some(status) => best = best.max(Some((status.received, &server.id))),
-                None => is_complete = false,
-            }
-        }
-        if !is_complete && waited < COMMAND_TIMEOUT {
-            return None;
-        }
-        // Members that could use the old primary until now may have committed there, and
-        // what kept this instance from reaching it may have ended with their silence.
-        let may_be_ahead = selecting_since.since(replacement.blocked_at) >= LATE_CONFIRMATION_TIME;
-        let is_old_unknown = replacement.status(&record.primary, now).is_none()
-            && !replacement.is_refusing(&record.primary, now);
-        if may_be_ahead && is_old_unknown && waited < COMMAND_TIMEOUT {
-            return None;
-        }
-        // No replica catches up with a primary that has stepped down, so promoting one that
-        // is behind it would discard acknowledged commits.
-        if let Some(received_by_old) =
-            self.position_of_fit_old_primary(view, now, record, replacement)
-            && best.is_none_or(|(received, _)| received < received_by_old)
-        {
-            return Some(record.primary.clone());
-        }
-        let (received, best) = best?;
-        let received_by_old =
-            replacement.statuses.get(&record.primary).map(|(status, _)| status.received);
-        let is_behind = received_by_old.is_some_and(|received_by_old| received < received_by_old);
-        let old_answers = replacement.status(&record.primary, now).is_some();
-        let waits = is_behind && old_answers && waited < CATCH_UP_TIMEOUT;
-        (!waits).then(|| best.clone())
-    }
-
-    /// Returns the received position of the old primary if it may become the primary
-    /// again: it has stepped down and answers now, and is neither leaving nor unfit.
-    fn position_of_fit_old_primary(
-        &self,
-        view: &StoreView,
-        now: Moment,
-        record: &GroupRecord,
-        replacement: &Replacement,
-    ) -> Option<TermPosition> {
-        let is_unfit = self
-            .unfit_primaries
-            .get(&record.primary)
-            .is_some_and(|since| now.since(*since) < UNFIT_PERIOD);
-        let is_staying = view.server(&record.primary).is_some_and(|server| !server.is_leaving);
-        let was_refused = replacement.refused_promotions.contains_key(&record.primary);
-        if is_unfit || !is_staying || was_refused || !replacement.has_stepped_down {
-            return None;
-        }
-        replacement.status(&record.primary, now).map(|status| status.received)
+            sent_at: now,
+        }));
     }
 
     /// Sends the store the record that allows the use of the new primary, and starts
--- a/lib/proxy/src/coordinator/settlement.rs
+++ b/lib/proxy/src/coordinator/settlement.rs
@@ -15,7 +15,7 @@
 use slog::info;
 
 use crate::coordinator::replacement::{COMMAND_TIMEOUT, FIRST_PROMOTION_DELAY};
-use crate::coordinator::{ControlFailure, Coordinator, CoordinatorAction, Purpose};
+use crate::coordinator::{ControlFailure, ControlRequest, Coordinator, CoordinatorAction, Purpose};
 use crate::moment::Moment;
 use crate::records::{GroupRecord, Phase};
 use crate::statement::{Command, Role, ServerStatus};
@@ -154,12 +154,13 @@
         settlement.queried_at = now;
         settlement.statuses.clear();
         for server in view.servers_of(group) {
-            self.actions.push(CoordinatorAction::Control {
+            self.actions.push(CoordinatorAction::Control(ControlRequest {
                 server: server.id.clone(),
                 address: server.address,
                 group: group.clone(),
                 command: Command::Status,
-            });
+                sent_at: now,
+            }));
         }
     }
 
--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -32,7 +32,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use masticreel_base::ids::{GroupId, ServerId};
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -41,7 +40,7 @@
 
 use crate::caller::CallerId;
 use crate::connections::ConnectionId;
-use crate::coordinator::{Coordinator, Purpose};
+use crate::coordinator::{ControlRequest, Coordinator, Purpose};
 use crate::engine::{Action, Context, Engine, Loss};
 use crate::event_loop::followers::{DirectHealth, FollowedInstance, HeldCall, InstanceCall};
 use crate::event_loop::socket::{Condition, Socket};
@@ -53,7 +52,6 @@
 use crate::records::StoreCall;
 use crate::relays::{PooledId, RelayCall, RelaySessionId};
 use crate::settings::ProxySettings;
-use crate::statement::Command;
 use crate::store_cache::StoreCache;
 use crate::store_sync::StoreSync;
 use crate::store_view::StoreView;
@@ -112,9 +110,7 @@
     Relay { session: RelaySessionId },
     /// A single command to a server from the coordinator.
     Control {
-        group: GroupId,
-        server: ServerId,
-        command: Command,
+        request: ControlRequest,
         status_row: Option<std::sync::Arc<str>>,
         /// 0 until the server has accepted the session, 1 once the command is
         /// sent.
--- a/lib/proxy/src/event_loop/outbound.rs
+++ b/lib/proxy/src/event_loop/outbound.rs
@@ -12,14 +12,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use masticreel_base::ids::{GroupId, ServerId};
 use mio::Token;
 use slog::{debug, info, warn};
 
 use super::followers::InstanceCall;
 use super::serve::loss_of_unopened;
 use super::{CONNECT_TIMEOUT, Connection, EventLoop, Loss, StoreUse, Use};
-use crate::coordinator::{ControlFailure, CoordinatorAction, Purpose};
+use crate::coordinator::{ControlFailure, ControlRequest, CoordinatorAction, Purpose};
 use crate::engine::Context;
 use crate::frames;
 use crate::moment::{Moment, SteadyClock};
@@ -28,7 +27,6 @@
     Platform, PromoterProtocol, StoreProtocol, UpstreamMessage, UpstreamProtocol,
 };
 use crate::records::{Phase, StoreAnswer, StoreCall, StoreReply};
-use crate::statement::Command;
 use crate::store_era::revision_of_store;
 use crate::store_sync::{CALL_TIMEOUT, WATCH_TIMEOUT_MARGIN};
 use crate::store_view::ViewChange;
@@ -317,25 +315,21 @@
                 let via = if is_test { None } else { self.forwarder_address() };
                 self.start_call(StoreUse::Coordinator(purpose), call, via);
             }
-            CoordinatorAction::Control { server, address, group, command } => {
-                let used_for = Use::Control {
-                    group: group.clone(),
-                    server: server.clone(),
-                    command: command.clone(),
-                    status_row: None,
-                    stage: 0,
-                };
-                match self.connect(address, used_for, CONNECT_TIMEOUT) {
+            CoordinatorAction::Control(request) => {
+                let used_for =
+                    Use::Control { request: request.clone(), status_row: None, stage: 0 };
+                match self.connect(request.address, used_for, CONNECT_TIMEOUT) {
                     Ok(token) => {
                         if let Some(connection) = self.connections.get_mut(&token) {
+                            let ControlRequest { group, server, .. } = &request;
                             let output = &mut connection.socket.output;
-                            self.platform.upstreams().encode_start(&group, &server, output);
+                            self.platform.upstreams().encode_start(group, server, output);
                         }
                     }
                     Err(error) => {
                         warn!(self.log, "connection for a command to a server can't be opened";
-                            "server" => %server, "error" => %error);
-                        self.control_failed(&group, &server, &command, loss_of_unopened(&error));
+                            "server" => %request.server, "error" => %error);
+                        self.control_failed(&request, loss_of_unopened(&error));
                     }
                 }
             }
@@ -415,7 +409,7 @@
         loop {
             let Some(Connection {
                 socket,
-                used_for: Use::Control { group, server, command, status_row, stage },
+                used_for: Use::Control { request, status_row, stage },
                 ..
             }) = self.connections.get_mut(&token)
             else {
@@ -436,17 +430,18 @@
                 UpstreamMessage::Complete(_) => {}
                 UpstreamMessage::Ready { .. } if *stage == 0 => {
                     *stage = 1;
-                    self.platform.upstreams().encode_command(command, &mut socket.output);
+                    let output = &mut socket.output;
+                    self.platform.upstreams().encode_command(&request.command, output);
                     self.dirty.insert(token);
                 }
                 UpstreamMessage::Ready { .. } | UpstreamMessage::Error(_) => {
                     let status = status_row
                         .take()
                         .and_then(|row| self.platform.upstreams().decode_status(&row));
-                    let (group, server, command) = (group.clone(), server.clone(), command.clone());
+                    let request = request.clone();
                     self.close(token);
                     let result = status.ok_or(ControlFailure::Rejected);
-                    self.coordinator.control_answered(self.now, &group, &server, &command, result);
+                    self.coordinator.control_answered(self.now, &request, result);
                     self.coordinator.tick(&self.view, self.now);
                     return;
                 }
@@ -458,19 +453,13 @@
     ///
     /// A command that times out on an established connection has
     /// [`Loss::Closed`], like one whose connection was closed.
-    pub(super) fn control_failed(
-        &mut self,
-        group: &GroupId,
-        server: &ServerId,
-        command: &Command,
-        loss: Loss,
-    ) {
+    pub(super) fn control_failed(&mut self, request: &ControlRequest, loss: Loss) {
         let failure = match loss {
             Loss::Refused => ControlFailure::Refused,
             Loss::Silent => ControlFailure::Silent,
             Loss::Closed | Loss::Abandoned | Loss::Garbage => ControlFailure::Rejected,
         };
-        self.coordinator.control_answered(self.now, group, server, command, Err(failure));
+        self.coordinator.control_answered(self.now, request, Err(failure));
     }
 
     /// Reads the promoter's answer and passes it to the coordinator.
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -439,9 +439,7 @@
                 debug!(self.log, "connection to a server for this instance's callers ended"; "connection" => %id, "loss" => ?loss);
                 self.engine.connection_lost(context, id, loss);
             }
-            Use::Control { group, server, command, .. } => {
-                self.control_failed(&group, &server, &command, loss);
-            }
+            Use::Control { request, .. } => self.control_failed(&request, loss),
             Use::Store { call, via } => {
                 // The end of a connection without a call says nothing: an instance that stops
                 // is left before its process ends.
@@ -503,11 +501,11 @@
     fn connection_timed_out(&mut self, token: Token) {
         if let Some(Connection { socket, used_for, .. }) = self.connections.get(&token)
             && socket.is_connected()
-            && let Use::Control { group, server, command, stage: 0, .. } = used_for
+            && let Use::Control { request, stage: 0, .. } = used_for
         {
-            let (group, server, command) = (group.clone(), server.clone(), command.clone());
+            let request = request.clone();
             self.close(token);
-            self.control_failed(&group, &server, &command, Loss::Silent);
+            self.control_failed(&request, Loss::Silent);
             return;
         }
         self.connection_ended(token, false);
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use masticreel_base::ids::{GroupId, InstanceId, ServerId};
 
@@ -16,6 +17,10 @@
 use crate::records::{DoubtRecord, GroupRecord, Item, MemberRecord, StoreEvent, StoreKey};
 use crate::store_era::{era_of, era_of_epoch};
 
+/// How long a server is remembered after its entry was removed; longer than a crashed server
+/// takes to come back.
+pub const MISSING_SERVER_RETENTION: Duration = Duration::from_secs(60);
+
 /// The coordinator role, while an instance holds it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CoordinatorRole {
@@ -39,6 +44,15 @@
     pub value: T,
 }
 
+/// A server whose entry was removed.
+#[derive(Debug)]
+struct RemovedServer {
+    server: Server,
+    /// The last moment at which the view is known to have had the entry; `None` if the view
+    /// was never confirmed.
+    seen_until: Option<Moment>,
+}
+
 /// A change of the view.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ViewChange {
@@ -64,8 +78,9 @@
     servers: HashMap<ServerId, Server>,
     servers_by_group: HashMap<GroupId, BTreeSet<ServerId>>,
     server_keys: HashMap<Arc<str>, ServerId>,
-    /// Primaries whose entries were removed, with their last values.
-    removed_primaries: HashMap<ServerId, Server>,
+    /// Servers whose entries were removed though they may still have data that is needed,
+    /// with their last values.
+    removed_servers: HashMap<ServerId, RemovedServer>,
     groups: HashMap<GroupId, Versioned<GroupRecord>>,
     /// Groups of which a store that came back from an older copy has an older record than
     /// this view or none, with the revision of that, zero if there is none.
@@ -96,7 +111,46 @@
 
     /// Returns a server; for a primary also after its entry was removed.
     pub fn last_known_server(&self, id: &ServerId) -> Option<&Server> {
-        self.servers.get(id).or_else(|| self.removed_primaries.get(id))
+        self.servers.get(id).or_else(|| self.removed_servers.get(id).map(|removed| &removed.server))
+    }
+
+    /// Returns the servers of a group whose entries were removed less than
+    /// [`MISSING_SERVER_RETENTION`] ago, without those at whose address there is another
+    /// server of the group now.
+    ///
+    /// Such a server has left or crashed, or can't reach the store, and its log may have
+    /// commits that no other server has. One that restarts under another id at its address
+    /// still has it.
+    pub fn missing_servers_of<'a>(
+        &'a self,
+        group: &'a GroupId,
+    ) -> impl Iterator<Item = &'a Server> {
+        self.missing_servers().filter(|server| server.group == *group)
+    }
+
+    /// Returns the servers of all groups that are missing, as
+    /// [`StoreView::missing_servers_of`] does those of one.
+    pub fn missing_servers(&self) -> impl Iterator<Item = &Server> {
+        self.removed_servers
+            .values()
+            .filter(|removed| self.is_recently_removed(removed))
+            .map(|removed| &removed.server)
+            .filter(|server| {
+                self.servers_of(&server.group)
+                    .all(|known| known.id != server.id && known.address != server.address)
+            })
+    }
+
+    /// Returns whether a server is one of [`StoreView::missing_servers`].
+    pub fn is_missing(&self, id: &ServerId) -> bool {
+        self.missing_servers().any(|server| server.id == *id)
+    }
+
+    fn is_recently_removed(&self, removed: &RemovedServer) -> bool {
+        let age = self
+            .confirmed_at
+            .map_or(Duration::ZERO, |now| now.since(removed.seen_until.unwrap_or(now)));
+        age < MISSING_SERVER_RETENTION
     }
 
     fn remove_from_group(&mut self, server: &Server) {
@@ -105,14 +159,17 @@
         }
     }
 
-    /// Keeps the removed entry of a server if it is still its group's primary, and
-    /// drops those of servers that no longer are.
-    fn retain_removed_primary(&mut self, server: Server) {
-        self.removed_primaries
-            .retain(|id, _| self.groups.values().any(|group| group.value.primary == *id));
-        if self.groups.get(&server.group).is_some_and(|group| group.value.primary == server.id) {
-            self.removed_primaries.insert(server.id.clone(), server);
-        }
+    /// Keeps the removed entry of a server, and drops those that are not needed any more:
+    /// all but the recorded primaries and the servers that were removed a short time ago.
+    fn retain_removed_server(&mut self, server: Server) {
+        let seen_until = self.confirmed_at;
+        self.removed_servers.insert(server.id.clone(), RemovedServer { server, seen_until });
+        let mut removed_servers = std::mem::take(&mut self.removed_servers);
+        removed_servers.retain(|id, removed| {
+            self.is_recently_removed(removed)
+                || self.groups.values().any(|group| group.value.primary == *id)
+        });
+        self.removed_servers = removed_servers;
     }
 
     /// Returns the servers of a group.
@@ -302,7 +359,7 @@
         }
         for (id, server) in servers {
             if !self.servers.contains_key(&id) {
-                self.retain_removed_primary(server);
+                self.retain_removed_server(server);
             }
         }
         changes.extend(previous_ids.into_iter().map(ViewChange::Server));
@@ -507,7 +564,7 @@
         if let Some(id) = self.server_keys.remove(key) {
             if let Some(server) = self.servers.remove(&id) {
                 self.remove_from_group(&server);
-                self.retain_removed_primary(server);
+                self.retain_removed_server(server);
             }
             changes.push(ViewChange::Server(id));
             return;
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -11,7 +11,9 @@
 use masticreel_base::position::TermPosition;
 use masticreel_proxy::caller::CallerId;
 use masticreel_proxy::connections::ConnectionId;
-use masticreel_proxy::coordinator::{Coordinator, CoordinatorAction, Purpose, StoreLease};
+use masticreel_proxy::coordinator::{
+    ControlRequest, Coordinator, CoordinatorAction, Purpose, StoreLease,
+};
 use masticreel_proxy::directory::{Consistency, Document, GroupLimits, Route, Server};
 use masticreel_proxy::engine::{Action, Context, Engine, EngineSettings};
 use masticreel_proxy::metrics::Metrics;
@@ -69,6 +71,17 @@
     }
 }
 
+/// Returns a status query of the coordinator.
+pub fn status_request(server: &str, sent_at: Moment) -> ControlRequest {
+    ControlRequest {
+        server: server.into(),
+        address: ([127, 0, 0, 1], 1000).into(),
+        group: group(),
+        command: Command::Status,
+        sent_at,
+    }
+}
+
 /// The items of a store, an instance's view of them, and the current time.
 #[derive(Debug)]
 pub struct Fixture {
@@ -82,6 +95,9 @@
     pub is_cut_off: bool,
     /// How many connections each server accepts, for documents put afterwards.
     pub max_connections: usize,
+    /// How many replicas must receive a commit before it is acknowledged, for documents put
+    /// afterwards.
+    pub sync_replicas: usize,
 }
 
 impl Fixture {
@@ -94,13 +110,20 @@
             view: StoreView::default(),
             is_cut_off: false,
             max_connections: 16,
+            sync_replicas: 0,
         }
     }
 
     /// Creates a group of three servers whose primary is `s1`, and one instance
     /// that uses it.
     pub fn serving() -> Self {
-        let mut fixture = Self::new();
+        Self::serving_with_sync_replicas(0)
+    }
+
+    /// Creates the same as [`Fixture::serving`], in a group whose commits are acknowledged
+    /// once this many replicas have received them.
+    pub fn serving_with_sync_replicas(sync_replicas: usize) -> Self {
+        let mut fixture = Self { sync_replicas, ..Self::new() };
         fixture.put_document(Consistency::Latest);
         for (id, role) in [("s1", Role::Primary), ("s2", Role::Replica), ("s3", Role::Replica)] {
             fixture.put_server(id, role, false);
@@ -133,7 +156,10 @@
             routes: routes.iter().map(route).collect(),
             groups: HashMap::from([(
                 group(),
-                GroupLimits { max_connections: self.max_connections, sync_replicas: 0 },
+                GroupLimits {
+                    max_connections: self.max_connections,
+                    sync_replicas: self.sync_replicas,
+                },
             )]),
             transaction_idle_timeout: Some(Duration::from_secs(3)),
         };
@@ -143,6 +169,11 @@
     pub fn put_server(&mut self, id: &str, role: Role, is_leaving: bool) {
         let number: u16 =
             id.trim_start_matches('s').parse().expect("server ids are an s and a number");
+        self.put_server_at(number, id, role, is_leaving);
+    }
+
+    /// Puts the entry of a server with the address and the failure domain of this number.
+    pub fn put_server_at(&mut self, number: u16, id: &str, role: Role, is_leaving: bool) {
         let server = Server {
             id: id.into(),
             group: group(),
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use masticreel_proxy::coordinator::{
-    ControlFailure, Coordinator, CoordinatorAction as Action, Purpose,
+    ControlFailure, ControlRequest, Coordinator, CoordinatorAction as Action, Purpose,
 };
 use masticreel_proxy::peers::PeerMessage;
 use masticreel_proxy::primary_lease::{
@@ -19,7 +19,7 @@
 use masticreel_proxy::statement::{Command, Role, ServerStatus};
 use support::{
     Fixture, INCARNATION, OWN, coordinator, coordinator_of, group, is_for, ms, position,
-    tick_with_store,
+    status_request, tick_with_store,
 };
 
 /// Returns the coordinator of an instance that has been the active one long enough
@@ -58,14 +58,14 @@
     let mut promoted = Vec::new();
     for action in actions {
         match action {
-            Action::Control { server, command, .. } => {
+            Action::Control(request @ ControlRequest { server, command, .. }) => {
                 let status = match (server.as_str(), command) {
                     ("s1", Command::StepDown { .. }) => replica(9),
                     ("s1", _) => ServerStatus { role: Role::Primary, ..replica(9) },
                     ("s2", _) => replica(9),
                     _ => replica(7),
                 };
-                coordinator.control_answered(fixture.now, &group(), server, command, Ok(status));
+                coordinator.control_answered(fixture.now, request, Ok(status));
             }
             Action::Promote(request) => {
                 promoted.push(request.server.to_string());
@@ -142,12 +142,12 @@
     while promoted.is_empty() && fixture.now.since(start) < PRIMARY_LEASE * 2 {
         let actions = tick_with_store(&mut fixture, &mut coordinator);
         let (to_old, others): (Vec<Action>, Vec<Action>) = actions.into_iter().partition(
-            |action| matches!(action, Action::Control { server, .. } if server.as_str() == "s1"),
+            |action| matches!(action, Action::Control(request) if request.server.as_str() == "s1"),
         );
         for action in to_old {
-            if let Action::Control { server, command, .. } = action {
+            if let Action::Control(request) = action {
                 let silent = Err(ControlFailure::Silent);
-                coordinator.control_answered(fixture.now, &group(), &server, &command, silent);
+                coordinator.control_answered(fixture.now, &request, silent);
             }
         }
         promoted = answer_actions(&mut fixture, &mut coordinator, &others);
@@ -281,12 +281,12 @@
     while fixture.now < end {
         let actions = tick_with_store(fixture, coordinator);
         let (to_old, others): (Vec<Action>, Vec<Action>) = actions.into_iter().partition(
-            |action| matches!(action, Action::Control { server, .. } if server.as_str() == "s1"),
+            |action| matches!(action, Action::Control(request) if request.server.as_str() == "s1"),
         );
         for action in to_old {
-            if let Action::Control { server, command, .. } = action {
+            if let Action::Control(request) = action {
                 let refused = Err(ControlFailure::Refused);
-                coordinator.control_answered(fixture.now, &group(), &server, &command, refused);
+                coordinator.control_answered(fixture.now, &request, refused);
             }
         }
         let promoted = answer_actions(fixture, coordinator, &others);
@@ -342,12 +342,12 @@
     let end = fixture.now + ms(2000);
     while fixture.now < end {
         for action in tick_with_store(&mut fixture, &mut coordinator) {
-            let Action::Control { server, command, .. } = action else {
+            let Action::Control(request @ ControlRequest { command, .. }) = &action else {
                 continue;
             };
             step_downs += usize::from(matches!(command, Command::StepDown { .. }));
             let refused = Err(ControlFailure::Refused);
-            coordinator.control_answered(fixture.now, &group(), &server, &command, refused);
+            coordinator.control_answered(fixture.now, request, refused);
         }
         fixture.advance(ms(2));
         fixture.refresh();
@@ -364,13 +364,13 @@
     assert_eq!(promoted, ["s1"]);
     for _ in 0..50 {
         for action in tick_with_store(&mut fixture, &mut coordinator) {
-            let Action::Control { server, command, .. } = action else {
+            let Action::Control(request @ ControlRequest { server, command, .. }) = &action else {
                 continue;
             };
             let is_step_down = matches!(command, Command::StepDown { .. });
             assert!(!(server.as_str() == "s1" && is_step_down), "s1 may lead by now");
             let busy = Err(ControlFailure::Rejected);
-            coordinator.control_answered(fixture.now, &group(), &server, &command, busy);
+            coordinator.control_answered(fixture.now, request, busy);
         }
         fixture.advance(ms(20));
         fixture.refresh();
@@ -392,15 +392,15 @@
     while fixture.now < restarted_until {
         let actions = tick_with_store(&mut fixture, &mut coordinator);
         let (to_old, others): (Vec<Action>, Vec<Action>) = actions.into_iter().partition(
-            |action| matches!(action, Action::Control { server, .. } if server.as_str() == "s1"),
+            |action| matches!(action, Action::Control(request) if request.server.as_str() == "s1"),
         );
         for action in to_old {
-            let Action::Control { server, command, .. } = action else {
+            let Action::Control(request @ ControlRequest { command, .. }) = &action else {
                 continue;
             };
             is_told_again |= matches!(command, Command::StepDown { .. });
             let leads = ServerStatus { role: Role::Primary, ..replica(9) };
-            coordinator.control_answered(fixture.now, &group(), &server, &command, Ok(leads));
+            coordinator.control_answered(fixture.now, request, Ok(leads));
         }
         let promoted = answer_actions(&mut fixture, &mut coordinator, &others);
         assert_eq!(promoted, Vec::<String>::new(), "proxy-2 may write to s1, which leads");
@@ -422,13 +422,13 @@
     fixture.refresh();
     let actions = tick_with_store(&mut fixture, &mut coordinator);
     let probe = actions.iter().find_map(|action| match action {
-        Action::Control { server, command, .. } => Some((server.clone(), command.clone())),
+        Action::Control(request) => Some(request.clone()),
         _ => None,
     });
-    let (server, command) = probe.expect("the active coordinator probes the primary itself");
-    assert_eq!(server.as_str(), "s1");
+    let probe = probe.expect("the active coordinator probes the primary itself");
+    assert_eq!(probe.server.as_str(), "s1");
     let refused = Err(ControlFailure::Refused);
-    coordinator.control_answered(fixture.now, &group(), &server, &command, refused);
+    coordinator.control_answered(fixture.now, &probe, refused);
     for _ in 0..20 {
         tick_with_store(&mut fixture, &mut coordinator);
         fixture.advance(ms(20));
@@ -454,7 +454,7 @@
     let silent = DoubtRecord { primary: "s1".into(), epoch: 1, kind: SuspicionKind::Silent };
     let is_probing = |fixture: &mut Fixture, instance: &str| {
         let actions = tick_with_store(fixture, &mut coordinator_of(instance));
-        actions.iter().any(|action| matches!(action, Action::Control { .. }))
+        actions.iter().any(|action| matches!(action, Action::Control(_)))
     };
     // The first suspicion makes the chosen instances and the active coordinator probe.
     fixture.put(&suspicion_key(&group(), &"proxy-40".into()), &silent);
@@ -515,12 +515,12 @@
         let actions = tick_with_store(fixture, coordinator);
         coordinator.work_done(fixture.now, &group(), epoch + 1);
         let (to_old, others): (Vec<Action>, Vec<Action>) = actions.into_iter().partition(
-            |action| matches!(action, Action::Control { server, .. } if server.as_str() == "s1"),
+            |action| matches!(action, Action::Control(request) if request.server.as_str() == "s1"),
         );
         for action in to_old {
-            if let Action::Control { server, command, .. } = action {
+            if let Action::Control(request) = action {
                 let status = Ok(replica(40));
-                coordinator.control_answered(fixture.now, &group(), &server, &command, status);
+                coordinator.control_answered(fixture.now, &request, status);
             }
         }
         let promoted = answer_actions(fixture, coordinator, &others);
@@ -542,13 +542,7 @@
     assert_eq!(promoted_after_silence(&mut coordinator, &mut fixture), ["s1"]);
     let leading =
         ServerStatus { role: Role::Primary, term: position(2, 0).term, received: position(1, 40) };
-    coordinator.control_answered(
-        fixture.now,
-        &group(),
-        &"s1".into(),
-        &Command::Status,
-        Ok(leading),
-    );
+    coordinator.control_answered(fixture.now, &status_request("s1", fixture.now), Ok(leading));
     for _ in 0..20 {
         tick_with_store(&mut fixture, &mut coordinator);
         fixture.advance(ms(20));
@@ -586,13 +580,13 @@
             coordinator.peer_stopped(&"proxy-2".into(), &group(), 2);
         }
         let (to_old, others): (Vec<Action>, Vec<Action>) = actions.into_iter().partition(
-            |action| matches!(action, Action::Control { server, .. } if server.as_str() == "s1"),
+            |action| matches!(action, Action::Control(request) if request.server.as_str() == "s1"),
         );
         for action in to_old {
-            if let Action::Control { server, command, .. } = action {
+            if let Action::Control(request) = &action {
                 let is_healed = passed >= ms(1600);
                 let result = if is_healed { Ok(replica(40)) } else { Err(ControlFailure::Silent) };
-                coordinator.control_answered(fixture.now, &group(), &server, &command, result);
+                coordinator.control_answered(fixture.now, request, result);
             }
         }
         promoted = answer_actions(&mut fixture, &mut coordinator, &others);
@@ -655,13 +649,7 @@
     );
     let promoted =
         ServerStatus { role: Role::Primary, term: position(2, 0).term, received: position(2, 9) };
-    coordinator.control_answered(
-        fixture.now,
-        &group(),
-        &"s2".into(),
-        &Command::Status,
-        Ok(promoted),
-    );
+    coordinator.control_answered(fixture.now, &status_request("s2", fixture.now), Ok(promoted));
     fixture.advance(ms(200));
     let actions = tick_with_store(&mut fixture, &mut coordinator);
     assert!(actions.iter().any(|action| is_for(action, &Purpose::Publish(group()))), "{actions:?}");
@@ -689,13 +677,7 @@
     assert_eq!(promotions_within(&mut fixture, &mut coordinator, ms(1000)), ["s2"]);
     let promoted =
         ServerStatus { role: Role::Primary, term: position(2, 0).term, received: position(2, 9) };
-    coordinator.control_answered(
-        fixture.now,
-        &group(),
-        &"s2".into(),
-        &Command::Status,
-        Ok(promoted),
-    );
+    coordinator.control_answered(fixture.now, &status_request("s2", fixture.now), Ok(promoted));
     fixture.advance(ms(200));
     // The answer of the store to the write is lost, and the write has no effect.
     coordinator.tick(&fixture.view, fixture.now);
@@ -714,13 +696,7 @@
 
     coordinator.store_answered(fixture.now, fixture.now, &Purpose::Publish(group()), None);
     fixture.advance(ms(300));
-    coordinator.control_answered(
-        fixture.now,
-        &group(),
-        &"s2".into(),
-        &Command::Status,
-        Ok(promoted),
-    );
+    coordinator.control_answered(fixture.now, &status_request("s2", fixture.now), Ok(promoted));
     let mut actions = tick_with_store(&mut fixture, &mut coordinator);
     actions.extend(tick_with_store(&mut fixture, &mut coordinator));
     assert!(actions.iter().any(is_announcement), "the record is stored now: {actions:?}");
@@ -834,13 +810,7 @@
     fixture.put_server("s4", Role::Primary, false);
     fixture.refresh();
     let restarted = ServerStatus { role: Role::Primary, ..replica(9) };
-    coordinator.control_answered(
-        fixture.now,
-        &group(),
-        &"s4".into(),
-        &Command::Status,
-        Ok(restarted),
-    );
+    coordinator.control_answered(fixture.now, &status_request("s4", fixture.now), Ok(restarted));
     fixture.advance(ms(200));
     tick_with_store(&mut fixture, &mut coordinator);
     let record = fixture.view.group(&group()).expect("the group has a record");
@@ -859,13 +829,7 @@
     fixture.refresh();
     let restarted = ServerStatus { role: Role::Primary, ..replica(9) };
     tick_with_store(&mut fixture, &mut coordinator);
-    coordinator.control_answered(
-        fixture.now,
-        &group(),
-        &"s4".into(),
-        &Command::Status,
-        Ok(restarted),
-    );
+    coordinator.control_answered(fixture.now, &status_request("s4", fixture.now), Ok(restarted));
     fixture.advance(ms(200));
     tick_with_store(&mut fixture, &mut coordinator);
     assert_eq!(
--- a/lib/proxy/tests/test_store_restored.rs
+++ b/lib/proxy/tests/test_store_restored.rs
@@ -3,7 +3,9 @@
 
 mod support;
 
-use masticreel_proxy::coordinator::{Coordinator, CoordinatorAction as Action, Purpose};
+use masticreel_proxy::coordinator::{
+    ControlRequest, Coordinator, CoordinatorAction as Action, Purpose,
+};
 use masticreel_proxy::moment::Moment;
 use masticreel_proxy::primary_lease::{PRIMARY_LEASE, is_view_fresh, usable_primary};
 use masticreel_proxy::records::{
@@ -275,12 +277,12 @@
 /// leads.
 fn answer_statuses(now: Moment, coordinator: &mut Coordinator, actions: &[Action], leader: &str) {
     for action in actions {
-        if let Action::Control { server, command, .. } = action {
+        if let Action::Control(request @ ControlRequest { server, .. }) = action {
             let is_leader = server.as_str() == leader;
             let role = if is_leader { Role::Primary } else { Role::Replica };
             let term = position(if is_leader { 2 } else { 1 }, 0).term;
             let status = ServerStatus { role, term, received: position(1, 9) };
-            coordinator.control_answered(now, &group(), server, command, Ok(status));
+            coordinator.control_answered(now, request, Ok(status));
         }
     }
 }
