proxy: close connections whose variables or statements failed

Cause: an instance, and the owner of a server's connections, recorded what a connection has when the command was sent. A connection on which one failed went back to the pool with what it did not have, and was preferred for the retry, which seemed to need no SET then.

FAILED says that a command ran, and not what it left, so such a connection is closed now, also after a failed PREPARE. A connection reaches the pool only once all its commands have succeeded, so that what is recorded for it is in force.

--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -102,9 +102,10 @@
     /// Whether a caller's transaction is open on it; `false` as soon as a rollback
     /// is sent.
     pub in_transaction: bool,
-    /// The session variables that are set on it.
+    /// The session variables that are set on it, once the server has confirmed all
+    /// outstanding commands. If one of them fails, the connection is closed.
     pub variables: SessionVariables,
-    /// Handles of the statements that are prepared on it.
+    /// Handles of the statements that are prepared on it, under the same condition.
     pub prepared: HashSet<u64>,
     /// When the last command was sent, or the connection was started.
     pub sent_at: Moment,
@@ -150,6 +151,9 @@
 ///
 /// Variables can't be unset one by one. If the connection has one that the
 /// session lacks, all of them are cleared, and its prepared statements with them.
+///
+/// The caller has to close the connection if one of the commands fails, as the server may
+/// or may not have executed it then.
 pub fn sync_variables(
     current: &mut SessionVariables,
     prepared: &mut HashSet<u64>,
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -122,7 +122,7 @@
             Expected::Setup | Expected::Begin => match outcome {
                 Ok(_) if is_detached => self.release_detached(context, id),
                 Ok(_) => self.continue_setup(context, id),
-                Err(failure) => self.setup_failed(context, id, failure),
+                Err(failure) => self.setup_failed(context, id, expected, failure),
             },
             Expected::Work => {
                 let jitter = self.jitter();
@@ -329,13 +329,26 @@
 
     /// Handles the failure of a command that sets a connection up for a caller: a
     /// variable, a prepared statement or the beginning of a transaction.
-    fn setup_failed(&mut self, context: Context<'_>, id: ConnectionId, failure: Failure) {
+    ///
+    /// A variable or a statement that failed may be in force all the same, so the
+    /// connection is closed then.
+    fn setup_failed(
+        &mut self,
+        context: Context<'_>,
+        id: ConnectionId,
+        expected: Expected,
+        failure: Failure,
+    ) {
         let Some(connection) = self.connections.get(id) else {
             return;
         };
         info!(self.log, "server failed to set up the session"; "server" => %connection.server,
             "outcome" => %failure.kind, "reason" => %failure.text);
-        self.fail_attempt(context, id, failure);
+        if expected == Expected::Setup {
+            self.close_after_failed_setup(context, id, failure);
+        } else {
+            self.fail_attempt(context, id, failure);
+        }
     }
 }
 
--- a/lib/proxy/src/engine/outcomes.rs
+++ b/lib/proxy/src/engine/outcomes.rs
@@ -47,8 +47,7 @@
         if !connection.expected.is_empty() {
             // Commands that were sent after the failed one may still succeed,
             // so the state of the connection is unknown.
-            self.connections.remove(id);
-            self.actions.push(Action::Disconnect(id));
+            self.close(id);
         } else if in_transaction {
             self.send_rollback(context, id);
         } else {
@@ -59,6 +58,25 @@
         }
     }
 
+    /// Closes a connection whose variables or prepared statements are unknown, since the
+    /// server has failed to set one, and retries its request.
+    pub(super) fn close_after_failed_setup(
+        &mut self,
+        context: Context<'_>,
+        id: ConnectionId,
+        failure: Failure,
+    ) {
+        let Some(connection) = self.connections.get_mut(id) else {
+            return;
+        };
+        let caller = connection.caller.take();
+        let server = connection.server.clone();
+        self.close(id);
+        if let Some(caller) = caller {
+            self.retry_attempt(context, caller, &server, failure);
+        }
+    }
+
     /// Retries a request after a failed attempt, at once or after a backoff,
     /// and if possible at another server.
     ///
--- a/lib/proxy/src/engine/releases.rs
+++ b/lib/proxy/src/engine/releases.rs
@@ -238,6 +238,12 @@
         self.actions.push(Action::Send(id, Command::Rollback));
     }
 
+    /// Closes an intact connection that no caller uses any more.
+    pub(super) fn close(&mut self, id: ConnectionId) {
+        self.connections.remove(id);
+        self.actions.push(Action::Disconnect(id));
+    }
+
     /// Returns a connection to the pool and places the waiting requests of its
     /// group. Closes it instead if it may not be kept, or if it is a direct one to a
     /// server that now is reached through an owner.
@@ -258,8 +264,7 @@
         let is_redundant = is_direct
             && context.view.server(&server).is_some_and(|s| self.relay_for(context, s).is_some());
         if is_redundant || !self.may_be_kept(context, &group, &server, started_ms) {
-            self.connections.remove(id);
-            self.actions.push(Action::Disconnect(id));
+            self.close(id);
             if is_redundant {
                 self.place_waiting(context, &group, true);
             }
--- a/lib/proxy/src/relays/answers.rs
+++ b/lib/proxy/src/relays/answers.rs
@@ -85,7 +85,7 @@
                 pooled.in_transaction |= expected == Expected::Begin && failure.is_none();
                 match failure {
                     None => self.send_command(context, id),
-                    Some(failure) => self.setup_failed(context, id, failure),
+                    Some(failure) => self.setup_failed(context, id, expected, failure),
                 }
             }
             Expected::Work => {
@@ -143,13 +143,23 @@
 
     /// Answers a session's command with the failure of a setup command. The
     /// session's command has not been sent.
-    fn setup_failed(&mut self, context: Context<'_>, id: PooledId, failure: Failure) {
+    ///
+    /// A variable or a prepared statement that failed may be in force all the same, so the
+    /// connection is closed then.
+    fn setup_failed(
+        &mut self,
+        context: Context<'_>,
+        id: PooledId,
+        expected: Expected,
+        failure: Failure,
+    ) {
         let Some(pooled) = self.pooled.get_mut(&id) else {
             return;
         };
         pooled.command = None;
         let session = pooled.session.take();
-        let all_answered = pooled.expected.is_empty();
+        // Commands that were sent after the failed one may still succeed.
+        let is_state_known = expected == Expected::Begin && pooled.expected.is_empty();
         info!(self.log, "server failed to set up a relayed session"; "server" => %pooled.server,
             "outcome" => %failure.kind, "reason" => %failure.text);
         if let Some(session) = session {
@@ -159,11 +169,9 @@
             self.answer(session, UpstreamMessage::Error(failure));
             self.answer(session, ready_idle());
         }
-        if all_answered {
+        if is_state_known {
             self.release(context, id);
         } else {
-            // Setup commands that were sent after the failed one may still
-            // succeed, so the state of the connection is unknown.
             self.remove_connection(context, id, Loss::Abandoned);
         }
         if let Some(session) = session {
--- a/lib/proxy/tests/test_relays.rs
+++ b/lib/proxy/tests/test_relays.rs
@@ -589,3 +589,28 @@
     let refused = answers.values().filter(|a| failure_of(a) == Some(FailureKind::Busy)).count();
     assert_eq!(refused, 150 - 1 - 100, "one runs, a hundred can run in time");
 }
+
+fn fail(fixture: &Fixture, relays: &mut Relays, id: PooledId, state: SessionState) {
+    let failure = Failure::new(FailureKind::Failed, "failed");
+    relays.pooled_message(fixture.context(), id, UpstreamMessage::Error(failure), None);
+    let ready = UpstreamMessage::Ready { state, position: None };
+    relays.pooled_message(fixture.context(), id, ready, None);
+}
+
+/// Guards against a pooled connection that keeps another session's variables after a server
+/// failed to set them (`review/3` with 18 instances).
+#[test]
+fn test_pooled_connection_on_which_a_variable_was_not_set_is_closed() {
+    let fixture = relayed_fixture();
+    let mut relays = Relays::new(OWN.into(), log());
+    let session = relays.open_session(&"s2".into());
+    submit(&fixture, &mut relays, session, set("a"));
+    submit(&fixture, &mut relays, session, run("1"));
+    let opened = take_relay_actions(&mut relays).opened;
+    accept(&fixture, &mut relays, &opened);
+    fail(&fixture, &mut relays, opened[0], SessionState::Idle);
+    let actions = take_relay_actions(&mut relays);
+    assert_eq!(actions.closed, opened);
+    assert_eq!(actions.sent, [], "nothing runs on it");
+    assert_eq!(failure_of(&actions.answers[&session]), Some(FailureKind::Failed));
+}
