proxy: set variables before each statement of a transaction

Cause: a session's variables were compared with those of its connection only when the connection was assigned. They are now compared before each statement, and the statement waits for the answers. If a variable can't be set, the transaction is rolled back and the caller is told, since its earlier statements can't be repeated.

Both tests fail before: the statement is sent without the SET.

--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -160,7 +160,7 @@
     wanted: &SessionVariables,
 ) -> Vec<Command> {
     let mut commands = Vec::new();
-    if current == wanted {
+    if Arc::ptr_eq(current, wanted) || current == wanted {
         return commands;
     }
     if !can_skip_clear(current, wanted) {
--- a/lib/proxy/src/engine/sending.rs
+++ b/lib/proxy/src/engine/sending.rs
@@ -12,7 +12,7 @@
 use slog::debug;
 
 use super::{Action, Context, Engine};
-use crate::caller::{CallerId, ServerRequirement, Stage, Transaction};
+use crate::caller::{CallerId, ServerRequirement, SessionVariables, Stage, Transaction};
 use crate::connections::{ConnectionId, Expected, PrimaryKnowledge, sync_variables};
 use crate::primary_lease;
 use crate::statement::{Access, Command, Failure, FailureKind, PreparedStatement, Work};
@@ -52,12 +52,7 @@
         connection.in_transaction = begin.is_some();
         connection.sent_at = context.now;
         connection.sent_under = primary_knowledge(context, &connection.group);
-        for command in
-            sync_variables(&mut connection.variables, &mut connection.prepared, &variables)
-        {
-            connection.expected.push_back(Expected::Setup);
-            self.actions.push(Action::Send(connection_id, command));
-        }
+        self.send_variables(connection_id, &variables);
         if let Some(statement) = prepared {
             self.prepare(connection_id, &statement);
         }
@@ -75,6 +70,19 @@
         self.continue_setup(context, connection_id);
     }
 
+    /// Sends the commands that make the variables on a connection equal to a session's.
+    fn send_variables(&mut self, connection_id: ConnectionId, variables: &SessionVariables) {
+        let Some(connection) = self.connections.get_mut(connection_id) else {
+            return;
+        };
+        for command in
+            sync_variables(&mut connection.variables, &mut connection.prepared, variables)
+        {
+            connection.expected.push_back(Expected::Setup);
+            self.actions.push(Action::Send(connection_id, command));
+        }
+    }
+
     /// Prepares a statement on a connection, unless that was done before.
     pub(super) fn prepare(&mut self, connection_id: ConnectionId, statement: &PreparedStatement) {
         let handle = statement_handle(statement);
@@ -146,17 +154,22 @@
             self.fail_attempt(context, connection_id, failure);
             return;
         }
+        // `dispatch` sets the variables only for the first request of a transaction; later
+        // ones may follow a change of them.
+        let variables = caller.variables.clone();
+        self.send_variables(connection_id, &variables);
         if let Work::Prepared { shape, .. } = &pending.work {
             // `dispatch` prepares the statement only for the first request of a
             // transaction, and a server that does not know it makes the
             // connection forget its prepared statements before a retry.
             self.prepare(connection_id, shape);
-            let must_wait = self.connections.get(connection_id).is_some_and(|connection| {
-                !connection.expected.is_empty() && connection.via.is_none()
-            });
-            if must_wait {
-                return;
-            }
+        }
+        let must_wait = self
+            .connections
+            .get(connection_id)
+            .is_some_and(|connection| !connection.expected.is_empty() && connection.via.is_none());
+        if must_wait {
+            return;
         }
         let is_plain_read = !in_transaction && pending.work.access() == Access::Read;
         let floor = match self.floor_on_connection(context, id, connection_id) {
--- a/lib/proxy/tests/test_session_state.rs
+++ b/lib/proxy/tests/test_session_state.rs
@@ -136,3 +136,41 @@
     let actions = instance.fail(connection, FailureKind::Failed, SessionState::Idle);
     assert_eq!(actions.disconnects, [connection]);
 }
+
+/// Guards against a variable that is acknowledged inside a transaction and applied only after
+/// its end.
+#[test]
+fn test_variable_set_inside_a_transaction_applies_to_its_next_statement() {
+    let mut instance = Instance::start();
+    instance.open(1);
+    instance.request(1, Ok(Statement::Begin { read_only: false }));
+    let (connection, _) = instance.connect(1, direct(Access::Read, "READ a"));
+    let sent = instance.complete(connection, SessionState::Transaction).sent;
+    assert!(is_run(&sent[0].1), "{sent:?}");
+    instance.complete(connection, SessionState::Transaction);
+    instance.set(1, "a");
+    let sent = instance.request(1, write("a")).sent;
+    assert_eq!(sent, [(connection, set_command("a"))], "the variable is set before");
+    let sent = instance.complete(connection, SessionState::Transaction).sent;
+    assert!(is_run(&sent[0].1), "{sent:?}");
+    let answers = instance.complete(connection, SessionState::Transaction).answers;
+    assert!(answers[0].1.outcome.is_ok(), "{answers:?}");
+    assert!(is_run(&instance.request(1, Ok(Statement::Commit)).sent[0].1));
+}
+
+/// The statements before the variable have run, so the transaction can't begin again.
+#[test]
+fn test_transaction_ends_if_a_variable_can_not_be_set_inside_it() {
+    let mut instance = Instance::start();
+    instance.open(1);
+    instance.request(1, Ok(Statement::Begin { read_only: false }));
+    let (connection, _) = instance.connect(1, direct(Access::Read, "READ a"));
+    instance.complete(connection, SessionState::Transaction);
+    instance.complete(connection, SessionState::Transaction);
+    instance.set(1, "a");
+    instance.request(1, write("a"));
+    let actions = instance.fail(connection, FailureKind::Failed, SessionState::Failed);
+    assert_eq!(actions.disconnects, [connection], "the server rolls back what has run");
+    let failure = actions.answers[0].1.outcome.as_ref().err().map(|failure| failure.kind);
+    assert_eq!(failure, Some(FailureKind::Aborted));
+}
