proxy: close connections whose transaction has not ended

Cause: the answer to a ROLLBACK was not looked at, and a failed COMMIT was taken for the end of the transaction. The owner of a server's connections sent a refused ROLLBACK again at once and without end.

The state that a server reports with each answer is kept now. A connection is closed instead of pooled if that is not idle; the server rolls back.

Three of the four tests fail before: the connection is kept. The fourth holds before and after: a connection without a transaction is kept.

--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -17,7 +17,7 @@
 use crate::caller::{CallerId, SessionVariables};
 use crate::latency::LatencyEstimate;
 use crate::moment::Moment;
-use crate::statement::{Command, Failure};
+use crate::statement::{Command, Failure, SessionState};
 
 /// Identifies a server connection within the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
@@ -102,6 +102,8 @@
     /// Whether a caller's transaction is open on it; `false` as soon as a rollback
     /// is sent.
     pub in_transaction: bool,
+    /// The state that the server last reported.
+    pub state: SessionState,
     /// The session variables that are set on it, once the server has confirmed all
     /// outstanding commands. If one of them fails, the connection is closed.
     pub variables: SessionVariables,
@@ -282,6 +284,7 @@
             unverified: None,
             caller: None,
             in_transaction: false,
+            state: SessionState::Idle,
             variables: SessionVariables::default(),
             prepared: HashSet::new(),
             sent_at: now,
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -96,6 +96,7 @@
             self.connection_lost(context, id, Loss::Garbage);
             return;
         };
+        connection.state = state;
         let sent_at = connection.sent_at;
         let was_overdue = std::mem::take(&mut connection.is_answer_overdue);
         let is_detached = connection.caller.is_none();
--- a/lib/proxy/src/engine/releases.rs
+++ b/lib/proxy/src/engine/releases.rs
@@ -22,7 +22,7 @@
 use crate::connections::{ConnectionId, Expected, SERVER_BACKOFF};
 use crate::engine::outcomes::MAX_ATTEMPTS;
 use crate::records::SuspicionKind;
-use crate::statement::{Access, Command, Failure, FailureKind, Work};
+use crate::statement::{Access, Command, Failure, FailureKind, SessionState, Work};
 
 /// Backoff after a failed attempt to connect to a server, multiplied by the
 /// number of consecutive failures.
@@ -245,8 +245,9 @@
     }
 
     /// Returns a connection to the pool and places the waiting requests of its
-    /// group. Closes it instead if it may not be kept, or if it is a direct one to a
-    /// server that now is reached through an owner.
+    /// group. Closes it instead if it may not be kept, if it is a direct one to a
+    /// server that now is reached through an owner, or if the server has not ended the
+    /// transaction on it.
     pub(super) fn release(&mut self, context: Context<'_>, id: ConnectionId) {
         let Some(connection) = self.connections.get_mut(id) else {
             return;
@@ -257,12 +258,20 @@
         let server = connection.server.clone();
         let group = connection.group.clone();
         let started_ms = connection.server_started_ms;
+        let state = connection.state;
         let is_direct = connection.via.is_none();
         // Under steady traffic a direct connection never reaches its idle
         // timeout, so it is closed here once the server is to be reached
         // through an owner.
         let is_redundant = is_direct
             && context.view.server(&server).is_some_and(|s| self.relay_for(context, s).is_some());
+        if state != SessionState::Idle {
+            info!(self.log, "server has not ended the transaction, closing its connection";
+                "server" => %server, "connection" => %id);
+            self.close(id);
+            self.place_waiting(context, &group, true);
+            return;
+        }
         if is_redundant || !self.may_be_kept(context, &group, &server, started_ms) {
             self.close(id);
             if is_redundant {
--- a/lib/proxy/src/relays/answers.rs
+++ b/lib/proxy/src/relays/answers.rs
@@ -82,7 +82,8 @@
             }
             Expected::RoleBeforeUse => self.role_received(context, id, status),
             Expected::Setup | Expected::Begin => {
-                pooled.in_transaction |= expected == Expected::Begin && failure.is_none();
+                let has_begun = expected == Expected::Begin && failure.is_none();
+                pooled.in_transaction |= has_begun || state != SessionState::Idle;
                 match failure {
                     None => self.send_command(context, id),
                     Some(failure) => self.setup_failed(context, id, expected, failure),
@@ -107,8 +108,14 @@
             }
             // No role check after a read is sent on a pooled connection.
             Expected::RoleAfterRead | Expected::Rollback => {
-                pooled.in_transaction = state != SessionState::Idle;
-                self.release(context, id);
+                if state == SessionState::Idle {
+                    pooled.in_transaction = false;
+                    self.release(context, id);
+                } else {
+                    info!(self.log, "server has not ended the transaction, closing its connection";
+                        "server" => %pooled.server, "connection" => %id);
+                    self.remove_connection(context, id, Loss::Abandoned);
+                }
             }
         }
     }
--- a/lib/proxy/tests/test_relays.rs
+++ b/lib/proxy/tests/test_relays.rs
@@ -614,3 +614,22 @@
     assert_eq!(actions.sent, [], "nothing runs on it");
     assert_eq!(failure_of(&actions.answers[&session]), Some(FailureKind::Failed));
 }
+
+/// Guards against a rollback that is sent again and again to a server that refuses it.
+#[test]
+fn test_pooled_connection_whose_rollback_was_refused_is_closed() {
+    let fixture = relayed_fixture();
+    let mut relays = Relays::new(OWN.into(), log());
+    let session = relays.open_session(&"s2".into());
+    submit(&fixture, &mut relays, session, Command::Begin { read_only: false, floor: None });
+    submit(&fixture, &mut relays, session, run("1"));
+    let opened = take_relay_actions(&mut relays).opened;
+    accept(&fixture, &mut relays, &opened);
+    complete(&fixture, &mut relays, opened[0], SessionState::Transaction);
+    complete(&fixture, &mut relays, opened[0], SessionState::Transaction);
+    relays.end_session(fixture.context(), session);
+    take_relay_actions(&mut relays);
+    fail(&fixture, &mut relays, opened[0], SessionState::Transaction);
+    let actions = take_relay_actions(&mut relays);
+    assert_eq!((actions.closed, actions.sent), (opened, Vec::new()));
+}
--- a/lib/proxy/tests/test_session_state.rs
+++ b/lib/proxy/tests/test_session_state.rs
@@ -11,7 +11,8 @@
     Access, Command, Failure, FailureKind, PreparedStatement, SessionState, Statement,
 };
 use support::{
-    EngineActions, Fixture, accept, complete, engine, position, ready, take_engine_actions, write,
+    EngineActions, Fixture, accept, complete, engine, position, read, ready, take_engine_actions,
+    write,
 };
 
 /// An instance with one group, and callers with requests numbered in their order.
@@ -174,3 +175,48 @@
     let failure = actions.answers[0].1.outcome.as_ref().err().map(|failure| failure.kind);
     assert_eq!(failure, Some(FailureKind::Aborted));
 }
+
+/// Guards against a statement inside the transaction of another session: the answer to a
+/// rollback was not looked at.
+#[test]
+fn test_connection_whose_rollback_was_refused_is_closed() {
+    let mut instance = Instance::start();
+    instance.open(1);
+    instance.request(1, Ok(Statement::Begin { read_only: false }));
+    let (connection, _) = instance.connect(1, direct(Access::Read, "READ a"));
+    instance.complete(connection, SessionState::Transaction);
+    instance.complete(connection, SessionState::Transaction);
+    let sent = instance.request(1, Ok(Statement::Rollback)).sent;
+    assert_eq!(sent, [(connection, Command::Rollback)]);
+    let actions = instance.fail(connection, FailureKind::Busy, SessionState::Transaction);
+    assert_eq!(actions.disconnects, [connection]);
+}
+
+#[test]
+fn test_connection_whose_failed_commit_left_the_transaction_open_is_closed() {
+    let mut instance = Instance::start();
+    instance.open(1);
+    instance.request(1, Ok(Statement::Begin { read_only: false }));
+    let (connection, _) = instance.connect(1, direct(Access::Write, "WRITE a x"));
+    instance.complete(connection, SessionState::Transaction);
+    instance.complete(connection, SessionState::Transaction);
+    instance.request(1, Ok(Statement::Commit));
+    let actions = instance.fail(connection, FailureKind::Failed, SessionState::Failed);
+    assert_eq!(actions.disconnects, [connection]);
+    assert_eq!(actions.answers.len(), 1);
+}
+
+/// A server that ends the transaction all the same leaves a connection that can be used.
+#[test]
+fn test_connection_is_kept_after_a_rollback_that_found_no_transaction() {
+    let mut instance = Instance::start();
+    instance.open(1);
+    instance.request(1, Ok(Statement::Begin { read_only: false }));
+    let (connection, _) = instance.connect(1, direct(Access::Read, "READ a"));
+    instance.complete(connection, SessionState::Transaction);
+    instance.complete(connection, SessionState::Transaction);
+    instance.request(1, Ok(Statement::Rollback));
+    let actions = instance.fail(connection, FailureKind::Malformed, SessionState::Idle);
+    assert_eq!(actions.disconnects, []);
+    assert_eq!(instance.request(1, read("a")).sent.len(), 1, "it is used again");
+}
