relays: prepare statements again that a server does not know

Cause: the owner of a server's connections went on taking a statement for prepared after the server had said that it does not know the name, so each retry on that connection failed the same way until the caller's deadline. An instance forgets its own in that case; the owner does so now too.

The test fails before: the statement is not prepared again.

--- a/lib/proxy/src/relays/answers.rs
+++ b/lib/proxy/src/relays/answers.rs
@@ -13,7 +13,7 @@
 use crate::protocol::UpstreamMessage;
 use crate::records::SuspicionKind;
 use crate::relays::{PooledId, RelayAction, Relays, ready_idle};
-use crate::statement::{Failure, Role, ServerStatus, SessionState};
+use crate::statement::{Failure, FailureKind, Role, ServerStatus, SessionState};
 
 impl Relays {
     /// Handles a message of a server.
@@ -41,6 +41,11 @@
                 self.remove_connection(context, id, Loss::Abandoned);
             }
             message if front == Some(Expected::Work) => {
+                if let UpstreamMessage::Error(failure) = &message
+                    && failure.kind == FailureKind::UnknownStatement
+                {
+                    pooled.prepared.clear();
+                }
                 if let Some(session) = pooled.session {
                     self.answer(session, message);
                 }
--- a/lib/proxy/tests/test_relays.rs
+++ b/lib/proxy/tests/test_relays.rs
@@ -615,6 +615,36 @@
     assert_eq!(failure_of(&actions.answers[&session]), Some(FailureKind::Failed));
 }
 
+/// Guards against a name that a server does not know being taken for prepared there.
+#[test]
+fn test_statement_that_a_server_does_not_know_is_prepared_again() {
+    let fixture = relayed_fixture();
+    let mut relays = Relays::new(OWN.into(), log());
+    let session = relays.open_session(&"s2".into());
+    let shape = PreparedStatement { access: Access::Read, text: "READ q".into() };
+    let prepare = Command::Prepare { handle: 7, shape: shape.clone() };
+    let execute = Command::Run {
+        tag: "1".into(),
+        work: Work::Prepared { shape, arguments: "1".into() },
+        handle: Some(7),
+        floor: None,
+    };
+    submit(&fixture, &mut relays, session, prepare.clone());
+    submit(&fixture, &mut relays, session, execute.clone());
+    let opened = take_relay_actions(&mut relays).opened;
+    let connection = opened[0];
+    accept(&fixture, &mut relays, &opened);
+    complete(&fixture, &mut relays, connection, SessionState::Idle);
+    take_relay_actions(&mut relays);
+    let unknown = Failure::new(FailureKind::UnknownStatement, "no such statement");
+    relays.pooled_message(fixture.context(), connection, UpstreamMessage::Error(unknown), None);
+    let ready = UpstreamMessage::Ready { state: SessionState::Idle, position: None };
+    relays.pooled_message(fixture.context(), connection, ready, None);
+    take_relay_actions(&mut relays);
+    submit(&fixture, &mut relays, session, execute);
+    assert_eq!(take_relay_actions(&mut relays).sent, [(connection, prepare)]);
+}
+
 /// Guards against a rollback that is sent again and again to a server that refuses it.
 #[test]
 fn test_pooled_connection_whose_rollback_was_refused_is_closed() {
