engine: answer long backlogs without recursion

Cause: answering a request processes the next one in the session's backlog, which answers it at once if the instance answers it itself, one level of the stack for each. Sessions whose request was answered are now kept in a list that one loop works through; a call from inside the loop returns without effect.

--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -33,7 +33,7 @@
 mod report;
 mod sending;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -173,6 +173,10 @@
     callers: HashMap<CallerId, Caller>,
     /// Callers whose current request has no answer yet.
     pending_callers: BTreeSet<CallerId>,
+    /// Callers whose current request was answered, and whose next one is to be processed.
+    resumable: VecDeque<CallerId>,
+    /// Whether [`Self::resumable`] is being processed.
+    is_resuming: bool,
     connections: Connections,
     paths: Paths,
     /// Sessions that this instance relays to servers for other instances.
@@ -199,6 +203,8 @@
             metrics,
             callers: HashMap::new(),
             pending_callers: BTreeSet::new(),
+            resumable: VecDeque::new(),
+            is_resuming: false,
             connections: Connections::default(),
             paths: Paths::default(),
             relays: Relays::new(settings.instance.clone(), log.clone()),
@@ -468,8 +474,8 @@
         self.place(context, id, true);
     }
 
-    /// Answers the current request of a caller, then processes the next request
-    /// in its backlog.
+    /// Answers the current request of a caller; the next request in its backlog is
+    /// processed after it.
     fn answer(
         &mut self,
         context: Context<'_>,
@@ -487,14 +493,38 @@
             open.idle_since = context.now;
         }
         let state = caller.state();
-        let next = caller.backlog.pop_front();
+        let has_backlog = !caller.backlog.is_empty();
         self.report(context, id, tag, pending.as_ref(), &outcome, state);
         self.actions.push(Action::Answer(id, Answer { rows, outcome, state }));
-        if let Some((tag, statement)) = next {
-            self.request(context, id, tag, statement);
+        if has_backlog {
+            self.resumable.push_back(id);
+            self.resume_callers(context);
         }
     }
 
+    /// Processes the next requests in the backlogs of callers whose current request was
+    /// answered.
+    ///
+    /// Many requests are answered at once. A call from the processing of one of them returns
+    /// without effect, so that the depth of the stack does not grow with the backlog.
+    fn resume_callers(&mut self, context: Context<'_>) {
+        if std::mem::replace(&mut self.is_resuming, true) {
+            return;
+        }
+        while let Some(id) = self.resumable.pop_front() {
+            let Some(caller) = self.callers.get_mut(&id) else {
+                continue;
+            };
+            if caller.pending.is_some() {
+                continue;
+            }
+            if let Some((tag, statement)) = caller.backlog.pop_front() {
+                self.request(context, id, tag, statement);
+            }
+        }
+        self.is_resuming = false;
+    }
+
     fn answer_failure(
         &mut self,
         context: Context<'_>,
--- a/lib/proxy/tests/test_verdicts.rs
+++ b/lib/proxy/tests/test_verdicts.rs
@@ -257,3 +257,32 @@
     fixture.refresh();
     assert_eq!(refusal(&fixture), FailureKind::UnknownDatabase);
 }
+
+/// Guards against a stack that overflows when many requests wait behind one that is answered
+/// (`review/5`).
+#[test]
+fn test_long_backlog_is_answered_in_order() {
+    const REQUESTS: u64 = 200_000;
+    let fixture = Fixture::serving();
+    let mut engine = engine();
+    let caller = CallerId(1);
+    engine.open_session(fixture.context(), caller, "db".into()).expect("the database exists");
+    engine.request(fixture.context(), caller, "read".into(), read("a"));
+    let connections = take_engine_actions(&mut engine).connects;
+    for number in 0..REQUESTS {
+        let value = number.to_string().as_str().into();
+        let statement = Statement::Set { name: "a".into(), value };
+        engine.request(fixture.context(), caller, "set".into(), Ok(statement));
+    }
+    accept(&fixture, &mut engine, connections[0].0);
+    let answers =
+        complete(&fixture, &mut engine, connections[0].0, SessionState::Idle, None).answers;
+    assert_eq!(answers.len() as u64, REQUESTS + 1);
+    engine.request(fixture.context(), caller, "last".into(), read("a"));
+    let sent = take_engine_actions(&mut engine).sent;
+    let last = (REQUESTS - 1).to_string();
+    assert!(
+        matches!(&sent[0].1, Command::Set { value, .. } if **value == *last),
+        "the last value is in force: {sent:?}"
+    );
+}
