replacement: don't promote servers with discarded commits

Cause: logs were compared by their ends alone. A server that has not followed the primary of a later term still has what was discarded when that term began, and was promoted when that primary failed, since it had received most.

A group's record now keeps where the new primaries' logs ended at the starts of its last eight terms. A server whose log ends above that in an earlier term is promoted only if no other one answers for 15 s.

Ruled out: the first promotion; what only the old primary has is lost without synchronous replicas, and reads are right if it stays lost.

--- a/lib/proxy/src/coordinator/coordinator_role.rs
+++ b/lib/proxy/src/coordinator/coordinator_role.rs
@@ -194,6 +194,7 @@
                 primary,
                 term: Term(0),
                 candidate: None,
+                term_starts: Vec::new(),
             };
             let key = group_key(&group);
             let expected = vec![condition, (key.clone(), 0)];
--- a/lib/proxy/src/coordinator/replacement/candidates.rs
+++ b/lib/proxy/src/coordinator/replacement/candidates.rs
@@ -30,10 +30,16 @@
 /// replicas.
 const LATE_CONFIRMATION_TIME: Duration = Duration::from_secs(1);
 
+/// How long no other server has to answer until one with discarded commits is promoted:
+/// longer than crashed servers usually take to come back.
+const DISCARDED_COMMITS_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// How well a server with all acknowledged commits suits as the next primary; a higher
 /// value is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Suitability {
+    /// A server with commits that were discarded.
+    WithDiscardedCommits,
     /// The old primary, which is shutting down or could not be used a short time ago.
     UnfitOldPrimary,
     /// A replica that is shutting down, and has to be replaced again soon.
@@ -131,6 +137,10 @@
                 continue;
             }
             match replacement.status(&server.id, now) {
+                // Its clients would see commits again that others have missed meanwhile.
+                Some(status)
+                    if record.has_discarded_commits(status.received)
+                        && waited < DISCARDED_COMMITS_TIMEOUT => {}
                 Some(status) => best = best.max(Some((status.received, &server.id))),
                 None => is_complete = false,
             }
@@ -226,10 +236,17 @@
         [self.received(&self.record.primary), of_others].into_iter().flatten().min()
     }
 
-    /// Returns the position that a server has received, if it answered since no instance can
-    /// use the old primary any more.
+    /// Returns the position that a server has received, without discarded commits, if it
+    /// answered since no instance can use the old primary any more.
     fn received(&self, server: &ServerId) -> Option<TermPosition> {
-        self.replacement.received_since(server, self.since)
+        let received = self.replacement.received_since(server, self.since)?;
+        Some(self.record.surviving_part(received))
+    }
+
+    fn has_discarded_commits(&self, server: &ServerId) -> bool {
+        self.replacement
+            .received_since(server, self.since)
+            .is_some_and(|received| self.record.has_discarded_commits(received))
     }
 
     /// Returns the best server of those that have received a position and are running.
@@ -250,6 +267,7 @@
                 return None;
             }
             let suitability = match (is_old, server.is_leaving) {
+                _ if self.has_discarded_commits(&server.id) => Suitability::WithDiscardedCommits,
                 (true, _) if self.is_old_fit => Suitability::OldPrimary,
                 (true, _) => Suitability::UnfitOldPrimary,
                 (false, true) => Suitability::LeavingReplica,
@@ -258,13 +276,16 @@
             Some((suitability, received, &server.id))
         });
         let (suitability, _, best) = complete.max()?;
+        let waited = self.now.since(self.since);
+        if suitability == Suitability::WithDiscardedCommits && waited < DISCARDED_COMMITS_TIMEOUT {
+            return None;
+        }
         let all_answered = self.view.servers_of(self.group).all(|server| {
             self.received(&server.id).is_some()
                 || self.replacement.is_refusing(&server.id, self.now)
         });
-        let may_find_better = suitability < Suitability::Replica
-            && !all_answered
-            && self.now.since(self.since) < COMMAND_TIMEOUT;
+        let may_find_better =
+            suitability < Suitability::Replica && !all_answered && waited < COMMAND_TIMEOUT;
         (!may_find_better).then(|| best.clone())
     }
 }
--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -18,7 +18,7 @@
 use crate::peers::PeerMessage;
 use crate::primary_lease::PRIMARY_LEASE_MARGIN;
 use crate::protocol::PromotionRequest;
-use crate::records::{GroupRecord, MemberRecord, Phase};
+use crate::records::{GroupRecord, MemberRecord, Phase, TermStart};
 use crate::statement::{Command, Role};
 use crate::store_era::next_epoch;
 use crate::store_view::{StoreView, Versioned};
@@ -381,13 +381,20 @@
         let Some((condition, _)) = self.role_condition(view) else {
             return;
         };
-        let published = GroupRecord {
+        let mut published = GroupRecord {
             epoch: next_epoch(record.epoch, view.era()),
             phase: Phase::Serving,
             primary: new_primary.clone(),
             term,
             candidate: None,
+            term_starts: record.term_starts.clone(),
         };
+        // Nobody has used the new primary yet, so its log still ends where the term began.
+        if let Some(status) = replacement.status(&new_primary, now)
+            && status.received.term < term
+        {
+            published.add_term_start(TermStart { term, log_end: status.received });
+        }
         if new_primary == record.primary {
             // If others still can't reach it, another server takes over the next time.
             self.unfit_primaries.insert(new_primary.clone(), now);
--- a/lib/proxy/src/records.rs
+++ b/lib/proxy/src/records.rs
@@ -7,6 +7,7 @@
 
 use derive_more::Display;
 use masticreel_base::ids::{FailureDomain, GroupId, InstanceId, ServerId, Term};
+use masticreel_base::position::TermPosition;
 use serde::{Deserialize, Serialize};
 
 use crate::store_era::era_of;
@@ -86,6 +87,19 @@
     Changing,
 }
 
+/// How many of the latest terms a group's record keeps the beginnings of.
+const TERM_STARTS_LIMIT: usize = 8;
+
+/// The beginning of a primary's term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TermStart {
+    /// The term.
+    pub term: Term,
+    /// The end of the primary's log when the term began. Commits of earlier terms above it
+    /// were discarded.
+    pub log_end: TermPosition,
+}
+
 /// The stored record of a group's primary.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupRecord {
@@ -99,6 +113,34 @@
     pub term: Term,
     /// The server that is to become the primary, once it was chosen.
     pub candidate: Option<ServerId>,
+    /// The beginnings of the latest terms, as far as they are known.
+    #[serde(default)]
+    pub term_starts: Vec<TermStart>,
+}
+
+impl GroupRecord {
+    /// Returns the part of a log that is also part of the group's log, by its end: a server
+    /// that has not followed a later primary may have commits that were discarded when the
+    /// term of that primary began.
+    pub fn surviving_part(&self, log_end: TermPosition) -> TermPosition {
+        let later = self.term_starts.iter().filter(|start| start.term > log_end.term);
+        let next = later.min_by_key(|start| start.term);
+        next.map_or(log_end, |next| log_end.min(next.log_end))
+    }
+
+    /// Returns whether a log that ends at this position has commits that were discarded.
+    pub fn has_discarded_commits(&self, log_end: TermPosition) -> bool {
+        self.surviving_part(log_end) != log_end
+    }
+
+    /// Adds the beginning of a term, unless it is known.
+    pub fn add_term_start(&mut self, start: TermStart) {
+        if self.term_starts.iter().all(|known| known.term != start.term) {
+            self.term_starts.push(start);
+            let excess = self.term_starts.len().saturating_sub(TERM_STARTS_LIMIT);
+            self.term_starts.drain(..excess);
+        }
+    }
 }
 
 /// The resources of an instance's machine; zero where the platform gives none.
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -223,6 +223,7 @@
             primary: primary.into(),
             term: Term(term),
             candidate: None,
+            term_starts: Vec::new(),
         };
         self.put(&group_key(&group()), &record);
     }
--- a/lib/proxy/tests/test_acknowledged_commits.rs
+++ b/lib/proxy/tests/test_acknowledged_commits.rs
@@ -1,5 +1,5 @@
-//! Tests which server is promoted in a group whose commits are acknowledged once a replica
-//! has received them.
+//! Tests which server is promoted, by the commits that the servers have: mostly in a group
+//! whose commits are acknowledged once a replica has received them.
 
 mod support;
 
@@ -34,6 +34,8 @@
     servers: BTreeMap<String, Server>,
     /// Servers that lead.
     leading: Vec<String>,
+    /// The term of the primary.
+    term: u64,
 }
 
 impl Deployment {
@@ -50,6 +52,7 @@
             coordinator: coordinator(),
             servers: servers.iter().map(|(id, server)| ((*id).to_owned(), *server)).collect(),
             leading: vec!["s1".to_owned()],
+            term: 1,
         };
         // Longer than a new coordinator waits before its first request.
         deployment.promotions_within(ms(4000));
@@ -62,9 +65,22 @@
 
     /// Lets the coordinator find that the primary, whose entry is removed, has to be replaced.
     fn lose_primary(&mut self) {
-        self.fixture.remove("server/s1");
+        self.lose("s1");
+    }
+
+    fn lose(&mut self, id: &str) {
+        self.fixture.remove(&format!("server/{id}"));
         self.fixture.refresh();
-        self.set("s1", Server::Refusing);
+        self.set(id, Server::Refusing);
+    }
+
+    /// Lets a promotion take effect, and waits until the new primary may be used.
+    fn complete_promotion(&mut self, id: &str) {
+        self.leading = vec![id.to_owned()];
+        self.term += 1;
+        assert_eq!(self.promotions_within(ms(1000)), Vec::<String>::new());
+        let record = self.fixture.view.group(&group()).expect("the group has a record");
+        assert_eq!((record.primary.as_str(), record.phase), (id, Phase::Serving));
     }
 
     fn answer(&mut self, request: &ControlRequest) {
@@ -78,7 +94,7 @@
                 }
                 let leads = self.leading.iter().any(|leading| leading == id);
                 let role = if leads { Role::Primary } else { Role::Replica };
-                let term = position(1, 0).term;
+                let term = position(if leads { self.term } else { 1 }, 0).term;
                 Ok(ServerStatus { role, term, received: position(1, *number) })
             }
         };
@@ -351,3 +367,36 @@
     deployment.set("s3", Server::Received(8));
     assert_eq!(deployment.promotions_within(ms(2000)), ["s2"]);
 }
+
+/// Guards against commits that are part of the log again after reads have missed them
+/// (`review/2`): the old primary, which had them alone, was promoted when the new one failed.
+#[test]
+fn test_server_with_discarded_commits_is_not_promoted() {
+    let servers =
+        [("s1", Server::Received(9)), ("s2", Server::Received(7)), ("s3", Server::Received(6))];
+    let mut deployment = Deployment::start_with_sync_replicas(0, &servers);
+    deployment.lose("s1");
+    assert_eq!(deployment.promotions_within(ms(6000)), ["s2"]);
+    deployment.complete_promotion("s2");
+    // The old primary is back, and the new one fails before it has reached it.
+    deployment.set("s4", Server::Received(9));
+    deployment.fixture.put_server_at(1, "s4", Role::Replica, false);
+    deployment.lose("s2");
+    assert_eq!(deployment.promotions_within(ms(6000)), ["s3"]);
+}
+
+/// A group must get a primary in the end, also if only such a server is left.
+#[test]
+fn test_server_with_discarded_commits_is_promoted_if_no_other_comes_back() {
+    let servers =
+        [("s1", Server::Received(9)), ("s2", Server::Received(7)), ("s3", Server::Refusing)];
+    let mut deployment = Deployment::start_with_sync_replicas(0, &servers);
+    deployment.lose("s1");
+    assert_eq!(deployment.promotions_within(ms(6000)), ["s2"]);
+    deployment.complete_promotion("s2");
+    deployment.set("s4", Server::Received(9));
+    deployment.fixture.put_server_at(1, "s4", Role::Replica, false);
+    deployment.lose("s2");
+    assert_eq!(deployment.promotions_within(ms(10_000)), Vec::<String>::new());
+    assert_eq!(deployment.promotions_within(ms(10_000)), ["s4"]);
+}
