replacement: query servers less while one is leaving

Cause: in groups with synchronous replicas the servers were queried every 80 ms while a primary was leaving or had to be caught up with, and only answers to the last query counted. A server that takes longer to answer got more and more connections, and a replica that had caught up was not seen.

The test is new, and holds with at most 15 queries to three servers in 2 s; 80 ms between two allow 75. Found in reading.

--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -26,7 +26,7 @@
 /// The time from a server's answer to the next status query to it, shortly after
 /// the start of a replacement and while a candidate is chosen; otherwise it is
 /// [`COMMAND_TIMEOUT`].
-pub(super) const STATUS_QUERY_INTERVAL: Duration = Duration::from_millis(80);
+const STATUS_QUERY_INTERVAL: Duration = Duration::from_millis(80);
 /// How long a command may be unanswered before the next one is sent.
 ///
 /// Also how long the choice of a candidate waits for servers that don't answer, how
--- a/lib/proxy/src/coordinator/replacement/succession.rs
+++ b/lib/proxy/src/coordinator/replacement/succession.rs
@@ -5,13 +5,13 @@
 //! only be made the primary again. A server that has left may have been the only replica
 //! with some of the commits until another one has caught up with the primary.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use masticreel_base::ids::{GroupId, ServerId};
 use masticreel_base::position::TermPosition;
 
 use super::candidates::has_sync_replicas;
-use super::steps::STATUS_QUERY_INTERVAL;
+use super::steps::COMMAND_TIMEOUT;
 use crate::coordinator::{ControlFailure, ControlRequest, Coordinator, CoordinatorAction};
 use crate::moment::Moment;
 use crate::records::{GroupRecord, Phase};
@@ -28,18 +28,18 @@
     started_at: Moment,
     /// When the servers were last queried.
     queried_at: Moment,
-    /// The position that the primary had received before that.
-    received_by_primary: Option<TermPosition>,
-    /// The highest position that the primary has answered.
-    last_answer_of_primary: Option<TermPosition>,
-    /// Replicas that had received [`Self::received_by_primary`] at the last query or later.
-    caught_up: BTreeSet<ServerId>,
+    /// The first position that the primary answered to a query since the start. What was
+    /// acknowledged before the start is not above it.
+    wanted: Option<TermPosition>,
+    /// The highest positions that the other servers have answered.
+    received: BTreeMap<ServerId, TermPosition>,
 }
 
 impl Coordinator {
     /// Begins, continues and ends the successions of groups whose primary is leaving or of
     /// which a server has left.
     pub(in crate::coordinator) fn track_successions(&mut self, view: &StoreView, now: Moment) {
+        // The groups with their primaries and the servers that have left.
         let mut wanted: Vec<(GroupId, ServerId, BTreeSet<ServerId>)> = Vec::new();
         for group in self.groups_with_departures(view) {
             let Some(record) = view.group(&group) else {
@@ -99,21 +99,17 @@
             departed,
             started_at: now,
             queried_at: Moment::default(),
-            received_by_primary: None,
-            last_answer_of_primary: None,
-            caught_up: BTreeSet::new(),
+            wanted: None,
+            received: BTreeMap::new(),
         });
         if succession.has_successor(view, &group) {
-            // Without an effect on the succession of a primary, which is looked up.
             self.handed_over.extend(succession.departed.iter().cloned());
             return;
         }
-        if now.since(succession.queried_at) < STATUS_QUERY_INTERVAL {
+        if now.since(succession.queried_at) < COMMAND_TIMEOUT {
             return;
         }
         succession.queried_at = now;
-        succession.received_by_primary = succession.last_answer_of_primary;
-        succession.caught_up.clear();
         for server in view.servers_of(&group) {
             self.actions.push(CoordinatorAction::Control(ControlRequest {
                 server: server.id.clone(),
@@ -150,22 +146,19 @@
         let Ok(status) = result else {
             return;
         };
-        if request.server == succession.primary {
-            if request.sent_at >= succession.started_at {
-                succession.last_answer_of_primary =
-                    succession.last_answer_of_primary.max(Some(status.received));
-            }
-        } else if request.sent_at >= succession.queried_at
-            && succession.received_by_primary.is_some_and(|wanted| status.received >= wanted)
-        {
-            succession.caught_up.insert(request.server.clone());
+        if request.server != succession.primary {
+            let received = succession.received.entry(request.server.clone()).or_default();
+            *received = status.received.max(*received);
+        } else if request.sent_at >= succession.started_at {
+            succession.wanted.get_or_insert(status.received);
         }
     }
 }
 
 impl Succession {
     fn has_successor(&self, view: &StoreView, group: &GroupId) -> bool {
-        view.servers_of(group)
-            .any(|server| !server.is_leaving && self.caught_up.contains(&server.id))
+        let has_caught_up =
+            |id: &ServerId| self.wanted.is_some() && self.received.get(id).copied() >= self.wanted;
+        view.servers_of(group).any(|server| !server.is_leaving && has_caught_up(&server.id))
     }
 }
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -109,7 +109,8 @@
         self.servers.get(id)
     }
 
-    /// Returns a server; for a primary also after its entry was removed.
+    /// Returns a server, also for [`MISSING_SERVER_RETENTION`] after its entry was removed; a
+    /// primary for as long as its group's record names it.
     pub fn last_known_server(&self, id: &ServerId) -> Option<&Server> {
         self.servers.get(id).or_else(|| self.removed_servers.get(id).map(|removed| &removed.server))
     }
--- a/lib/proxy/tests/test_acknowledged_commits.rs
+++ b/lib/proxy/tests/test_acknowledged_commits.rs
@@ -290,6 +290,30 @@
     assert_eq!(deployment.promotions_within(ms(2000)), ["s3"]);
 }
 
+/// Guards against more and more commands to a server that is slow to answer them.
+#[test]
+fn test_servers_are_not_queried_all_the_time_while_a_primary_is_leaving() {
+    let mut deployment = Deployment::start(&[
+        ("s1", Server::Received(9)),
+        ("s2", Server::Silent),
+        ("s3", Server::Received(7)),
+    ]);
+    deployment.fixture.put_server("s1", Role::Primary, true);
+    deployment.fixture.refresh();
+    let mut queries = 0;
+    for _ in 0..100 {
+        for action in tick_with_store(&mut deployment.fixture, &mut deployment.coordinator) {
+            if let Action::Control(request) = action {
+                queries += 1;
+                deployment.answer(&request);
+            }
+        }
+        deployment.fixture.advance(ms(20));
+        deployment.fixture.refresh();
+    }
+    assert!((3..=15).contains(&queries), "{queries} queries to three servers in 2 s");
+}
+
 /// Guards against the loss of commits that a server has taken with it that left before any
 /// other replica had caught up.
 #[test]
