replacement: query a server whose promotion was requested

Cause: the late failure of an earlier step-down command undid a step-down that had been answered. An old primary that has not stepped down is not queried, since the answers to step-down commands show its status; but none are sent once its own promotion was requested, so it got neither, and nobody saw that it led.

It is queried now, and the failure of a command that was sent before one that was answered is ignored.

--- a/lib/proxy/src/coordinator/replacement.rs
+++ b/lib/proxy/src/coordinator/replacement.rs
@@ -221,6 +221,11 @@
         }
     }
 
+    /// Returns whether a server has answered a command that was sent after a moment.
+    fn has_status_since(&self, server: &ServerId, moment: Moment) -> bool {
+        self.statuses.get(server).is_some_and(|known| known.requested_at > moment)
+    }
+
     /// Returns the position that a server has received, according to its last status that
     /// was requested at or after a moment.
     fn received_since(&self, server: &ServerId, moment: Moment) -> Option<TermPosition> {
@@ -534,9 +539,11 @@
                 replacement.record_status(server, status, *sent_at, now);
                 replacement.failed.remove(server);
             }
-            Err(failure) => {
+            // A command that was sent before one that was answered says nothing new.
+            Err(failure) if !replacement.has_status_since(server, *sent_at) => {
                 replacement.failed.insert(server.clone(), (failure, now));
             }
+            Err(_) => {}
         }
     }
 
--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -169,10 +169,12 @@
             let interval = if is_early { STATUS_QUERY_INTERVAL } else { COMMAND_TIMEOUT };
             let is_due = command_end.is_none_or(|command_end| now.since(command_end) >= interval);
             let is_old_primary = server.id == record.primary;
-            // Until it steps down, the answers to step-down commands show its status.
+            // Until it steps down, the answers to step-down commands show its status. None
+            // are sent once its promotion was requested.
             let is_commanded = is_old_primary
                 && replacement.selecting_since.is_some()
-                && !replacement.has_stepped_down;
+                && !replacement.has_stepped_down
+                && !replacement.promotion_targets.contains(&server.id);
             if !is_due || is_commanded {
                 continue;
             }
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -1048,3 +1048,51 @@
     let actions = tick_with_store(&mut fixture, &mut coordinator);
     assert!(actions.iter().any(|action| is_for(action, &Purpose::Doubt(group()))), "it is new");
 }
+
+/// Guards against a group without a primary: when a command to the old primary failed after its
+/// promotion had been requested, it was sent neither step-down commands nor status queries
+/// any more, so that nobody saw that it led.
+#[test]
+fn test_old_primary_is_queried_after_its_promotion_was_requested() {
+    let mut fixture = Fixture::serving();
+    let mut coordinator = active_coordinator(&mut fixture);
+    assert_eq!(promoted_after_silence(&mut coordinator, &mut fixture), ["s1"]);
+    let request = status_request("s1", fixture.now);
+    coordinator.control_answered(fixture.now, &request, Err(ControlFailure::Silent));
+    let mut is_queried = false;
+    for _ in 0..50 {
+        for action in tick_with_store(&mut fixture, &mut coordinator) {
+            is_queried |= matches!(action, Action::Control(request)
+                if request.server.as_str() == "s1" && request.command == Command::Status);
+        }
+        fixture.advance(ms(20));
+        fixture.refresh();
+    }
+    assert!(is_queried);
+}
+
+/// Guards against a step-down that is taken back by the failure of an earlier command.
+#[test]
+fn test_late_failure_of_an_earlier_command_does_not_undo_a_step_down() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    fixture.put_server("s1", Role::Primary, true);
+    fixture.refresh();
+    coordinator.work_done(fixture.now, &group(), 2);
+    let earlier = fixture.now;
+    let mut step_downs = 0;
+    for _ in 0..50 {
+        for action in tick_with_store(&mut fixture, &mut coordinator) {
+            if let Action::Control(request) = &action {
+                step_downs += usize::from(matches!(request.command, Command::StepDown { .. }));
+                coordinator.control_answered(fixture.now, request, Ok(replica(9)));
+                let late = ControlRequest { sent_at: earlier, ..request.clone() };
+                coordinator.control_answered(fixture.now, &late, Err(ControlFailure::Silent));
+            }
+        }
+        fixture.advance(ms(20));
+        fixture.refresh();
+    }
+    assert!(step_downs <= 1, "{step_downs} step-down commands");
+}
