--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -198,7 +198,7 @@
         self.log = []           # (term, number, item, data, id)
         self.term, self.state, self.sequence = 0, 'ready', 0
         self.born = int(time.time() * 1000)
-        self.stepped_at = None
+        self.written = None     # the entry as it was last written
         self.reads = {}         # request id: (the log, how many commits it had when the read ran)
 
     @property
@@ -215,8 +215,12 @@
                 'db_role': self.role, 'sequence': self.sequence, 'born': self.born}
 
     def beat(self):
+        """Writes the entry, which changes only when more than `sequence` does."""
         self.sequence += 1
-        self.group.store.put('servers/' + self.name, self.entry())
+        entry = self.entry()
+        if self.written != dict(entry, sequence=0):
+            self.written = dict(entry, sequence=0)
+            self.group.store.put('servers/' + self.name, entry)
 
     async def serve(self, reader, writer):
         tx, names, started = None, {}, False
