--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -41,6 +41,9 @@
         client.close()
 
     async def read():
+        # The platform asks once a second whether the machine is ready, and then sends it clients.
+        await d.ready(NEW)
+        await asyncio.sleep(1.0)
         client, n = Client(d, NEW, 'coins'), 0
         while now() < ends:
             n += 1
