--- a/review/standin-2/deployment.py
+++ b/review/standin-2/deployment.py
@@ -57,6 +57,7 @@
         self.record = record
         self.items, self.leases, self.history = {}, {}, []
         self.revision, self.next_lease = 1, 1000
+        self.answer_s = 0.001   # how long an answer takes
         self.changed = asyncio.Condition()
         self.seen = []          # called with (machine, method, path, body) before a call is done
         self.answered = []      # called with (machine, path, answer) after an answer was sent
@@ -92,7 +93,7 @@
                     if reader.at_eof() or reader.exception() or writer.is_closing():
                         return
                 status, answer = await self.call(method, parts.path, query, body)
-                await asyncio.sleep(0.001)
+                await asyncio.sleep(self.answer_s)
                 if not link.open.is_set():
                     await link.open.wait()
                 text = json.dumps(answer).encode()
@@ -199,6 +200,11 @@
         self.term, self.state, self.sequence = 0, 'ready', 0
         self.born = int(time.time() * 1000)
         self.written = None     # the entry as it was last written
+        self.deaf = False       # a replica that receives nothing
+        self.silent = False     # cut from the store: its entry ends after three heartbeats
+        self.beaten_at = now()
+        self.way_s = 0.0        # the way to it, one way, as the machines that send commands have it
+        self.connections = set()
         self.committed = {}     # request id: when it was committed here
         self.cut_from_control = False   # cut from the machine that sends the servers commands
         self.reads = {}         # request id: (the log, how many commits it had when the read ran)
@@ -218,7 +224,10 @@
 
     def beat(self):
         """Writes the entry, which changes only when more than `sequence` does."""
+        if self.silent:
+            return
         self.sequence += 1
+        self.beaten_at = now()
         entry = self.entry()
         if self.written != dict(entry, sequence=0):
             self.written = dict(entry, sequence=0)
@@ -226,6 +235,7 @@
 
     async def serve(self, reader, writer):
         tx, names, started = None, {}, False
+        self.connections.add(writer)
         out = lambda *words: writer.write((' '.join(words) + '\r\n').encode())
         pos = lambda: '%d.%d' % self.position
         state = lambda: 'I' if tx is None else 'E' if tx['failed'] else 'T'
@@ -237,7 +247,8 @@
                     return
                 if kind == 'STARTUP':
                     words = rest.split(' ')
-                    await asyncio.sleep(0.003)
+                    # Opening takes a round trip more than the first message.
+                    await asyncio.sleep(0.003 + 4 * self.way_s)
                     if words[0] != self.group.name or (len(words) > 2 and words[2] != self.name):
                         out('ERROR MISROUTED', self.name)
                         return
@@ -275,7 +286,7 @@
                 elif error is not None:
                     pass
                 elif verb == 'STATUS':
-                    await asyncio.sleep(0.001)
+                    await asyncio.sleep(0.001 + 2 * self.way_s)
                     rows = ['%s %d %s 0 0 0 1' % (self.role, self.term, pos())]
                 elif verb == 'STEPDOWN':
                     if self.role == 'primary' and self.term < int(words[1]):
@@ -303,12 +314,12 @@
                         if tx:
                             tx['writes'].append((words[1], words[2], tag))
                         else:
-                            self.group.commit(self, [(words[1], words[2], tag)])
+                            await self.group.commit(self, [(words[1], words[2], tag)])
                 elif verb == 'COMMIT':
                     await asyncio.sleep(0.002)
                     signature = 's.%s.%s' % (self.name, tag)
                     if tx and tx['writes']:
-                        self.group.commit(self, tx['writes'])
+                        await self.group.commit(self, tx['writes'])
                     tx = None
                 elif verb == 'ROLLBACK':
                     tx = None
@@ -329,9 +340,18 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.connections.discard(writer)
             with contextlib.suppress(Exception):
                 writer.close()
 
+    def crash(self):
+        """Ends the server's process: connections are reset and refused, and it reports nothing."""
+        self.group.record('server', self.name, 'crashes at position %d.%d' % self.position)
+        self.silent, self.role = True, 'down'
+        self.listener.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
     def value(self, item):
         for _, _, key, data, _ in reversed(self.log):
             if key == item:
@@ -340,9 +360,9 @@
 
 
 class Group:
-    def __init__(self, record, store, name, zones, lag=0.02, promote_s=0.6):
+    def __init__(self, record, store, name, zones, lag=0.02, promote_s=0.6, sync=0):
         self.record, self.store, self.name, self.promote_s = record, store, name, promote_s
-        self.zones, self.lag = zones, lag
+        self.zones, self.lag, self.sync = zones, lag, sync
         self.servers, self.primary, self.term = {}, None, 0
         self.promoted_at = None
 
@@ -357,24 +377,31 @@
         server.beat()
         return server
 
-    def commit(self, server, writes):
+    async def commit(self, server, writes):
+        """Commits, and returns once `sync` replicas have received it."""
         for item, data, tag in writes:
             server.log.append((server.term, server.position[1] + 1, item, data, tag))
             server.committed[tag] = now()
-        asyncio.get_running_loop().create_task(self.replicate(server))
+        task = asyncio.get_running_loop().create_task(self.replicate(server))
+        if self.sync:
+            position = server.position
+            await task
+            while sum(other.position >= position for other in self.servers.values()
+                      if other is not server and other.role == 'replica') < self.sync:
+                await asyncio.sleep(0.01)
 
     async def replicate(self, primary):
         entries = list(primary.log)
         await asyncio.sleep(self.lag)
         for other in self.servers.values():
             if other is not primary and other.role == 'replica' and primary is self.primary \
-                    and len(other.log) < len(entries):
+                    and primary.role != 'down' and not other.deaf and len(other.log) < len(entries):
                 other.log = list(entries)
                 other.term = max(other.term, primary.term)
 
     async def promote(self, name):
         server = self.servers.get(name)
-        if server is None:
+        if server is None or server.role == 'down':
             return 409
         if server is self.primary and server.role == 'primary':
             return 200
@@ -394,10 +421,20 @@
         return 200
 
     async def heartbeats(self):
+        """The servers report each 1.2 s; an entry is removed after three such times of silence."""
+        beat_at = now() + 1.2
         while True:
-            await asyncio.sleep(1.2)
+            await asyncio.sleep(0.02)
+            if now() >= beat_at:
+                beat_at += 1.2
+                for server in self.servers.values():
+                    server.beat()
             for server in self.servers.values():
-                server.beat()
+                key = 'servers/' + server.name
+                if server.silent and now() >= server.beaten_at + 3.6 and key in self.store.items:
+                    self.record('store: the entry of', server.name, 'has expired')
+                    server.written = None
+                    self.store.write([], [key])
 
 
 class Deployment:
@@ -442,7 +479,7 @@
                         'target_latency_ms': 200, 'priority': 1, 'service': service, 'max_attempts': 2,
                         'max_staleness_ms': 1500} for host, (kind, service) in routes.items()],
             'services': [{'name': name, 'health_path': '/health', 'max_connections': 28, 'protocol': 'h1',
-                          'tls': False, 'sync_replicas': 0} for name in self.groups],
+                          'tls': False, 'sync_replicas': group.sync} for name, group in self.groups.items()],
             'limits': {'max_header_bytes': 16384, 'max_body_bytes': 262144, 'header_timeout_ms': 3000,
                        'idle_timeout_ms': 15000, 'tx_idle_ms': 3000}})
         self.record('operator: configuration', version, 'is acknowledged:', routes)
