logs: by which list a replacement ends, and through whom the store is read

'no instance can use the old primary any more' now has the number of members, the revision of the view and the revision of the record. 'store is read through another instance' has the age of the view, and 'store is read directly' tells when that ends.

--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -20,7 +20,7 @@
 use crate::protocol::PromotionRequest;
 use crate::records::{GroupRecord, MemberRecord, Phase, TermStart};
 use crate::statement::{Command, Role};
-use crate::store_era::next_epoch;
+use crate::store_era::{next_epoch, revision_of_store};
 use crate::store_view::{StoreView, Versioned};
 
 /// The time from a server's answer to the next status query to it, shortly after
@@ -100,6 +100,8 @@
         if replacement.selecting_since.is_none() {
             info!(self.log, "no instance can use the old primary any more"; "group" => %group,
                 "primary" => %record.primary, "epoch" => replacement.epoch, "reason" => reason,
+                "members" => view.members().count(), "view_revision" => revision_of_store(view.revision()),
+                "blocked_revision" => revision_of_store(replacement.blocked_revision),
                 "blocked_ms_ago" => now.since(replacement.blocked_at).as_millis());
         }
         let selecting_since = *replacement.selecting_since.get_or_insert(now);
--- a/lib/proxy/src/event_loop/followers.rs
+++ b/lib/proxy/src/event_loop/followers.rs
@@ -151,8 +151,23 @@
     /// kept up to date: the forwarder while direct calls fail, otherwise the
     /// instance that this one follows. `None` stands for the store itself.
     pub(super) fn sync_address(&mut self) -> Option<SocketAddr> {
+        let followed = self.instance_to_follow();
+        if self.followed.instance != followed {
+            let age_ms = self.store_age().map(|age| age.as_millis());
+            match &followed {
+                Some(instance) => info!(self.log, "store is read through another instance";
+                    "instance_followed" => %instance, "view_age_ms" => age_ms),
+                None => info!(self.log, "store is read directly"; "view_age_ms" => age_ms),
+            }
+            self.followed.instance.clone_from(&followed);
+        }
+        self.instance_address(&followed?)
+    }
+
+    /// Returns the instance through which the store is to be read, `None` for the store.
+    fn instance_to_follow(&mut self) -> Option<InstanceId> {
         if self.view.confirmed_at().is_some() && self.direct_store_calls.is_failing() {
-            return self.forwarder_address();
+            return self.forwarder();
         }
         if !self.store_sync.is_complete() || self.store_sync.is_stale(&self.view, self.now) {
             return None;
@@ -166,19 +181,16 @@
         } else {
             Vec::new()
         };
-        let chosen = self.followed.choose(self.now, own, &others)?;
-        let address = self.instance_address(&chosen)?;
-        if self.followed.instance.as_ref() != Some(&chosen) {
-            info!(self.log, "store is read through another instance";
-                "instance_followed" => %chosen);
-            self.followed.instance = Some(chosen);
-        }
-        Some(address)
+        self.followed.choose(self.now, own, &others)
     }
 
     /// Returns the address of the instance that forwards calls to the store for
     /// this one, `None` unless this instance's own calls fail.
     pub(super) fn forwarder_address(&self) -> Option<SocketAddr> {
+        self.instance_address(&self.forwarder()?)
+    }
+
+    fn forwarder(&self) -> Option<InstanceId> {
         if !self.direct_store_calls.is_failing() {
             return None;
         }
@@ -188,8 +200,7 @@
             return None;
         }
         let first = xxh3_64(self.settings.instance.as_str().as_bytes()) as usize;
-        let chosen = others[first.wrapping_add(self.followed.failures) % others.len()];
-        self.instance_address(chosen)
+        Some(others[first.wrapping_add(self.followed.failures) % others.len()].clone())
     }
 
     /// Returns whether the next call for the store lease tests whether the store can be
