coordinator: wait for a view that shows all members, however late it comes

Cause: a replacement takes it that nobody uses the old primary once all listed members have confirmed. The list is complete only if the view shows the record that blocked the primary, but after 0.5 s it was used without that.

Change: the list counts only from the revision of the record on; without it a replacement waits until all primary leases have expired. A member that the view shows to be live is not taken for one without a lease until the next check 100 ms later. test_holder_without_news_of_the_store_completes_its_change demanded the fault: a promotion 0.5 s after the record without any list. Its replacement demands that there is none until the view shows the record or all leases have expired, and then one within 0.1 and 0.5 s.

Measured: the three new tests failed before.

--- a/lib/proxy/src/coordinator/coordinator_role.rs
+++ b/lib/proxy/src/coordinator/coordinator_role.rs
@@ -138,13 +138,17 @@
     /// primary has stepped down.
     pub(super) fn has_been_without_lease_for(
         &self,
+        view: &StoreView,
         member: &InstanceId,
         max_use: Duration,
         now: Moment,
     ) -> bool {
-        self.members_without_lease
-            .get(member)
-            .is_some_and(|since| now.since(*since) >= max_use + PRIMARY_LEASE_MARGIN)
+        // The members without a lease are tracked less often than the view changes.
+        !view.is_live(member)
+            && self
+                .members_without_lease
+                .get(member)
+                .is_some_and(|since| now.since(*since) >= max_use + PRIMARY_LEASE_MARGIN)
     }
 
     /// Requests the removal of the memberships of instances whose primary lease has
@@ -153,7 +157,7 @@
         let members: Vec<(InstanceId, u64)> =
             view.members().map(|(instance, member)| (instance.clone(), member.revision)).collect();
         for (instance, revision) in members {
-            if !self.has_been_without_lease_for(&instance, PRIMARY_LEASE, now) {
+            if !self.has_been_without_lease_for(view, &instance, PRIMARY_LEASE, now) {
                 continue;
             }
             let Some((condition, _)) = self.role_condition(view) else {
--- a/lib/proxy/src/coordinator/replacement.rs
+++ b/lib/proxy/src/coordinator/replacement.rs
@@ -1,7 +1,8 @@
 //! How the active coordinator replaces a primary.
 //!
 //! It first blocks the primary: it writes a group record of phase `Changing`, which
-//! forbids the use of the primary. It then waits until every member has confirmed
+//! forbids the use of the primary. It then waits until its view of the store shows that
+//! record, and so all members of that time, and until every member has confirmed
 //! that its work there has ended, or the member's primary lease has expired. Connections
 //! that the primary refuses don't shorten the wait: a cut can reset connections of some
 //! instances while others use the primary. Then the active coordinator chooses the server
@@ -116,7 +117,7 @@
     /// When this instance, as the active coordinator, first saw the record that
     /// blocked the old primary.
     blocked_at: Moment,
-    /// The revision of that record.
+    /// The revision of that record, zero while it is known only from another instance.
     blocked_revision: u64,
     /// When the last command to a server was answered; while it is unanswered, the
     /// time of its timeout, which may be in the future. Intervals between status
@@ -186,6 +187,14 @@
         }
     }
 
+    /// Returns whether a view shows the store as it was when the old primary was blocked, or
+    /// later, and so all instances that may use that.
+    ///
+    /// An instance that registers afterwards sees the record before it uses a primary.
+    fn is_blocked_in(&self, view: &StoreView) -> bool {
+        self.blocked_revision > 0 && view.revision() >= self.blocked_revision
+    }
+
     pub(super) fn peer_stopped(&mut self, instance: &InstanceId, epoch: u64) {
         if epoch >= self.epoch {
             self.directly_confirmed.insert(instance.clone());
@@ -286,11 +295,14 @@
             .collect();
         for (group, record, revision) in groups {
             if record.phase == Phase::Changing {
-                self.replacements.entry(group).or_insert_with(|| {
+                let replacement = self.replacements.entry(group).or_insert_with(|| {
                     let mut replacement = Replacement::new(record.epoch, now, revision);
                     replacement.promotion_targets.extend(record.candidate);
                     replacement
                 });
+                if replacement.blocked_revision == 0 {
+                    replacement.blocked_revision = revision;
+                }
                 continue;
             }
             self.replacements.remove(&group);
--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -33,9 +33,6 @@
 /// long after the start of a replacement status queries are frequent, and the
 /// interval of the later ones.
 pub(in crate::coordinator) const COMMAND_TIMEOUT: Duration = Duration::from_millis(450);
-/// How long a replacement waits until the view of the store contains the record that
-/// blocked the primary; the store may reject this instance's watch calls.
-const VIEW_LAG_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long an instance that has just become the active coordinator waits before its
 /// first promotion request, so that no request of its predecessor is still in flight:
 /// `PROMOTION_WINDOW` and the timeout of the call.
@@ -240,14 +237,13 @@
         {
             return Some("leases_expired");
         }
-        // An instance that registered just before the primary was blocked may use it until
-        // it learns of that, so the view has to show all members of that time.
-        let shows_all_members = view.revision() >= replacement.blocked_revision
-            || now.since(replacement.blocked_at) >= VIEW_LAG_TIMEOUT;
+        // An instance that registered before the primary was blocked may use it until it learns
+        // of that, however old this view is.
+        let shows_all_members = replacement.is_blocked_in(view);
         if shows_all_members
-            && view
-                .members()
-                .all(|(id, member)| self.has_ended_work(id, &member.value, group, replacement, now))
+            && view.members().all(|(id, member)| {
+                self.has_ended_work(view, id, &member.value, group, replacement, now)
+            })
         {
             return Some("members_ended_work");
         }
@@ -258,6 +254,7 @@
     /// confirmed that its work there has ended, or its primary lease has expired.
     fn has_ended_work(
         &self,
+        view: &StoreView,
         instance: &InstanceId,
         member: &MemberRecord,
         group: &GroupId,
@@ -269,7 +266,12 @@
         has_ended_own_work
             || member.stopped.iter().any(|(id, epoch)| id == group && *epoch >= replacement.epoch)
             || replacement.directly_confirmed.contains(instance)
-            || self.has_been_without_lease_for(instance, replacement.max_use_of_old_primary(), now)
+            || self.has_been_without_lease_for(
+                view,
+                instance,
+                replacement.max_use_of_old_primary(),
+                now,
+            )
     }
 
     /// Sends the record that blocked the old primary to members that have not confirmed
@@ -287,7 +289,7 @@
         }
         replacement.notified_at = now;
         for (instance, member) in view.members() {
-            if self.has_ended_work(instance, &member.value, group, replacement, now) {
+            if self.has_ended_work(view, instance, &member.value, group, replacement, now) {
                 continue;
             }
             if let Some(address) = member.value.address {
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -621,18 +621,86 @@
     assert_eq!(promotions_within(&mut fixture, &mut coordinator, ms(1000)), ["s2"]);
 }
 
-/// The store commits the active coordinator's records, but its watches show them late
-/// or not at all: it must continue from the commits that were acknowledged.
+/// Guards against writes at an old primary after the promotion of another server: an active
+/// coordinator whose view stood still waited only for the members that this view showed.
 #[test]
-fn test_holder_without_news_of_the_store_completes_its_change() {
+fn test_member_that_an_old_view_lacks_is_waited_for_however_late_it_is_seen() {
     let mut fixture = Fixture::serving();
     let mut coordinator = active_coordinator(&mut fixture);
     fixture.put_server("s1", Role::Primary, true);
     fixture.refresh();
+    fixture.put_member("proxy-2", 1);
     fixture.is_cut_off = true;
     tick_with_store(&mut fixture, &mut coordinator);
     coordinator.work_done(fixture.now, &group(), 2);
-    assert_eq!(promotions_within(&mut fixture, &mut coordinator, ms(1000)), ["s2"]);
+    assert!(
+        promotions_within(&mut fixture, &mut coordinator, ms(3000)).is_empty(),
+        "an instance that the view lacks may still write"
+    );
+    fixture.is_cut_off = false;
+    fixture.refresh();
+    assert!(
+        promotions_within(&mut fixture, &mut coordinator, ms(600)).is_empty(),
+        "proxy-2 may still write"
+    );
+    coordinator.peer_stopped(&"proxy-2".into(), &group(), 2);
+    assert_eq!(promotions_within(&mut fixture, &mut coordinator, ms(100)), ["s2"]);
+}
+
+/// The store commits the active coordinator's records, but its watches show them late or not
+/// at all. Until its view shows the record it does not know who else may use the old primary,
+/// so it goes on at once when it does, and otherwise once all primary leases have expired.
+#[test]
+fn test_holder_without_news_of_the_store_completes_its_change_once_nobody_can_be_missing() {
+    let blocked_without_news = || {
+        let mut fixture = Fixture::serving();
+        let mut coordinator = active_coordinator(&mut fixture);
+        fixture.put_server("s1", Role::Primary, true);
+        fixture.refresh();
+        fixture.is_cut_off = true;
+        tick_with_store(&mut fixture, &mut coordinator);
+        coordinator.work_done(fixture.now, &group(), 2);
+        (fixture, coordinator)
+    };
+    let (mut fixture, mut coordinator) = blocked_without_news();
+    assert!(promotions_within(&mut fixture, &mut coordinator, ms(1000)).is_empty());
+    fixture.is_cut_off = false;
+    fixture.refresh();
+    assert_eq!(promotions_within(&mut fixture, &mut coordinator, ms(100)), ["s2"]);
+
+    let (mut fixture, mut coordinator) = blocked_without_news();
+    let least = MAX_FRESH_VIEW_AGE + PRIMARY_LEASE_MARGIN;
+    assert!(promotions_within(&mut fixture, &mut coordinator, least).is_empty());
+    assert_eq!(promotions_within(&mut fixture, &mut coordinator, ms(500)), ["s2"]);
+}
+
+/// Guards against a member that counted as gone for a moment after the view had shown that it
+/// is back: members are checked only every 100 ms.
+#[test]
+fn test_member_that_is_seen_to_be_back_counts_at_once() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    fixture.remove("masticreel/live/proxy-2");
+    fixture.refresh();
+    for _ in 0..60 {
+        tick_with_store(&mut fixture, &mut coordinator);
+        fixture.advance(ms(100));
+        fixture.refresh();
+    }
+    fixture.put_server("s1", Role::Primary, true);
+    fixture.refresh();
+    fixture.is_cut_off = true;
+    tick_with_store(&mut fixture, &mut coordinator);
+    coordinator.work_done(fixture.now, &group(), 2);
+    promotions_within(&mut fixture, &mut coordinator, ms(320));
+    fixture.put(&live_key(&"proxy-2".into()), &1);
+    fixture.is_cut_off = false;
+    fixture.refresh();
+    assert!(
+        promotions_within(&mut fixture, &mut coordinator, ms(1000)).is_empty(),
+        "proxy-2 may write again"
+    );
 }
 
 #[test]
