store route: an instance that is asked reads the store itself, and no watch outlasts its view

Cause: a watcher that is cut from the store reads it through its own follower, so that both hold each other's watch and learn of nothing; and a follower checks the age of its view only before a call, which is then held for 1.5 s more.

Change: a watch is held until the view is 2.7 s old at most and awaited until 2.8 s. An instance that others ask reads the store itself; one whose direct calls fail answers no one, and asks the watchers of other domains first. A coordinator whose watch does not return its own record within 0.25 s takes the other way, so a replacement does not wait for the cut to be noticed. Through whom the store is read is decided in store_route, without a network; it was part of the event loop.

--- a/lib/proxy/src/coordinator/replacement.rs
+++ b/lib/proxy/src/coordinator/replacement.rs
@@ -413,6 +413,16 @@
             .then_some("silent_to_those_who_looked")
     }
 
+    /// Returns since when a replacement has waited for a view that shows its record; none if
+    /// none does.
+    pub fn awaits_view_since(&self, view: &StoreView) -> Option<Moment> {
+        self.replacements
+            .values()
+            .filter(|replacement| !replacement.is_blocked_in(view))
+            .map(|replacement| replacement.blocked_at)
+            .min()
+    }
+
     /// Writes a group's record on the `condition` that this instance is still the
     /// active coordinator, and that the stored record has this `revision`; returns
     /// whether the store was called.
--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -38,6 +38,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use masticreel_base::ids::InstanceId;
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -48,7 +49,7 @@
 use crate::connections::ConnectionId;
 use crate::coordinator::{ControlRequest, Coordinator, Purpose};
 use crate::engine::{Action, Context, Engine, Loss};
-use crate::event_loop::followers::{DirectHealth, FollowedInstance, HeldCall, InstanceCall};
+use crate::event_loop::followers::{HeldCall, InstanceCall};
 use crate::event_loop::socket::{Condition, Socket};
 use crate::frames;
 use crate::limits::ledger::Ledger;
@@ -62,6 +63,7 @@
 use crate::relays::{PooledId, RelayCall, RelaySessionId};
 use crate::settings::ProxySettings;
 use crate::store_cache::StoreCache;
+use crate::store_route::StoreRoute;
 use crate::store_sync::StoreSync;
 use crate::store_view::StoreView;
 
@@ -147,6 +149,18 @@
     Forwarded(Token),
 }
 
+/// The call in flight that keeps the view of the store up to date.
+#[derive(Debug, Clone, Copy)]
+struct SyncCall {
+    /// Its connection.
+    token: Token,
+    called_at: Moment,
+    /// Whether it was made through another instance.
+    is_through_instance: bool,
+    /// When a follower gives it up, because the view would be too old.
+    give_up_at: Option<Moment>,
+}
+
 /// A connection, established or being opened, with its use and its deadline, after
 /// which it is closed.
 #[derive(Debug)]
@@ -230,9 +244,11 @@
     view: StoreView,
     store_sync: StoreSync,
     store_cache: StoreCache,
-    /// The instance through which the view of the store is kept up to date.
-    followed: FollowedInstance,
-    direct_store_calls: DirectHealth,
+    store_route: StoreRoute,
+    /// The instance through which the store was last read, for the log.
+    read_through: Option<InstanceId>,
+    /// The call of the store sync in flight.
+    sync_call: Option<SyncCall>,
     /// Whether the last call to the store, also one through another instance, failed.
     is_store_failing: bool,
     engine: Engine,
@@ -313,8 +329,15 @@
             IDLE_TICK
         };
         let elapsed = self.clock.now().since(self.ticked_at);
-        let timeout =
-            if self.unread.is_empty() { tick.saturating_sub(elapsed) } else { Duration::ZERO };
+        let timeout = if self.unread.is_empty() {
+            let until_give_up = self
+                .sync_call
+                .and_then(|call| call.give_up_at)
+                .map_or(tick, |give_up_at| give_up_at.since(self.now));
+            tick.saturating_sub(elapsed).min(until_give_up)
+        } else {
+            Duration::ZERO
+        };
         match self.poll.poll(events, Some(timeout)) {
             Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
             _ => {}
--- a/lib/proxy/src/event_loop/followers.rs
+++ b/lib/proxy/src/event_loop/followers.rs
@@ -5,7 +5,8 @@
 //! the store itself while the instance that it follows fails. An instance whose
 //! own calls to the store fail sends all calls through another live instance of
 //! any domain, the forwarder. It forwards commits and lease calls to the store and
-//! answers the others from its store cache. See `docs/design/11-relays.md`.
+//! answers the others from its store cache. [`StoreRoute`](crate::store_route::StoreRoute)
+//! decides who calls whom. See `docs/design/11-relays.md`.
 
 use std::io;
 use std::net::SocketAddr;
@@ -15,7 +16,6 @@
 use mio::Token;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Connection, EventLoop, INSTANCE_LISTENER, StoreUse, Use};
 use crate::event_loop::socket::{ACCEPTED_INPUT_LIMIT_BYTES, Socket};
@@ -25,71 +25,10 @@
 use crate::protocol::Platform;
 use crate::records::{StoreAnswer, StoreCall, StoreReply};
 use crate::relays::RelayCall;
-use crate::store_cache::{other_watchers, watcher};
 
 /// The longest call of another instance: a statement of 1 MiB, with room for what the
 /// compression may add to it. The input has room for it with its length.
 const CALL_LIMIT_BYTES: usize = ACCEPTED_INPUT_LIMIT_BYTES - 1024;
-/// How long a follower does without the watcher of its domain after a call through an
-/// instance that it followed has failed.
-const FOLLOWED_BACKOFF: Duration = Duration::from_secs(3);
-/// How many failed calls through watchers of other domains a follower makes until it calls
-/// the store itself. If all followers of a failed watcher did so at once, each change of
-/// the store would return all their watches.
-const MAX_OTHER_WATCHERS: usize = 2;
-
-/// The instance that this one follows.
-#[derive(Debug, Default)]
-pub(super) struct FollowedInstance {
-    instance: Option<InstanceId>,
-    backoff_until: Moment,
-    /// How many calls in a row have failed; starts anew once the backoff is over.
-    recent_failures: usize,
-    /// How many calls through other instances have failed since the start. It is part
-    /// of the index by which an instance is chosen, so that each failure moves the
-    /// choice to the next one.
-    failures: usize,
-}
-
-/// After this many consecutive failures of direct calls, the store is called
-/// through another instance until a direct call succeeds.
-const DIRECT_FAILURES_LIMIT: u32 = 2;
-/// The time between direct calls that test whether the store can be reached again.
-const DIRECT_BACKOFF: Duration = Duration::from_secs(2);
-
-/// Whether direct calls to the store succeed.
-#[derive(Debug, Default)]
-pub(super) struct DirectHealth {
-    failures: u32,
-    backoff_until: Moment,
-}
-
-impl DirectHealth {
-    /// Records whether a direct call to the store was answered.
-    ///
-    /// An answer ends the backoff: other instances may still be without the store, and
-    /// two that call it through each other would learn nothing.
-    pub(super) fn record_call(&mut self, is_answered: bool, now: Moment) {
-        if is_answered {
-            *self = Self::default();
-            return;
-        }
-        self.failures += 1;
-        if self.failures >= DIRECT_FAILURES_LIMIT {
-            self.backoff_until = now + DIRECT_BACKOFF;
-        }
-    }
-
-    /// Returns whether direct calls have failed and none has succeeded since.
-    fn is_failing(&self) -> bool {
-        self.failures >= DIRECT_FAILURES_LIMIT
-    }
-
-    fn is_in_backoff(&self, now: Moment) -> bool {
-        now < self.backoff_until
-    }
-}
-
 /// A message from another instance on a TCP connection.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) enum InstanceCall {
@@ -111,105 +50,34 @@
     confirmed_at: Option<Moment>,
 }
 
-impl FollowedInstance {
-    /// Records that a call through another instance was not answered, or that the
-    /// instance could not serve it.
-    pub(super) fn record_failure(&mut self, now: Moment) {
-        self.backoff_until = now + FOLLOWED_BACKOFF;
-        self.failures += 1;
-        self.recent_failures += 1;
-    }
-
-    /// Returns the instance to follow, `None` to call the store: the watcher of the own
-    /// domain, during its backoff the one of another domain, and once a few of these have
-    /// failed too none.
-    fn choose(
-        &mut self,
-        now: Moment,
-        own: InstanceId,
-        others: &[InstanceId],
-    ) -> Option<InstanceId> {
-        if now >= self.backoff_until {
-            self.recent_failures = 0;
-        }
-        match self.recent_failures {
-            0 => Some(own),
-            failures if failures <= MAX_OTHER_WATCHERS && !others.is_empty() => {
-                Some(others[(self.failures + failures) % others.len()].clone())
-            }
-            _ => None,
-        }
-    }
-}
-
 impl<Protocols, Clock> EventLoop<'_, Protocols, Clock>
 where
     Protocols: Platform,
     Clock: SteadyClock,
 {
     /// Returns the address of the instance through which the view of the store is
-    /// kept up to date: the forwarder while direct calls fail, otherwise the
-    /// instance that this one follows. `None` stands for the store itself.
+    /// kept up to date, `None` for the store itself.
     pub(super) fn sync_address(&mut self) -> Option<SocketAddr> {
-        let followed = self.instance_to_follow();
-        if self.followed.instance != followed {
+        let may_follow =
+            self.store_sync.is_complete() && !self.store_sync.is_stale(&self.view, self.now);
+        let read_through = self.store_route.reader(&self.view, self.now, may_follow);
+        if self.read_through != read_through {
             let age_ms = self.store_age().map(|age| age.as_millis());
-            match &followed {
+            match &read_through {
                 Some(instance) => info!(self.log, "store is read through another instance";
                     "instance_followed" => %instance, "view_age_ms" => age_ms),
-                None => info!(self.log, "store is read directly"; "view_age_ms" => age_ms),
+                None => info!(self.log, "store is read directly"; "view_age_ms" => age_ms,
+                    "asked" => self.store_route.is_asked(self.now)),
             }
-            self.followed.instance.clone_from(&followed);
-        }
-        self.instance_address(&followed?)
-    }
-
-    /// Returns the instance through which the store is to be read, `None` for the store.
-    fn instance_to_follow(&mut self) -> Option<InstanceId> {
-        if self.view.confirmed_at().is_some() && self.direct_store_calls.is_failing() {
-            return self.forwarder();
-        }
-        if !self.store_sync.is_complete() || self.store_sync.is_stale(&self.view, self.now) {
-            return None;
-        }
-        let own = watcher(&self.view, &self.settings.domain)?;
-        if own == self.settings.instance {
-            return None;
+            self.read_through.clone_from(&read_through);
         }
-        let others = if self.now < self.followed.backoff_until {
-            other_watchers(&self.view, &self.settings.domain)
-        } else {
-            Vec::new()
-        };
-        self.followed.choose(self.now, own, &others)
+        self.instance_address(&read_through?)
     }
 
     /// Returns the address of the instance that forwards calls to the store for
     /// this one, `None` unless this instance's own calls fail.
     pub(super) fn forwarder_address(&self) -> Option<SocketAddr> {
-        self.instance_address(&self.forwarder()?)
-    }
-
-    fn forwarder(&self) -> Option<InstanceId> {
-        if !self.direct_store_calls.is_failing() {
-            return None;
-        }
-        let others: Vec<&InstanceId> =
-            self.view.live().filter(|other| **other != self.settings.instance).collect();
-        if others.is_empty() {
-            return None;
-        }
-        let first = xxh3_64(self.settings.instance.as_str().as_bytes()) as usize;
-        Some(others[first.wrapping_add(self.followed.failures) % others.len()].clone())
-    }
-
-    /// Returns whether the next call for the store lease tests whether the store can be
-    /// reached again.
-    ///
-    /// Other calls are not risked for that: a lost write of a group's record would hold
-    /// up a replacement.
-    pub(super) fn tests_direct_calls(&self) -> bool {
-        !self.direct_store_calls.is_in_backoff(self.now)
+        self.instance_address(&self.store_route.forwarder(&self.view)?)
     }
 
     /// Returns the address at which an instance accepts calls from other
@@ -298,6 +166,7 @@
                 self.start_call(StoreUse::Forwarded(token), store_call, None);
             }
             store_call => {
+                self.store_route.record_asked(self.now);
                 let wait = match &store_call {
                     StoreCall::Watch { wait, .. } => *wait,
                     _ => Duration::ZERO,
@@ -315,7 +184,11 @@
     /// Answers from the store cache the held calls for which there are changes, and those
     /// whose wait is over or since which the view has been confirmed. Without the latter a
     /// follower's view would be older by up to its wait.
+    ///
+    /// An instance that is itself without the store answers that it can't tell, so that
+    /// those who ask it turn to others at once.
     pub(super) fn answer_held_calls(&mut self) {
+        let is_without_store = self.store_route.is_direct_failing();
         for (token, connection) in &mut self.connections {
             let Use::Instance { call } = &mut connection.used_for else {
                 continue;
@@ -325,7 +198,11 @@
             };
             let may_wait = self.now < *deadline && self.view.confirmed_at() == *confirmed_at;
             let held = self.now.since(*received_at);
-            let answer = self.store_cache.answer(store_call, &self.view, self.now, held, may_wait);
+            let answer = if is_without_store {
+                Some(StoreAnswer::Unavailable)
+            } else {
+                self.store_cache.answer(store_call, &self.view, self.now, held, may_wait)
+            };
             if let Some(answer) = answer {
                 let reply = StoreReply { era: self.view.era(), answer };
                 frames::encode(&reply, &mut connection.socket.output);
--- a/lib/proxy/src/event_loop/outbound.rs
+++ b/lib/proxy/src/event_loop/outbound.rs
@@ -17,7 +17,7 @@
 
 use super::followers::InstanceCall;
 use super::serve::loss_of_unopened;
-use super::{CONNECT_TIMEOUT, Connection, EventLoop, Loss, StoreUse, Use};
+use super::{CONNECT_TIMEOUT, Connection, EventLoop, Loss, StoreUse, SyncCall, Use};
 use crate::coordinator::{ControlFailure, ControlRequest, CoordinatorAction, Purpose};
 use crate::engine::Context;
 use crate::frames;
@@ -34,6 +34,9 @@
 /// If there are more changes of the view at once, changed servers are not logged
 /// one by one.
 const LOGGED_CHANGES_LIMIT: usize = 200;
+/// How long the watch in flight may take to return a change that the store is known to have.
+/// The commit of the change was answered before, so this is no matter of a slow store.
+const MISSED_CHANGE_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long an answer of the store may take from the call until it has arrived
 /// as a whole. Several times what a megabyte takes over a slow link.
 const WHOLE_ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -53,6 +56,7 @@
 {
     /// Makes the next call that updates the view of the store, if it is due.
     pub(super) fn call_store(&mut self) {
+        self.give_up_sync_call();
         // Choosing the instance to call goes through all members, so it is not
         // done in each iteration.
         if !self.store_sync.is_due(self.now) {
@@ -64,6 +68,51 @@
         }
     }
 
+    /// Gives up the call that keeps the view up to date if another way is likely to show
+    /// the changes sooner.
+    ///
+    /// An answer that has begun to arrive is awaited.
+    fn give_up_sync_call(&mut self) {
+        let Some(call) = self.sync_call else {
+            return;
+        };
+        let is_arriving = self
+            .connections
+            .get(&call.token)
+            .is_some_and(|connection| !connection.socket.input.is_empty());
+        if is_arriving {
+            return;
+        }
+        if call.is_through_instance
+            && self.store_route.is_asked(self.now)
+            && !self.store_route.is_direct_failing()
+        {
+            self.sync_call = None;
+            self.close(call.token);
+            self.store_sync.call_given_up();
+            return;
+        }
+        let is_too_old = call.give_up_at.is_some_and(|give_up_at| self.now >= give_up_at);
+        let is_known_to_fail = !call.is_through_instance
+            && self.store_route.is_direct_failing()
+            && self.view.confirmed_at().is_some()
+            && self.view.live_count() > 1;
+        // The store has committed a record of this instance that the watch should return.
+        let misses_change = self.coordinator.awaits_view_since(&self.view).is_some_and(|since| {
+            self.now.since(since.max(call.called_at)) >= MISSED_CHANGE_TIMEOUT
+        });
+        if misses_change && !call.is_through_instance {
+            self.store_route.record_missed_change(self.now);
+        }
+        if is_too_old || is_known_to_fail || misses_change {
+            info!(self.log, "call that reads the store is given up";
+                "through_instance" => call.is_through_instance,
+                "view_too_old" => is_too_old, "misses_change" => misses_change,
+                "view_age_ms" => self.store_age().map(|age| age.as_millis()));
+            self.connection_ended(call.token, false);
+        }
+    }
+
     /// Makes a call to the store, directly or through the instance at `via`, on
     /// an idle connection or else on a new one.
     pub(super) fn start_call(
@@ -105,6 +154,19 @@
             let is_connected = connection.socket.is_connected();
             let timeout = if is_connected { timeout } else { CONNECT_TIMEOUT };
             connection.deadline = Some(self.now + timeout);
+            if store_use == StoreUse::Sync {
+                let is_through_instance = via.is_some();
+                let is_watch = matches!(call, StoreCall::Watch { .. });
+                let may_call_store = !self.store_route.is_direct_failing();
+                self.sync_call = Some(SyncCall {
+                    token,
+                    called_at: self.now,
+                    is_through_instance,
+                    give_up_at: (is_through_instance && is_watch && may_call_store)
+                        .then(|| self.store_sync.followed_until(&self.view))
+                        .flatten(),
+                });
+            }
             connection.used_for = Use::Store { call: Some((store_use, call, self.now)), via };
             self.dirty.insert(token);
         }
@@ -137,9 +199,9 @@
                 *deadline = None;
                 let is_served = !matches!(answer, StoreAnswer::Unavailable | StoreAnswer::Lost);
                 if via.is_none() {
-                    self.direct_store_calls.record_call(is_served, self.now);
+                    self.store_route.record_direct_call(is_served, self.now);
                 } else if !is_served {
-                    self.followed.record_failure(self.now);
+                    self.store_route.record_followed_failure(self.now);
                 }
                 let answer = (answer != StoreAnswer::Lost).then_some(answer);
                 self.observe_store_era(era);
@@ -203,13 +265,14 @@
         self.is_store_failing = !is_answered;
         match store_use {
             StoreUse::Sync => {
+                self.sync_call = None;
                 let store = self.platform.store();
                 let was_complete = self.store_sync.is_complete();
                 let store_cache = &mut self.store_cache;
                 let effect =
                     self.store_sync.answered(&mut self.view, store_cache, self.now, answer, store);
                 if effect.is_outdated {
-                    self.followed.record_failure(self.now);
+                    self.store_route.record_followed_failure(self.now);
                     info!(self.log, "list of another instance is outdated; listing again";
                         "revision" => revision_of_store(self.view.revision()),
                         "era" => self.view.era());
@@ -316,8 +379,8 @@
     pub(super) fn execute_coordinator_action(&mut self, action: CoordinatorAction) {
         match action {
             CoordinatorAction::Store(purpose, call) => {
-                let is_test =
-                    matches!(purpose, Purpose::Grant | Purpose::Renew) && self.tests_direct_calls();
+                let is_test = matches!(purpose, Purpose::Grant | Purpose::Renew)
+                    && self.store_route.tests_direct_calls(self.now);
                 let via = if is_test { None } else { self.forwarder_address() };
                 self.start_call(StoreUse::Coordinator(purpose), call, via);
             }
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -18,13 +18,12 @@
 
 use super::{
     CALLER_LISTENER, CONNECT_TIMEOUT, Condition, Connection, DATAGRAM_SOCKET, EventLoop,
-    FIRST_SOCKET, FollowedInstance, INSTANCE_LISTENER, METRICS_LISTENER, READINESS_LISTENER,
-    RunError, Use,
+    FIRST_SOCKET, INSTANCE_LISTENER, METRICS_LISTENER, READINESS_LISTENER, RunError, Use,
 };
 use crate::connections::ConnectionId;
 use crate::coordinator::Coordinator;
 use crate::engine::{Context, Engine, EngineSettings, Loss};
-use crate::event_loop::followers::{DirectHealth, InstanceCall};
+use crate::event_loop::followers::InstanceCall;
 use crate::frames;
 use crate::limits::ledger::Ledger;
 use crate::limits::{ClientLimits, LimitReason, LineBudget};
@@ -37,6 +36,7 @@
 use crate::settings::ProxySettings;
 use crate::statement::{Failure, FailureKind, ServerStatus};
 use crate::store_cache::StoreCache;
+use crate::store_route::StoreRoute;
 use crate::store_sync::StoreSync;
 use crate::store_view::StoreView;
 
@@ -143,8 +143,9 @@
             view: StoreView::default(),
             store_sync: StoreSync::new(),
             store_cache: StoreCache::default(),
-            followed: FollowedInstance::default(),
-            direct_store_calls: DirectHealth::default(),
+            store_route: StoreRoute::new(settings.instance.clone(), settings.domain.clone()),
+            read_through: None,
+            sync_call: None,
             is_store_failing: false,
             stopping_at: None,
             is_ready: false,
@@ -346,11 +347,11 @@
                 // The end of a connection without a call says nothing: an instance that stops
                 // is left before its process ends.
                 if via.is_some() && call.is_some() {
-                    self.followed.record_failure(self.now);
+                    self.store_route.record_followed_failure(self.now);
                 }
                 if let Some((store_use, call, called_at)) = call {
                     if via.is_none() {
-                        self.direct_store_calls.record_call(false, self.now);
+                        self.store_route.record_direct_call(false, self.now);
                     }
                     self.store_answered(store_use, &call, called_at, None);
                 }
--- a/lib/proxy/src/lib.rs
+++ b/lib/proxy/src/lib.rs
@@ -37,5 +37,6 @@
 pub mod statement;
 pub mod store_cache;
 pub mod store_era;
+pub mod store_route;
 pub mod store_sync;
 pub mod store_view;
--- /dev/null
+++ b/lib/proxy/src/store_route.rs
@@ -0,0 +1,192 @@
+//! Decides through whom an instance reads the store.
+//!
+//! Most instances follow another one, which watches the store for its failure domain, and
+//! an instance that can't reach the store calls it through another one. What they learn so
+//! is as old as the view of the one that is asked. Two rules keep that bounded:
+//!
+//! - An instance that others ask reads the store itself for as long as they do. Otherwise
+//!   two instances could each wait for changes at the other, and learn of none.
+//! - An instance that can't reach the store answers no one, so that those who follow it
+//!   turn elsewhere at once.
+//!
+//! See `docs/design/11-relays.md` and `docs/incidents/views-through-each-other.md`.
+
+use std::time::Duration;
+
+use masticreel_base::ids::{FailureDomain, InstanceId};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::moment::Moment;
+use crate::store_cache::{other_watchers, watcher};
+use crate::store_view::StoreView;
+
+/// How long a follower does without the watcher of its domain after a call through an
+/// instance that it followed has failed.
+const FOLLOWED_BACKOFF: Duration = Duration::from_secs(3);
+/// How many failed calls through watchers of other domains a follower makes until it calls
+/// the store itself. If all followers of a failed watcher did so at once, each change of
+/// the store would return all their watches.
+const MAX_OTHER_WATCHERS: usize = 2;
+/// After this many consecutive failures of direct calls, the store is called
+/// through another instance until a direct call succeeds.
+const DIRECT_FAILURES_LIMIT: u32 = 2;
+/// The time between direct calls that test whether the store can be reached again.
+const DIRECT_BACKOFF: Duration = Duration::from_secs(2);
+/// How long after another instance's call an instance goes on reading the store itself;
+/// longer than until the next call of an instance that goes on asking.
+const ASKED_PERIOD: Duration = Duration::from_secs(3);
+
+/// Whether direct calls to the store succeed.
+#[derive(Debug, Default)]
+struct DirectHealth {
+    failures: u32,
+    backoff_until: Moment,
+}
+
+/// How calls through other instances went.
+#[derive(Debug, Default)]
+struct FollowedHealth {
+    backoff_until: Moment,
+    /// How many calls in a row have failed; starts anew once the backoff is over.
+    recent_failures: usize,
+    /// How many calls through other instances have failed since the start. It is part
+    /// of the index by which an instance is chosen, so that each failure moves the
+    /// choice to the next one.
+    failures: usize,
+}
+
+impl FollowedHealth {
+    fn record_failure(&mut self, now: Moment) {
+        self.recent_failures = self.recent_failures(now) + 1;
+        self.failures += 1;
+        self.backoff_until = now + FOLLOWED_BACKOFF;
+    }
+
+    fn recent_failures(&self, now: Moment) -> usize {
+        if now >= self.backoff_until { 0 } else { self.recent_failures }
+    }
+}
+
+/// The state of an instance's ways to the store.
+#[derive(Debug)]
+pub struct StoreRoute {
+    own: InstanceId,
+    domain: FailureDomain,
+    direct: DirectHealth,
+    followed: FollowedHealth,
+    /// Until when other instances count as reading the store through this one.
+    asked_until: Moment,
+}
+
+impl StoreRoute {
+    /// Creates the state of an instance that has just started.
+    pub fn new(own: InstanceId, domain: FailureDomain) -> Self {
+        Self {
+            own,
+            domain,
+            direct: DirectHealth::default(),
+            followed: FollowedHealth::default(),
+            asked_until: Moment::default(),
+        }
+    }
+
+    /// Records whether a direct call to the store was answered.
+    ///
+    /// An answer ends the backoff: other instances may still be without the store, and
+    /// two that call it through each other would learn nothing.
+    pub fn record_direct_call(&mut self, is_answered: bool, now: Moment) {
+        if is_answered {
+            self.direct = DirectHealth::default();
+            return;
+        }
+        self.direct.failures += 1;
+        if self.direct.failures >= DIRECT_FAILURES_LIMIT {
+            self.direct.backoff_until = now + DIRECT_BACKOFF;
+        }
+    }
+
+    /// Records that a direct watch has not returned a change that the store certainly has,
+    /// which shows as much as several unanswered calls.
+    pub fn record_missed_change(&mut self, now: Moment) {
+        self.direct.failures = self.direct.failures.max(DIRECT_FAILURES_LIMIT - 1);
+        self.record_direct_call(false, now);
+    }
+
+    /// Records that a call through another instance was not answered, or that the
+    /// instance could not serve it.
+    pub fn record_followed_failure(&mut self, now: Moment) {
+        self.followed.record_failure(now);
+    }
+
+    /// Records that another instance reads the store through this one.
+    pub fn record_asked(&mut self, now: Moment) {
+        self.asked_until = now + ASKED_PERIOD;
+    }
+
+    /// Returns whether other instances read the store through this one.
+    pub fn is_asked(&self, now: Moment) -> bool {
+        now < self.asked_until
+    }
+
+    /// Returns whether direct calls have failed and none has succeeded since.
+    pub fn is_direct_failing(&self) -> bool {
+        self.direct.failures >= DIRECT_FAILURES_LIMIT
+    }
+
+    /// Returns whether the next call for the store lease tests whether the store can be
+    /// reached again.
+    ///
+    /// Other calls are not risked for that: a lost write of a group's record would hold
+    /// up a replacement.
+    pub fn tests_direct_calls(&self, now: Moment) -> bool {
+        now >= self.direct.backoff_until
+    }
+
+    /// Returns the instance through which the store is read next, `None` for the store
+    /// itself.
+    ///
+    /// `may_follow` says that the view is complete and recent enough for that of another
+    /// instance to be taken over.
+    pub fn reader(&self, view: &StoreView, now: Moment, may_follow: bool) -> Option<InstanceId> {
+        if view.confirmed_at().is_some() && self.is_direct_failing() {
+            // The watchers of other domains read the store already; any other instance
+            // would begin to do so.
+            let watchers = other_watchers(view, &self.domain);
+            return if self.followed.recent_failures(now) < watchers.len() {
+                Some(self.pick(&watchers).clone())
+            } else {
+                self.forwarder(view)
+            };
+        }
+        if !may_follow || self.is_asked(now) {
+            return None;
+        }
+        let own = watcher(view, &self.domain)?;
+        if own == self.own {
+            return None;
+        }
+        let recent_failures = self.followed.recent_failures(now);
+        if recent_failures == 0 {
+            return Some(own);
+        }
+        let others = other_watchers(view, &self.domain);
+        let chosen = || others[(self.followed.failures + recent_failures) % others.len()].clone();
+        (recent_failures <= MAX_OTHER_WATCHERS && !others.is_empty()).then(chosen)
+    }
+
+    /// Returns the instance that forwards calls to the store for this one, `None` unless
+    /// this instance's own calls fail.
+    pub fn forwarder(&self, view: &StoreView) -> Option<InstanceId> {
+        if !self.is_direct_failing() {
+            return None;
+        }
+        let others: Vec<&InstanceId> = view.live().filter(|other| **other != self.own).collect();
+        (!others.is_empty()).then(|| (*self.pick(&others)).clone())
+    }
+
+    /// Picks one of several instances, so that different instances pick different ones.
+    fn pick<'a, T>(&self, instances: &'a [T]) -> &'a T {
+        let first = xxh3_64(self.own.as_str().as_bytes()) as usize;
+        &instances[first.wrapping_add(self.followed.failures) % instances.len()]
+    }
+}
--- a/lib/proxy/src/store_sync.rs
+++ b/lib/proxy/src/store_sync.rs
@@ -14,18 +14,24 @@
 use crate::store_era::era_of;
 use crate::store_view::{StoreView, ViewChange};
 
-/// How long the store may hold a watch call while there are no changes.
+/// How long the store may hold a watch call while there are no changes, and at the longest
+/// until the view is [`STALE_AGE`] old.
 ///
 /// A new document must be active within three seconds. The wait and
 /// [`WATCH_TIMEOUT_MARGIN`] together are less than that, even if the connection
 /// has stopped answering. Two waits are less than [`STALE_AGE`], since the view of a
 /// follower is confirmed as of the beginning of the last watch that was answered.
 const WATCH_WAIT: Duration = Duration::from_millis(1250);
-/// How long another instance may hold a watch call while there are no changes. It
-/// answers earlier, after each of its own watches, unless these get no answers.
+/// How long another instance may hold a watch call while there are no changes, and at the
+/// longest until the view is [`STALE_AGE`] old. It answers earlier, after each of its own
+/// watches, unless these get no answers.
 const FOLLOWER_WAIT: Duration = Duration::from_millis(1500);
-/// The age of the view from which a follower calls the store itself.
-const STALE_AGE: Duration = Duration::from_millis(2800);
+/// The age of the view from which a follower calls the store itself. A document has to be
+/// active within three seconds, so what a follower knows must not become older than that.
+const STALE_AGE: Duration = Duration::from_millis(2700);
+/// How long after [`STALE_AGE`] the answer of another instance is awaited that has held a
+/// call until then.
+const FOLLOWED_ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// How long after its wait a watch call times out.
 pub const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 /// How long any other call may take. A slow store takes about 0.4 s.
@@ -125,6 +131,17 @@
         view.confirmed_at().is_none_or(|at| now.since(at) > STALE_AGE)
     }
 
+    /// Returns until when a follower awaits a watch through another instance, however that
+    /// fares: the view would become too old.
+    pub fn followed_until(&self, view: &StoreView) -> Option<Moment> {
+        view.confirmed_at().map(|at| at + STALE_AGE + FOLLOWED_ANSWER_MARGIN)
+    }
+
+    /// Records that the call in flight was given up, though nothing is wrong with it.
+    pub fn call_given_up(&mut self) {
+        self.is_call_in_flight = false;
+    }
+
     /// Returns whether a call is due.
     pub fn is_due(&self, now: Moment) -> bool {
         !self.is_call_in_flight && now >= self.not_before
@@ -146,7 +163,16 @@
         self.requests_further_page = matches!(self.state, State::Listing { after: Some(_), .. });
         self.called_at = now;
         self.is_through_instance = is_through_instance;
-        let wait = if is_through_instance { FOLLOWER_WAIT } else { WATCH_WAIT };
+        let until_stale = view
+            .confirmed_at()
+            .map_or(Duration::ZERO, |confirmed_at| (confirmed_at + STALE_AGE).since(now));
+        let wait = match is_through_instance {
+            // Only an instance that can't reach the store asks with an old view.
+            true if until_stale.is_zero() => FOLLOWER_WAIT,
+            true => FOLLOWER_WAIT.min(until_stale),
+            // An old view is confirmed at once.
+            false => WATCH_WAIT.min(until_stale),
+        };
         Some(match &self.state {
             State::Listing { after, .. } => {
                 StoreCall::List { after: after.clone(), may_be_stale: false }
@@ -192,8 +218,14 @@
             Some(StoreAnswer::HistoryGone) => self.list_again(),
             Some(_) | None => {
                 self.failures += 1;
-                // Eight times the initial backoff is `MAX_BACKOFF`.
-                let backoff = INITIAL_BACKOFF * self.failures.min(8);
+                // Eight times the initial backoff is `MAX_BACKOFF`. What one instance can't tell
+                // is asked elsewhere at once.
+                let is_elsewhere = self.is_through_instance && self.failures == 1;
+                let backoff = if is_elsewhere {
+                    Duration::ZERO
+                } else {
+                    INITIAL_BACKOFF * self.failures.min(8)
+                };
                 let longest = if self.is_complete() { MAX_BACKOFF } else { MAX_LISTING_BACKOFF };
                 self.not_before = now + backoff.min(longest);
                 effect.is_newly_failing = !std::mem::replace(&mut self.is_failing, true);
--- a/lib/proxy/tests/test_store_sync.rs
+++ b/lib/proxy/tests/test_store_sync.rs
@@ -183,3 +183,30 @@
     assert_eq!((follower.servers(), follower.view.confirmed_at()), (vec!["s1"], confirmed_at));
     assert!(!follower.sync.is_complete(), "the items are listed again");
 }
+
+/// Returns how long a follower's next watch may be held, given the age of its view.
+fn wait_of_next_watch(age: Duration, is_through_instance: bool) -> Duration {
+    let mut follower = Follower::default();
+    follower.call(false, page(&["s1"], 100, false));
+    let now = follower.now + age;
+    match follower.sync.start_next_call(&follower.view, now, is_through_instance) {
+        Some(StoreCall::Watch { wait, .. }) => wait,
+        call => panic!("expected a watch, got {call:?}"),
+    }
+}
+
+/// Guards against a configuration that became active after 4.2 s: a watch through an instance
+/// that learned of no changes began just before the view was too old, and was held for 1.5 s.
+#[test]
+fn test_watch_is_not_held_until_the_view_is_too_old() {
+    const LONGEST: Duration = Duration::from_millis(2800);
+    for is_through_instance in [true, false] {
+        for age in [ms(0), ms(1250), ms(1700), ms(2600)] {
+            let wait = wait_of_next_watch(age, is_through_instance);
+            assert!(age + wait <= LONGEST, "{wait:?} at {age:?}");
+            assert!(!wait.is_zero());
+        }
+    }
+    assert_eq!(wait_of_next_watch(ms(3000), false), ms(0), "the store answers at once");
+    assert!(wait_of_next_watch(ms(3000), true) > ms(1000), "there is no other way to the store");
+}
