coordinator: promote no server by a list of servers that may lack one

Cause: the bound of acknowledged commits needs the logs of all servers. Once all primary leases have expired a replacement went on without a view that shows its record, so a replica that had joined since the view, with the only copy of a commit, was not asked.

Change: such a group chooses a server only by a view that shows the record, however long that takes, as for a server that does not answer.

Measured: test_replica_that_an_old_view_lacks_may_have_the_only_copy_of_a_commit failed before (s3, at position 7, was promoted over s4, at 9). No deployment in force has sync_replicas above 0.

--- a/lib/proxy/src/coordinator/replacement/candidates.rs
+++ b/lib/proxy/src/coordinator/replacement/candidates.rs
@@ -88,6 +88,10 @@
                 selecting_since,
             );
         }
+        // A server that has joined just before may have the only copy of a commit.
+        if !replacement.is_blocked_in(view) {
+            return None;
+        }
         let selection = Selection {
             view,
             now,
--- a/lib/proxy/tests/test_acknowledged_commits.rs
+++ b/lib/proxy/tests/test_acknowledged_commits.rs
@@ -424,3 +424,22 @@
     assert_eq!(deployment.promotions_within(ms(10_000)), Vec::<String>::new());
     assert_eq!(deployment.promotions_within(ms(10_000)), ["s4"]);
 }
+
+/// Guards against the loss of acknowledged commits that only a replica has which the
+/// coordinator has not seen yet: its list of servers was taken for complete once all primary
+/// leases had expired.
+#[test]
+fn test_replica_that_an_old_view_lacks_may_have_the_only_copy_of_a_commit() {
+    let mut deployment = Deployment::start(&[
+        ("s1", Server::Received(9)),
+        ("s2", Server::Received(7)),
+        ("s3", Server::Received(7)),
+    ]);
+    deployment.lose_primary();
+    deployment.fixture.put_server("s4", Role::Replica, false);
+    deployment.set("s4", Server::Received(9));
+    deployment.fixture.is_cut_off = true;
+    assert_eq!(deployment.promotions_within(ms(30_000)), Vec::<String>::new());
+    deployment.fixture.is_cut_off = false;
+    assert_eq!(deployment.promotions_within(ms(3000)), ["s4"]);
+}
