coordinator: a member that was back for a moment counts as gone anew

Cause: members without a store lease count as gone since the first view without their live key. A member that came back and was gone again within one answer of the watch kept the earlier time, though its new lease on the primary is younger.

Change: the view keeps the revision of the last live key that it was shown of a member; if that or the membership differs from when the member was missed, the time starts anew. Not covered: the same incarnation coming and going between two lists of all items, which needs a coordinator that is blind for longer than a store lease lasts (3.2 s).

--- a/lib/proxy/src/coordinator.rs
+++ b/lib/proxy/src/coordinator.rs
@@ -32,7 +32,7 @@
     DoubtRecord, GroupRecord, MemberRecord, Placement, StoreAnswer, StoreCall, SuspicionKind,
 };
 use crate::statement::{Command, ServerStatus};
-use crate::store_view::{StoreView, Versioned};
+use crate::store_view::{Presence, StoreView, Versioned};
 
 /// The purpose of a call to the store.
 ///
@@ -134,8 +134,8 @@
     vacant_since: Option<Moment>,
     /// Since when the entries of primaries have been missing in the store.
     missing_since: HashMap<ServerId, Moment>,
-    /// Since when members have had no live key.
-    members_without_lease: HashMap<InstanceId, Moment>,
+    /// Since when members have had no live key, and when they had it last.
+    members_without_lease: HashMap<InstanceId, (Moment, Presence)>,
     members_checked_at: Moment,
     /// Calls to the store that failed in a row.
     store_failures: u32,
--- a/lib/proxy/src/coordinator/coordinator_role.rs
+++ b/lib/proxy/src/coordinator/coordinator_role.rs
@@ -123,11 +123,16 @@
             return;
         }
         self.members_checked_at = now;
-        self.members_without_lease
-            .retain(|instance, _| view.member(instance).is_some() && !view.is_live(instance));
+        // A member that was back in between may have used primaries since.
+        self.members_without_lease.retain(|instance, (_, presence)| {
+            view.member(instance).is_some()
+                && !view.is_live(instance)
+                && *presence == view.last_presence(instance)
+        });
         for (instance, _) in view.members() {
             if !view.is_live(instance) {
-                self.members_without_lease.entry(instance.clone()).or_insert(now);
+                let gone = (now, view.last_presence(instance));
+                self.members_without_lease.entry(instance.clone()).or_insert(gone);
             }
         }
     }
@@ -145,10 +150,10 @@
     ) -> bool {
         // The members without a lease are tracked less often than the view changes.
         !view.is_live(member)
-            && self
-                .members_without_lease
-                .get(member)
-                .is_some_and(|since| now.since(*since) >= max_use + PRIMARY_LEASE_MARGIN)
+            && self.members_without_lease.get(member).is_some_and(|(since, presence)| {
+                *presence == view.last_presence(member)
+                    && now.since(*since) >= max_use + PRIMARY_LEASE_MARGIN
+            })
     }
 
     /// Requests the removal of the memberships of instances whose primary lease has
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -38,6 +38,13 @@
     pub revision: u64,
 }
 
+/// The revisions at which a member wrote its membership and its last live key.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Presence {
+    member: u64,
+    live: u64,
+}
+
 /// A record with its revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Versioned<T> {
@@ -91,6 +98,9 @@
     lost_records: HashMap<GroupId, u64>,
     members: BTreeMap<InstanceId, Versioned<MemberRecord>>,
     live: BTreeMap<InstanceId, u64>,
+    /// The revisions of the last live keys that were seen of the members, also of those that
+    /// are gone.
+    last_live: HashMap<InstanceId, u64>,
     suspicions: BTreeMap<(GroupId, InstanceId), Versioned<DoubtRecord>>,
     coordinator_role: Option<CoordinatorRole>,
     /// The items that can't be used, with the reasons that were reported.
@@ -249,6 +259,15 @@
         self.live.get(instance).copied()
     }
 
+    /// Returns what identifies the last time that a member was seen to renew its store lease:
+    /// the revisions of its membership and of its last live key. It differs once the member
+    /// has been back, also if it was gone again by the time of the next view.
+    pub fn last_presence(&self, instance: &InstanceId) -> Presence {
+        let member = self.members.get(instance).map_or(0, |member| member.revision);
+        let live = self.last_live.get(instance).copied().unwrap_or_default();
+        Presence { member, live }
+    }
+
     /// Returns the number of instances, including those that are restarting.
     pub fn instance_count(&self) -> usize {
         self.live.len().max(self.members.len())
@@ -379,6 +398,8 @@
         for item in items {
             self.apply_item(item, store, &mut changes);
         }
+        let StoreView { last_live, members, live, .. } = self;
+        last_live.retain(|id, _| members.contains_key(id) || live.contains_key(id));
         for (id, server) in servers {
             if !self.servers.contains_key(&id) {
                 self.retain_removed_server(server);
@@ -497,6 +518,7 @@
                 decode_into(&mut self.suspicions, (group, instance), item)
             }
             StoreKey::Live(instance) => {
+                self.last_live.insert(instance.clone(), item.revision);
                 self.live.insert(instance, item.revision);
                 true
             }
@@ -605,6 +627,9 @@
             }
             Some(StoreKey::Member(instance)) => {
                 self.members.remove(&instance);
+                if !self.live.contains_key(&instance) {
+                    self.last_live.remove(&instance);
+                }
             }
             Some(StoreKey::Live(instance)) => {
                 self.live.remove(&instance);
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -13,7 +13,8 @@
 };
 use masticreel_proxy::protocol::PromoterAnswer;
 use masticreel_proxy::records::{
-    COORDINATOR_KEY, DoubtRecord, Phase, SuspicionKind, live_key, member_key, suspicion_key,
+    COORDINATOR_KEY, DoubtRecord, Phase, StoreEvent, SuspicionKind, live_key, member_key,
+    suspicion_key,
 };
 use masticreel_proxy::relays::rank_owners;
 use masticreel_proxy::statement::{Command, Role, ServerStatus};
@@ -205,6 +206,40 @@
     assert!(fixture.view.member(&"proxy-2".into()).is_some());
 }
 
+/// Guards against a member that was back for a moment, in which it may have begun to use the
+/// primary again, and counted as gone ever since it was gone before.
+#[test]
+fn test_member_that_was_back_between_two_views_counts_as_gone_anew() {
+    let mut fixture = Fixture::serving();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = active_coordinator(&mut fixture);
+    let live = live_key(&"proxy-2".into());
+    fixture.remove(&live);
+    fixture.refresh();
+    let gone_for_long_enough = MAX_FRESH_VIEW_AGE + PRIMARY_LEASE_MARGIN + ms(500);
+    let end = fixture.now + gone_for_long_enough;
+    while fixture.now < end {
+        tick_with_store(&mut fixture, &mut coordinator);
+        fixture.advance(ms(100));
+        fixture.refresh();
+    }
+    // Both changes arrive with one answer of the watch.
+    fixture.put(&live, &1);
+    let written = StoreEvent::Written(fixture.items[&live].clone());
+    fixture.remove(&live);
+    let removed = StoreEvent::Removed { key: live.as_str().into(), revision: fixture.revision };
+    fixture.view.apply(&[written, removed], &fixture.store);
+    fixture.put_server("s1", Role::Primary, true);
+    fixture.refresh();
+    tick_with_store(&mut fixture, &mut coordinator);
+    coordinator.work_done(fixture.now, &group(), 2);
+    assert!(
+        promotions_within(&mut fixture, &mut coordinator, ms(3000)).is_empty(),
+        "proxy-2 may use the primary again"
+    );
+    assert_eq!(promotions_within(&mut fixture, &mut coordinator, gone_for_long_enough), ["s2"]);
+}
+
 /// Guards against waiting for an instance whose calls the store rejects: it delayed a
 /// replacement by 12 s, because it could neither see the record that blocked the
 /// primary nor confirm in the store that its work had ended.
