coordinator: wait for members whose memberships a restored store has lost

Change: the view keeps the memberships that it showed in an earlier era and that the store lacks. A replacement notifies these instances too, and waits until they confirm or until a primary lease of the era before has expired. Not covered: an instance that the coordinator never saw.

--- a/lib/proxy/src/coordinator/replacement/steps.rs
+++ b/lib/proxy/src/coordinator/replacement/steps.rs
@@ -240,11 +240,14 @@
         // An instance that registered before the primary was blocked may use it until it learns
         // of that, however old this view is.
         let shows_all_members = replacement.is_blocked_in(view);
-        if shows_all_members
-            && view.members().all(|(id, member)| {
+        let have_members_ended = || {
+            view.members().all(|(id, member)| {
                 self.has_ended_work(view, id, &member.value, group, replacement, now)
             })
-        {
+        };
+        let have_lost_members_ended =
+            || view.lost_members().all(|(id, _)| self.has_lost_member_ended(id, replacement, now));
+        if shows_all_members && have_members_ended() && have_lost_members_ended() {
             return Some("members_ended_work");
         }
         None
@@ -274,6 +277,21 @@
             )
     }
 
+    /// Returns whether a member whose membership the store has lost can't be using the old
+    /// primary any more. If it has not noticed that the store began a new era, its primary
+    /// lease is of the era before.
+    fn has_lost_member_ended(
+        &self,
+        instance: &InstanceId,
+        replacement: &Replacement,
+        now: Moment,
+    ) -> bool {
+        let max_use = replacement.max_use_of_old_primary() + PRIMARY_LEASE_MARGIN;
+        *instance == self.instance
+            || replacement.directly_confirmed.contains(instance)
+            || self.era_known_since.is_some_and(|(_, since)| now.since(since) >= max_use)
+    }
+
     /// Sends the record that blocked the old primary to members that have not confirmed
     /// that their work there has ended.
     fn notify_members(
@@ -288,15 +306,19 @@
             return;
         }
         replacement.notified_at = now;
-        for (instance, member) in view.members() {
-            if self.has_ended_work(view, instance, &member.value, group, replacement, now) {
-                continue;
-            }
-            if let Some(address) = member.value.address {
-                let message = PeerMessage::Record { group: group.clone(), record: record.clone() };
-                self.actions.push(CoordinatorAction::SendToPeer(address, message));
-            }
-        }
+        let members = view.members().filter(|(instance, member)| {
+            !self.has_ended_work(view, instance, &member.value, group, replacement, now)
+        });
+        let lost = view
+            .lost_members()
+            .filter(|(instance, _)| !self.has_lost_member_ended(instance, replacement, now));
+        let addresses = members.map(|(_, member)| member.value.address);
+        let addresses = addresses.chain(lost.map(|(_, member)| member.address)).flatten();
+        let message = PeerMessage::Record { group: group.clone(), record: record.clone() };
+        let notices: Vec<_> = addresses
+            .map(|address| CoordinatorAction::SendToPeer(address, message.clone()))
+            .collect();
+        self.actions.extend(notices);
     }
 
     /// Sends the records of new primaries to members that confirmed the end of their
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -97,6 +97,9 @@
     /// this view or none, with the revision of that, zero if there is none.
     lost_records: HashMap<GroupId, u64>,
     members: BTreeMap<InstanceId, Versioned<MemberRecord>>,
+    /// Memberships of an earlier era that a store which came back from an older copy lacks,
+    /// until their instances write them again.
+    lost_members: BTreeMap<InstanceId, MemberRecord>,
     live: BTreeMap<InstanceId, u64>,
     /// The revisions of the last live keys that were seen of the members, also of those that
     /// are gone.
@@ -239,6 +242,13 @@
         self.members.iter()
     }
 
+    /// Returns the memberships that this view has shown and that the store has lost since.
+    ///
+    /// Their instances may not have noticed, and use primaries by what they knew before.
+    pub fn lost_members(&self) -> impl Iterator<Item = (&InstanceId, &MemberRecord)> {
+        self.lost_members.iter()
+    }
+
     /// Returns the instances that renew their store leases.
     pub fn live(&self) -> impl Iterator<Item = &InstanceId> {
         self.live.keys()
@@ -389,7 +399,7 @@
         let is_new_era = !self.shows_present_era();
         self.server_keys.clear();
         self.servers_by_group.clear();
-        self.members.clear();
+        let members = std::mem::take(&mut self.members);
         self.live.clear();
         self.suspicions.clear();
         self.coordinator_role = None;
@@ -398,6 +408,10 @@
         for item in items {
             self.apply_item(item, store, &mut changes);
         }
+        if is_new_era {
+            self.lost_members.extend(members.into_iter().map(|(id, member)| (id, member.value)));
+        }
+        self.lost_members.retain(|id, _| !self.members.contains_key(id));
         let StoreView { last_live, members, live, .. } = self;
         last_live.retain(|id, _| members.contains_key(id) || live.contains_key(id));
         for (id, server) in servers {
@@ -513,7 +527,10 @@
                 }
                 None => false,
             },
-            StoreKey::Member(instance) => decode_into(&mut self.members, instance, item),
+            StoreKey::Member(instance) => {
+                self.lost_members.remove(&instance);
+                decode_into(&mut self.members, instance, item)
+            }
             StoreKey::Doubt(group, instance) => {
                 decode_into(&mut self.suspicions, (group, instance), item)
             }
--- a/lib/proxy/tests/test_store_restored.rs
+++ b/lib/proxy/tests/test_store_restored.rs
@@ -3,20 +3,26 @@
 
 mod support;
 
+use std::time::Duration;
+
+use masticreel_base::ids::InstanceId;
 use masticreel_proxy::coordinator::{
     ControlRequest, Coordinator, CoordinatorAction as Action, Purpose,
 };
 use masticreel_proxy::moment::Moment;
-use masticreel_proxy::primary_lease::{PRIMARY_LEASE, is_view_fresh, usable_primary};
+use masticreel_proxy::peers::PeerMessage;
+use masticreel_proxy::primary_lease::{
+    MAX_FRESH_VIEW_AGE, PRIMARY_LEASE, PRIMARY_LEASE_MARGIN, is_view_fresh, usable_primary,
+};
 use masticreel_proxy::records::{
     COORDINATOR_KEY, DoubtRecord, GroupRecord, Item, Phase, StoreAnswer, StoreCall, StoreEvent,
-    SuspicionKind, group_key, live_key, suspicion_key,
+    SuspicionKind, group_key, live_key, member_key, suspicion_key,
 };
-use masticreel_proxy::statement::{Role, ServerStatus};
+use masticreel_proxy::statement::{Command, Role, ServerStatus};
 use masticreel_proxy::store_era::era_of;
 use masticreel_proxy::store_view::StoreView;
 use support::{
-    Fixture, INCARNATION, OWN, coordinator, group, is_for, ms, position, tick_with_store,
+    Fixture, INCARNATION, OWN, address, coordinator, group, is_for, ms, position, tick_with_store,
 };
 
 const SECOND_ERA: u64 = 1 << 40;
@@ -318,6 +324,62 @@
     assert_eq!((record.phase, record.primary.as_str()), (Phase::Serving, "s2"));
 }
 
+/// Replaces a primary that leaves just after a restore which has lost the membership of
+/// `proxy-2`, and returns how long after the restore the promotion is requested.
+fn promotion_after_lost_membership(confirms: bool) -> Duration {
+    let mut fixture = Fixture::serving();
+    fixture.make_coordinator();
+    fixture.put_member("proxy-2", 1);
+    let mut coordinator = settled(&mut fixture);
+    let lost = InstanceId::from("proxy-2");
+    fixture.remove(&live_key(&lost));
+    fixture.remove(&member_key(&lost));
+    restore(&mut fixture, &mut coordinator);
+    let restored_at = fixture.now;
+    fixture.put_server("s1", Role::Primary, true);
+    while fixture.now.since(restored_at) < Duration::from_secs(30) {
+        fixture.refresh();
+        for action in tick_with_store(&mut fixture, &mut coordinator) {
+            let is_notice = matches!(&action, Action::SendToPeer(to, PeerMessage::Record { .. })
+                if Some(*to) == address("proxy-2"));
+            let record = fixture.view.group(&group()).expect("it has a record");
+            match &action {
+                Action::Promote(_) => return fixture.now.since(restored_at),
+                Action::SendToPeer(..) if confirms && is_notice => {
+                    coordinator.peer_stopped(&lost, &group(), record.epoch);
+                }
+                Action::Control(request) => {
+                    let is_leader =
+                        request.command == Command::Status && request.server == "s1".into();
+                    let role = if is_leader { Role::Primary } else { Role::Replica };
+                    let term = position(1, 0).term;
+                    let status = ServerStatus { role, term, received: position(1, 9) };
+                    coordinator.control_answered(fixture.now, request, Ok(status));
+                }
+                _ => {}
+            }
+        }
+        if let Some(record) = fixture.view.group(&group())
+            && record.phase == Phase::Changing
+        {
+            coordinator.work_done(fixture.now, &group(), record.epoch);
+        }
+        fixture.advance(ms(20));
+    }
+    panic!("no promotion was requested");
+}
+
+/// Guards against a replacement that did not wait for an instance whose membership the store had
+/// lost, and which used the old primary by its view of before.
+#[test]
+fn test_member_that_the_store_has_lost_is_waited_for() {
+    let shortest = MAX_FRESH_VIEW_AGE + PRIMARY_LEASE_MARGIN;
+    let waited = promotion_after_lost_membership(false);
+    assert!(waited >= shortest, "{waited:?}");
+    let confirmed = promotion_after_lost_membership(true);
+    assert!(confirmed < shortest, "it has confirmed: {confirmed:?}");
+}
+
 /// Guards against an instance that starts after the restore and reads at a primary that had
 /// been replaced in the seconds that the store has lost.
 #[test]
