store route: no busy wait while an answer arrives, and time for a slow store

And 0.25 s after its commit is not long enough for the watch of a coordinator if the store takes 0.4 s for an answer, so the direct way would count as failing without a fault.

Change: an answer that arrives is awaited without the limit; a missed change counts after 0.45 s.

--- a/lib/proxy/src/event_loop/outbound.rs
+++ b/lib/proxy/src/event_loop/outbound.rs
@@ -34,9 +34,9 @@
 /// If there are more changes of the view at once, changed servers are not logged
 /// one by one.
 const LOGGED_CHANGES_LIMIT: usize = 200;
-/// How long the watch in flight may take to return a change that the store is known to have.
-/// The commit of the change was answered before, so this is no matter of a slow store.
-const MISSED_CHANGE_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long the watch in flight may take to return a change that the store is known to have;
+/// longer than an answer of a slow store takes.
+const MISSED_CHANGE_TIMEOUT: Duration = Duration::from_millis(450);
 /// How long an answer of the store may take from the call until it has arrived
 /// as a whole. Several times what a megabyte takes over a slow link.
 const WHOLE_ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -73,44 +73,42 @@
     ///
     /// An answer that has begun to arrive is awaited.
     fn give_up_sync_call(&mut self) {
-        let Some(call) = self.sync_call else {
+        let Some(call) = &mut self.sync_call else {
             return;
         };
-        let is_arriving = self
-            .connections
-            .get(&call.token)
-            .is_some_and(|connection| !connection.socket.input.is_empty());
-        if is_arriving {
+        let connection = self.connections.get(&call.token);
+        if connection.is_some_and(|connection| !connection.socket.input.is_empty()) {
+            call.give_up_at = None;
             return;
         }
-        if call.is_through_instance
-            && self.store_route.is_asked(self.now)
-            && !self.store_route.is_direct_failing()
-        {
+        let call = *call;
+        let is_direct_failing = self.store_route.is_direct_failing();
+        if call.is_through_instance && self.store_route.is_asked(self.now) && !is_direct_failing {
             self.sync_call = None;
             self.close(call.token);
             self.store_sync.call_given_up();
             return;
         }
-        let is_too_old = call.give_up_at.is_some_and(|give_up_at| self.now >= give_up_at);
+        let is_view_too_old = call.give_up_at.is_some_and(|give_up_at| self.now >= give_up_at);
         let is_known_to_fail = !call.is_through_instance
-            && self.store_route.is_direct_failing()
+            && is_direct_failing
             && self.view.confirmed_at().is_some()
             && self.view.live_count() > 1;
         // The store has committed a record of this instance that the watch should return.
         let misses_change = self.coordinator.awaits_view_since(&self.view).is_some_and(|since| {
             self.now.since(since.max(call.called_at)) >= MISSED_CHANGE_TIMEOUT
         });
+        if !is_view_too_old && !is_known_to_fail && !misses_change {
+            return;
+        }
         if misses_change && !call.is_through_instance {
             self.store_route.record_missed_change(self.now);
         }
-        if is_too_old || is_known_to_fail || misses_change {
-            info!(self.log, "call that reads the store is given up";
-                "through_instance" => call.is_through_instance,
-                "view_too_old" => is_too_old, "misses_change" => misses_change,
-                "view_age_ms" => self.store_age().map(|age| age.as_millis()));
-            self.connection_ended(call.token, false);
-        }
+        info!(self.log, "call that reads the store is given up";
+            "through_instance" => call.is_through_instance,
+            "view_too_old" => is_view_too_old, "misses_change" => misses_change,
+            "view_age_ms" => self.store_age().map(|age| age.as_millis()));
+        self.connection_ended(call.token, false);
     }
 
     /// Makes a call to the store, directly or through the instance at `via`, on
