store route: the reasons to give up a call are decided without a network, and counted

When a call that reads the store is given up was decided in the event loop, where only processes could test it, and the log told the reason in two flags of which both may be false.

Change: StoreRoute::reason_to_give_up decides; the log line and the new counter masticreel_store_reads_given_up_total have its reason, and masticreel_store_read_through_instance tells whether an instance reads the store itself.

--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -63,7 +63,7 @@
 use crate::relays::{PooledId, RelayCall, RelaySessionId};
 use crate::settings::ProxySettings;
 use crate::store_cache::StoreCache;
-use crate::store_route::StoreRoute;
+use crate::store_route::{ReadCall, StoreRoute};
 use crate::store_sync::StoreSync;
 use crate::store_view::StoreView;
 
@@ -149,18 +149,6 @@
     Forwarded(Token),
 }
 
-/// The call in flight that keeps the view of the store up to date.
-#[derive(Debug, Clone, Copy)]
-struct SyncCall {
-    /// Its connection.
-    token: Token,
-    called_at: Moment,
-    /// Whether it was made through another instance.
-    is_through_instance: bool,
-    /// When a follower gives it up, because the view would be too old.
-    give_up_at: Option<Moment>,
-}
-
 /// A connection, established or being opened, with its use and its deadline, after
 /// which it is closed.
 #[derive(Debug)]
@@ -247,8 +235,8 @@
     store_route: StoreRoute,
     /// The instance through which the store was last read, for the log.
     read_through: Option<InstanceId>,
-    /// The call of the store sync in flight.
-    sync_call: Option<SyncCall>,
+    /// The call of the store sync in flight, with its connection.
+    sync_call: Option<(Token, ReadCall)>,
     /// Whether the last call to the store, also one through another instance, failed.
     is_store_failing: bool,
     engine: Engine,
@@ -332,7 +320,7 @@
         let timeout = if self.unread.is_empty() {
             let until_give_up = self
                 .sync_call
-                .and_then(|call| call.give_up_at)
+                .and_then(|(_, call)| call.give_up_at)
                 .map_or(tick, |give_up_at| give_up_at.since(self.now));
             tick.saturating_sub(elapsed).min(until_give_up)
         } else {
@@ -635,6 +623,7 @@
             .confirmed_at()
             .map_or(-1, |at| i64::try_from(self.now.since(at).as_millis()).unwrap_or(i64::MAX));
         metrics.confirmed_ms_ago.set(confirmed);
+        metrics.reads_through_instance.set(i64::from(self.read_through.is_some()));
         metrics.holds_duty.set(i64::from(self.coordinator.is_active(&self.view, self.now)));
         metrics.relayed_waiting.set(gauge(self.engine.relays.waiting_commands()));
         metrics.connections_evicted(self.engine.relays.take_evictions());
--- a/lib/proxy/src/event_loop/outbound.rs
+++ b/lib/proxy/src/event_loop/outbound.rs
@@ -17,7 +17,7 @@
 
 use super::followers::InstanceCall;
 use super::serve::loss_of_unopened;
-use super::{CONNECT_TIMEOUT, Connection, EventLoop, Loss, StoreUse, SyncCall, Use};
+use super::{CONNECT_TIMEOUT, Connection, EventLoop, Loss, StoreUse, Use};
 use crate::coordinator::{ControlFailure, ControlRequest, CoordinatorAction, Purpose};
 use crate::engine::Context;
 use crate::frames;
@@ -28,15 +28,13 @@
 };
 use crate::records::{Phase, StoreAnswer, StoreCall, StoreReply};
 use crate::store_era::revision_of_store;
+use crate::store_route::{GiveUpReason, ReadCall};
 use crate::store_sync::{CALL_TIMEOUT, WATCH_TIMEOUT_MARGIN};
 use crate::store_view::ViewChange;
 
 /// If there are more changes of the view at once, changed servers are not logged
 /// one by one.
 const LOGGED_CHANGES_LIMIT: usize = 200;
-/// How long the watch in flight may take to return a change that the store is known to have;
-/// longer than an answer of a slow store takes.
-const MISSED_CHANGE_TIMEOUT: Duration = Duration::from_millis(450);
 /// How long an answer of the store may take from the call until it has arrived
 /// as a whole. Several times what a megabyte takes over a slow link.
 const WHOLE_ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -69,46 +67,33 @@
     }
 
     /// Gives up the call that keeps the view up to date if another way is likely to show
-    /// the changes sooner.
-    ///
-    /// An answer that has begun to arrive is awaited.
+    /// the changes sooner. An answer that has begun to arrive is awaited.
     fn give_up_sync_call(&mut self) {
-        let Some(call) = &mut self.sync_call else {
+        let Some((token, call)) = &mut self.sync_call else {
             return;
         };
-        let connection = self.connections.get(&call.token);
+        let connection = self.connections.get(token);
         if connection.is_some_and(|connection| !connection.socket.input.is_empty()) {
             call.give_up_at = None;
             return;
         }
-        let call = *call;
-        let is_direct_failing = self.store_route.is_direct_failing();
-        if call.is_through_instance && self.store_route.is_asked(self.now) && !is_direct_failing {
+        let (token, is_through_instance) = (*token, call.is_through_instance);
+        let awaited_since = self.coordinator.awaits_view_since(&self.view);
+        let reason = self.store_route.reason_to_give_up(call, &self.view, awaited_since, self.now);
+        let Some(reason) = reason else {
+            return;
+        };
+        self.metrics.store_read_given_up(reason);
+        info!(self.log, "call that reads the store is given up"; "reason" => %reason,
+            "through_instance" => is_through_instance,
+            "view_age_ms" => self.store_age().map(|age| age.as_millis()));
+        if reason == GiveUpReason::Asked {
             self.sync_call = None;
-            self.close(call.token);
+            self.close(token);
             self.store_sync.call_given_up();
-            return;
+        } else {
+            self.connection_ended(token, false);
         }
-        let is_view_too_old = call.give_up_at.is_some_and(|give_up_at| self.now >= give_up_at);
-        let is_known_to_fail = !call.is_through_instance
-            && is_direct_failing
-            && self.view.confirmed_at().is_some()
-            && self.view.live_count() > 1;
-        // The store has committed a record of this instance that the watch should return.
-        let misses_change = self.coordinator.awaits_view_since(&self.view).is_some_and(|since| {
-            self.now.since(since.max(call.called_at)) >= MISSED_CHANGE_TIMEOUT
-        });
-        if !is_view_too_old && !is_known_to_fail && !misses_change {
-            return;
-        }
-        if misses_change && !call.is_through_instance {
-            self.store_route.record_missed_change(self.now);
-        }
-        info!(self.log, "call that reads the store is given up";
-            "through_instance" => call.is_through_instance,
-            "view_too_old" => is_view_too_old, "misses_change" => misses_change,
-            "view_age_ms" => self.store_age().map(|age| age.as_millis()));
-        self.connection_ended(call.token, false);
     }
 
     /// Makes a call to the store, directly or through the instance at `via`, on
@@ -153,17 +138,16 @@
             let timeout = if is_connected { timeout } else { CONNECT_TIMEOUT };
             connection.deadline = Some(self.now + timeout);
             if store_use == StoreUse::Sync {
-                let is_through_instance = via.is_some();
                 let is_watch = matches!(call, StoreCall::Watch { .. });
-                let may_call_store = !self.store_route.is_direct_failing();
-                self.sync_call = Some(SyncCall {
-                    token,
-                    called_at: self.now,
-                    is_through_instance,
-                    give_up_at: (is_through_instance && is_watch && may_call_store)
-                        .then(|| self.store_sync.followed_until(&self.view))
-                        .flatten(),
-                });
+                let can_call_store = !self.store_route.is_direct_failing();
+                let give_up_at = if via.is_some() && is_watch && can_call_store {
+                    self.store_sync.followed_until(&self.view)
+                } else {
+                    None
+                };
+                let is_through_instance = via.is_some();
+                let call = ReadCall { called_at: self.now, is_through_instance, give_up_at };
+                self.sync_call = Some((token, call));
             }
             connection.used_for = Use::Store { call: Some((store_use, call, self.now)), via };
             self.dirty.insert(token);
--- a/lib/proxy/src/metrics.rs
+++ b/lib/proxy/src/metrics.rs
@@ -8,6 +8,7 @@
 
 use crate::limits::LimitReason;
 use crate::quota::Counts;
+use crate::store_route::GiveUpReason;
 
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS_SECONDS: [f64; 12] =
@@ -29,6 +30,7 @@
     server_choices: IntCounterVec,
     connections_evicted: IntCounter,
     store_calls: IntCounterVec,
+    store_reads_given_up: IntCounterVec,
     unauthenticated: IntCounterVec,
     limits_exceeded: IntCounterVec,
     /// What the connections hold in memory, in bytes.
@@ -45,6 +47,8 @@
     pub store_era: IntGauge,
     /// Time since the store last showed the newest records, in ms.
     pub confirmed_ms_ago: IntGauge,
+    /// Whether the store is read through another instance.
+    pub reads_through_instance: IntGauge,
     /// Whether this instance is the active coordinator, which replaces primaries.
     pub holds_duty: IntGauge,
     /// Commands of other instances that wait for a server's connection.
@@ -87,6 +91,11 @@
                 "Calls of the platform's store by kind and outcome.",
                 &["call", "outcome"],
             ),
+            store_reads_given_up: counters(
+                "masticreel_store_reads_given_up_total",
+                "Calls that read the store and were given up for another way, by reason.",
+                &["reason"],
+            ),
             unauthenticated: counters(
                 "masticreel_unauthenticated_total",
                 "Sessions refused or ended for an unknown key, by when that was found.",
@@ -165,6 +174,10 @@
                 "masticreel_store_confirmed_ms_ago",
                 "Time since the store showed the newest records, in ms; -1 for never.",
             ),
+            reads_through_instance: gauge(
+                "masticreel_store_read_through_instance",
+                "Whether the store is read through another instance.",
+            ),
             holds_duty: gauge("masticreel_holds_duty", "Whether it replaces primaries."),
             relayed_waiting: gauge(
                 "masticreel_relayed_waiting",
@@ -246,6 +259,11 @@
         self.store_calls.with_label_values(&[call, outcome]).inc();
     }
 
+    /// Counts a call that reads the store and is given up before its timeout.
+    pub fn store_read_given_up(&self, reason: GiveUpReason) {
+        self.store_reads_given_up.with_label_values(&[&reason.to_string()]).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/lib/proxy/src/store_route.rs
+++ b/lib/proxy/src/store_route.rs
@@ -13,6 +13,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use masticreel_base::ids::{FailureDomain, InstanceId};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -36,6 +37,39 @@
 /// longer than until the next call of an instance that goes on asking.
 const ASKED_PERIOD: Duration = Duration::from_secs(3);
 
+/// How long the watch in flight may take to return a change that the store is known to have;
+/// longer than an answer of a slow store takes.
+const MISSED_CHANGE_TIMEOUT: Duration = Duration::from_millis(450);
+
+/// A call in flight that reads the store.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadCall {
+    /// When it was made.
+    pub called_at: Moment,
+    /// Whether it was made through another instance.
+    pub is_through_instance: bool,
+    /// When the view would be too old for a follower to go on waiting; none if it can only
+    /// wait, or the answer is arriving.
+    pub give_up_at: Option<Moment>,
+}
+
+/// Why a call that reads the store is given up before its timeout.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
+pub enum GiveUpReason {
+    /// Other instances ask this one, which therefore reads the store itself. Nothing is
+    /// wrong with the instance that was called.
+    Asked,
+    /// The instance that was called has told of no change for so long that the view
+    /// would be too old.
+    ViewTooOld,
+    /// The store holds a record that this instance has committed, and the call has not
+    /// returned it.
+    MissedChange,
+    /// The store has not answered this instance's other calls.
+    DirectCallsFail,
+}
+
 /// Whether direct calls to the store succeed.
 #[derive(Debug, Default)]
 struct DirectHealth {
@@ -107,7 +141,7 @@
 
     /// Records that a direct watch has not returned a change that the store certainly has,
     /// which shows as much as several unanswered calls.
-    pub fn record_missed_change(&mut self, now: Moment) {
+    fn record_missed_change(&mut self, now: Moment) {
         self.direct.failures = self.direct.failures.max(DIRECT_FAILURES_LIMIT - 1);
         self.record_direct_call(false, now);
     }
@@ -133,6 +167,38 @@
         self.direct.failures >= DIRECT_FAILURES_LIMIT
     }
 
+    /// Returns why another way is likely to show the store's changes sooner than the call in
+    /// flight, `None` if that is to be awaited.
+    ///
+    /// `awaited_since` is since when the store has certainly held a change that the view
+    /// does not show.
+    pub fn reason_to_give_up(
+        &mut self,
+        call: &ReadCall,
+        view: &StoreView,
+        awaited_since: Option<Moment>,
+        now: Moment,
+    ) -> Option<GiveUpReason> {
+        let misses_change = awaited_since
+            .is_some_and(|since| now.since(since.max(call.called_at)) >= MISSED_CHANGE_TIMEOUT);
+        if call.is_through_instance {
+            if self.is_asked(now) && !self.is_direct_failing() {
+                return Some(GiveUpReason::Asked);
+            }
+            if call.give_up_at.is_some_and(|give_up_at| now >= give_up_at) {
+                return Some(GiveUpReason::ViewTooOld);
+            }
+            return misses_change.then_some(GiveUpReason::MissedChange);
+        }
+        if misses_change {
+            self.record_missed_change(now);
+            return Some(GiveUpReason::MissedChange);
+        }
+        // Without a view there is nobody to ask.
+        let has_others = view.confirmed_at().is_some() && view.live_count() > 1;
+        (self.is_direct_failing() && has_others).then_some(GiveUpReason::DirectCallsFail)
+    }
+
     /// Returns whether the next call for the store lease tests whether the store can be
     /// reached again.
     ///
--- a/lib/proxy/tests/test_replacement.rs
+++ b/lib/proxy/tests/test_replacement.rs
@@ -45,6 +45,18 @@
     fixture.is_cut_off = is_cut_off;
 }
 
+/// Lets a member be without its live key for a time, which the coordinator sees.
+fn lose_lease(fixture: &mut Fixture, coordinator: &mut Coordinator, member: &str, time: Duration) {
+    fixture.remove(&live_key(&member.into()));
+    fixture.refresh();
+    let end = fixture.now + time;
+    while fixture.now < end {
+        tick_with_store(fixture, coordinator);
+        fixture.advance(ms(100));
+        fixture.refresh();
+    }
+}
+
 fn replica(number: u64) -> ServerStatus {
     ServerStatus { role: Role::Replica, term: position(1, 0).term, received: position(1, number) }
 }
@@ -210,20 +222,13 @@
 /// primary again, and counted as gone ever since it was gone before.
 #[test]
 fn test_member_that_was_back_between_two_views_counts_as_gone_anew() {
+    let long_enough = MAX_FRESH_VIEW_AGE + PRIMARY_LEASE_MARGIN + ms(500);
     let mut fixture = Fixture::serving();
     fixture.put_member("proxy-2", 1);
     let mut coordinator = active_coordinator(&mut fixture);
-    let live = live_key(&"proxy-2".into());
-    fixture.remove(&live);
-    fixture.refresh();
-    let gone_for_long_enough = MAX_FRESH_VIEW_AGE + PRIMARY_LEASE_MARGIN + ms(500);
-    let end = fixture.now + gone_for_long_enough;
-    while fixture.now < end {
-        tick_with_store(&mut fixture, &mut coordinator);
-        fixture.advance(ms(100));
-        fixture.refresh();
-    }
+    lose_lease(&mut fixture, &mut coordinator, "proxy-2", long_enough);
     // Both changes arrive with one answer of the watch.
+    let live = live_key(&"proxy-2".into());
     fixture.put(&live, &1);
     let written = StoreEvent::Written(fixture.items[&live].clone());
     fixture.remove(&live);
@@ -233,11 +238,9 @@
     fixture.refresh();
     tick_with_store(&mut fixture, &mut coordinator);
     coordinator.work_done(fixture.now, &group(), 2);
-    assert!(
-        promotions_within(&mut fixture, &mut coordinator, ms(3000)).is_empty(),
-        "proxy-2 may use the primary again"
-    );
-    assert_eq!(promotions_within(&mut fixture, &mut coordinator, gone_for_long_enough), ["s2"]);
+    let promoted = promotions_within(&mut fixture, &mut coordinator, ms(3000));
+    assert!(promoted.is_empty(), "proxy-2 may use the primary again");
+    assert_eq!(promotions_within(&mut fixture, &mut coordinator, long_enough), ["s2"]);
 }
 
 /// Guards against waiting for an instance whose calls the store rejects: it delayed a
@@ -716,13 +719,7 @@
     let mut fixture = Fixture::serving();
     fixture.put_member("proxy-2", 1);
     let mut coordinator = active_coordinator(&mut fixture);
-    fixture.remove("masticreel/live/proxy-2");
-    fixture.refresh();
-    for _ in 0..60 {
-        tick_with_store(&mut fixture, &mut coordinator);
-        fixture.advance(ms(100));
-        fixture.refresh();
-    }
+    lose_lease(&mut fixture, &mut coordinator, "proxy-2", ms(6000));
     fixture.put_server("s1", Role::Primary, true);
     fixture.refresh();
     fixture.is_cut_off = true;
@@ -732,10 +729,8 @@
     fixture.put(&live_key(&"proxy-2".into()), &1);
     fixture.is_cut_off = false;
     fixture.refresh();
-    assert!(
-        promotions_within(&mut fixture, &mut coordinator, ms(1000)).is_empty(),
-        "proxy-2 may write again"
-    );
+    let promoted = promotions_within(&mut fixture, &mut coordinator, ms(1000));
+    assert!(promoted.is_empty(), "proxy-2 may write again");
 }
 
 #[test]
--- a/lib/proxy/tests/test_store_restored.rs
+++ b/lib/proxy/tests/test_store_restored.rs
@@ -10,7 +10,6 @@
     ControlRequest, Coordinator, CoordinatorAction as Action, Purpose,
 };
 use masticreel_proxy::moment::Moment;
-use masticreel_proxy::peers::PeerMessage;
 use masticreel_proxy::primary_lease::{
     MAX_FRESH_VIEW_AGE, PRIMARY_LEASE, PRIMARY_LEASE_MARGIN, is_view_fresh, usable_primary,
 };
@@ -18,7 +17,7 @@
     COORDINATOR_KEY, DoubtRecord, GroupRecord, Item, Phase, StoreAnswer, StoreCall, StoreEvent,
     SuspicionKind, group_key, live_key, member_key, suspicion_key,
 };
-use masticreel_proxy::statement::{Command, Role, ServerStatus};
+use masticreel_proxy::statement::{Role, ServerStatus};
 use masticreel_proxy::store_era::era_of;
 use masticreel_proxy::store_view::StoreView;
 use support::{
@@ -324,9 +323,9 @@
     assert_eq!((record.phase, record.primary.as_str()), (Phase::Serving, "s2"));
 }
 
-/// Replaces a primary that leaves just after a restore which has lost the membership of
+/// Replaces a primary that can't be used after a restore which has lost the membership of
 /// `proxy-2`, and returns how long after the restore the promotion is requested.
-fn promotion_after_lost_membership(confirms: bool) -> Duration {
+fn promotion_after_lost_membership(is_confirmed: bool) -> Duration {
     let mut fixture = Fixture::serving();
     fixture.make_coordinator();
     fixture.put_member("proxy-2", 1);
@@ -335,36 +334,23 @@
     fixture.remove(&live_key(&lost));
     fixture.remove(&member_key(&lost));
     restore(&mut fixture, &mut coordinator);
-    let restored_at = fixture.now;
     fixture.put_server("s1", Role::Primary, true);
-    while fixture.now.since(restored_at) < Duration::from_secs(30) {
+    for step in 0..300 {
         fixture.refresh();
-        for action in tick_with_store(&mut fixture, &mut coordinator) {
-            let is_notice = matches!(&action, Action::SendToPeer(to, PeerMessage::Record { .. })
-                if Some(*to) == address("proxy-2"));
-            let record = fixture.view.group(&group()).expect("it has a record");
-            match &action {
-                Action::Promote(_) => return fixture.now.since(restored_at),
-                Action::SendToPeer(..) if confirms && is_notice => {
-                    coordinator.peer_stopped(&lost, &group(), record.epoch);
-                }
-                Action::Control(request) => {
-                    let is_leader =
-                        request.command == Command::Status && request.server == "s1".into();
-                    let role = if is_leader { Role::Primary } else { Role::Replica };
-                    let term = position(1, 0).term;
-                    let status = ServerStatus { role, term, received: position(1, 9) };
-                    coordinator.control_answered(fixture.now, request, Ok(status));
+        let actions = tick_with_store(&mut fixture, &mut coordinator);
+        answer_statuses(fixture.now, &mut coordinator, &actions, "none");
+        let epoch = fixture.view.group(&group()).map_or(0, |record| record.epoch);
+        coordinator.work_done(fixture.now, &group(), epoch);
+        for action in actions {
+            match action {
+                Action::Promote(_) => return ms(50) * step,
+                Action::SendToPeer(to, _) if is_confirmed && Some(to) == address("proxy-2") => {
+                    coordinator.peer_stopped(&lost, &group(), epoch);
                 }
                 _ => {}
             }
         }
-        if let Some(record) = fixture.view.group(&group())
-            && record.phase == Phase::Changing
-        {
-            coordinator.work_done(fixture.now, &group(), record.epoch);
-        }
-        fixture.advance(ms(20));
+        fixture.advance(ms(50));
     }
     panic!("no promotion was requested");
 }
