store route: a follower that can't reach the store stays with its watcher

Change: an instance whose direct calls fail goes on reading through the watcher of its domain if it is not that watcher itself, and asks the watchers of other domains only after a failure.

--- a/lib/proxy/src/store_route.rs
+++ b/lib/proxy/src/store_route.rs
@@ -214,30 +214,30 @@
     /// `may_follow` says that the view is complete and recent enough for that of another
     /// instance to be taken over.
     pub fn reader(&self, view: &StoreView, now: Moment, may_follow: bool) -> Option<InstanceId> {
-        if view.confirmed_at().is_some() && self.is_direct_failing() {
-            // The watchers of other domains read the store already; any other instance
-            // would begin to do so.
-            let watchers = other_watchers(view, &self.domain);
-            return if self.followed.recent_failures(now) < watchers.len() {
-                Some(self.pick(&watchers).clone())
-            } else {
-                self.forwarder(view)
-            };
-        }
-        if !may_follow || self.is_asked(now) {
+        let is_cut_off = view.confirmed_at().is_some() && self.is_direct_failing();
+        if !is_cut_off && (!may_follow || self.is_asked(now)) {
             return None;
         }
-        let own = watcher(view, &self.domain)?;
-        if own == self.own {
-            return None;
+        let followed = watcher(view, &self.domain).filter(|watcher| *watcher != self.own);
+        let failures = self.followed.recent_failures(now);
+        if failures == 0 && followed.is_some() {
+            return followed;
         }
-        let recent_failures = self.followed.recent_failures(now);
-        if recent_failures == 0 {
-            return Some(own);
+        if followed.is_none() && !is_cut_off {
+            return None;
         }
         let others = other_watchers(view, &self.domain);
-        let chosen = || others[(self.followed.failures + recent_failures) % others.len()].clone();
-        (recent_failures <= MAX_OTHER_WATCHERS && !others.is_empty()).then(chosen)
+        let tried_others = failures.saturating_sub(usize::from(followed.is_some()));
+        if is_cut_off {
+            // The watchers read the store already; any other instance would begin to do so.
+            return if tried_others < others.len() {
+                Some(self.pick(&others).clone())
+            } else {
+                self.forwarder(view)
+            };
+        }
+        let chosen = || others[(self.followed.failures + failures) % others.len()].clone();
+        (tried_others < MAX_OTHER_WATCHERS && !others.is_empty()).then(chosen)
     }
 
     /// Returns the instance that forwards calls to the store for this one, `None` unless
--- a/lib/proxy/tests/test_store_route.rs
+++ b/lib/proxy/tests/test_store_route.rs
@@ -58,6 +58,19 @@
     assert_eq!(reader(&watcher, &fixture), None);
 }
 
+/// Guards against many instances that began to read the store when it turned a third of all
+/// away: those turned elsewhere from a watcher that still reached it.
+#[test]
+fn test_follower_without_the_store_goes_on_following_its_watcher() {
+    let fixture = fleet();
+    let mut follower = route("proxy-12");
+    follower.record_direct_call(false, fixture.now);
+    follower.record_direct_call(false, fixture.now);
+    assert_eq!(reader(&follower, &fixture).as_deref(), Some("proxy-11"));
+    follower.record_followed_failure(fixture.now);
+    assert_eq!(reader(&follower, &fixture).as_deref(), Some("proxy-13"));
+}
+
 /// Guards against calls that were awaited to their timeouts though they could show nothing.
 #[test]
 fn test_call_is_given_up_for_a_way_that_shows_changes_sooner() {
