--- a/review/standin-3/lab.py
+++ b/review/standin-3/lab.py
@@ -13,6 +13,7 @@
 import os
 import random
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -307,6 +308,7 @@
                     len(fields) > 2 and fields[2] != self.id):
                 writer.write(f"ERROR MISROUTED {self.id}\r\n".encode())
                 return
+            session["who"] = fields[1]
             await asyncio.sleep(0.012)
             writer.write(self.ready(session))
             while True:
@@ -388,9 +390,11 @@
             for _, _, _, writes in self.log[:self.applied]:
                 data = writes.get(words[1], data)
             held = [c[2] for c in self.log[:self.applied]]
-            self.group.runs.append({"tag": tag, "server": self.id, "text": text, "held": held})
+            who = session["who"]
+            self.group.runs.append({"tag": tag, "server": self.id, "text": text, "held": held,
+                                    "who": who})
             self.group.record.write(f"server {self.id} ({self.group.name}, {self.role}) runs {tag} "
-                                    f"{text}: {data}; its log is applied up to "
+                                    f"{text} of {who}: {data}; its log is applied up to "
                                     f"{self.position(self.applied)}")
             return done(f"{self.id}.{tag}", [data])
         if kind == "WRITE":
@@ -720,6 +724,9 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
+        # A run that is told to end ends its processes too.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         lab = Lab(folder)
         lab.record.write(f"TROUBLE={int(trouble)}")
         try:
@@ -738,5 +745,9 @@
             print("the rule held")
         return 1 if broken else 0
 
-    code = asyncio.run(run())
+    try:
+        code = asyncio.run(run())
+    except asyncio.CancelledError:
+        print("could not run: it was told to end")
+        code = 2
     sys.exit(code)
