--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,5 @@
-"""Clients prepare ever new statements, run each once and deallocate it."""
+"""A session commits at one service, its route is changed to another service and back, and the
+session reads its own commit."""
 
 import asyncio
 import os
@@ -8,66 +9,63 @@
 import lab as stand_in  # noqa: E402
 from lab import Client, route  # noqa: E402
 
-SHAPE_BYTES = 24 * 1024
-SESSIONS = 6
-KEY, TENANT = "k-7f3a91c2", "tenant-a"
+DATABASE = "progress"
 
 
-def config():
-    return {"version": 1,
-            "routes": [route("ledger-a", "ledger-a", "primary"), route("ledger-b", "ledger-b", "primary")],
-            "services": [{"name": name, "max_connections": 56, "sync_replicas": 0}
-                         for name in ("ledger-a", "ledger-b")],
-            "tenants": [{"name": TENANT, "api_keys": [KEY], "rate_per_s": 100000, "burst": 100000}],
+def config(version, service):
+    return {"version": version,
+            "routes": [route(DATABASE, service, "read_your_writes"),
+                       route("other", "hints", "read_your_writes")],
+            "services": [{"name": name, "max_connections": 28, "sync_replicas": 0}
+                         for name in ("hints", "archive")],
             "limits": {"tx_idle_ms": 5000}}
 
 
-async def work(lab, instance, database, number, trouble, counts):
-    """One client's sessions, one after the other: it connects again when one ends."""
-    shape = 0
-    while True:
-        client = Client(lab, KEY, is_recorded=False)
-        try:
-            if not await client.open(instance, database):
-                await asyncio.sleep(0.2)
-                continue
-            while True:
-                shape = shape + 1 if trouble else 1
-                text = f"{database}-{number}-{shape}-".ljust(SHAPE_BYTES, "x")
-                await client.query(f"PREPARE s WRITE {text}")
-                answer = await client.query(f"EXECUTE s i{number} d{shape}")
-                counts["answered" if answer["ok"] else "refused"] += 1
-                await client.query("DEALLOCATE s")
-                if not answer["ok"]:
-                    await asyncio.sleep(0.05)
-        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
-            await asyncio.sleep(0.2)
+async def commit(client, lab, service, text):
+    """Repeats a write under new ids until the service has run one, and returns that one."""
+    for _ in range(100):
+        answer = await client.query(text)
+        if answer["ok"]:
+            commits = [c[2] for s in lab.groups[service].servers for c in s.log]
+            if answer["tag"] in commits:
+                return answer
+        await asyncio.sleep(0.02)
+    raise RuntimeError(f"no write has reached {service}")
 
 
 async def case(lab, trouble):
-    await lab.start({"ledger-a": ["z-a", "z-b", "z-c"], "ledger-b": ["z-b", "z-c", "z-a"]},
-                    ["z-a", "z-b", "z-c"], config())
-    counts = {"answered": 0, "refused": 0}
-    for group in lab.groups.values():
-        group.is_recorded = False
-    for instance in lab.instances:
-        lab.tasks.append(asyncio.create_task(instance.keep_limit()))
-    for database in lab.groups:
-        for number in range(SESSIONS):
-            lab.tasks.append(asyncio.create_task(
-                work(lab, lab.instances[2], database, number, trouble, counts)))
-    for second in range(105):
-        await asyncio.sleep(1)
-        lab.record.write("memory in MB: " + ", ".join(
-            f"{i.name} {i.memory_mb():.0f} ({i.ends} ends)" for i in lab.instances)
-            + f"; statements answered {counts['answered']}, refused {counts['refused']}")
-        if sum(instance.ends >= 3 for instance in lab.instances) >= 2:
-            break
-    often = [i for i in lab.instances if i.ends >= 3]
-    if len(often) < 2:
-        return []
-    return ["Fault: processes have ended by themselves three times or more on "
-            + ", ".join(f"{i.name} ({i.ends} times)" for i in often)]
+    zones = ["z-b", "z-a", "z-c"]
+    await lab.start({"hints": zones, "archive": zones}, ["z-a"], config(1, "hints"))
+    instance, hints = lab.instances[0], lab.groups["hints"]
+    other, session = Client(lab, "other-1"), Client(lab, "session-1")
+    assert await other.open(instance, "other") and await session.open(instance, DATABASE)
+    # Ordinary traffic of another session, through which positions of the primary are known.
+    for index in range(20):
+        await other.query(f"WRITE o{index} x{index}")
+        await asyncio.sleep(0.05)
+    await session.query("WRITE streak old")
+    await asyncio.sleep(0.3)
+    if trouble:
+        hints.set_deaf(hints.servers[1], True)
+    own = await commit(session, lab, "hints", "WRITE streak new")
+    await asyncio.sleep(0.4)
+    await lab.store.operator(config(2, "archive"))
+    await commit(session, lab, "archive", "WRITE streak archived")
+    await asyncio.sleep(0.4)
+    await lab.store.operator(config(3, "hints"))
+    # A read that ran at `archive`, before the change was in force, says nothing.
+    broken = []
+    for _ in range(20):
+        read = await session.query("READ streak")
+        run = next((r for r in hints.runs if r["tag"] == read["tag"]), None)
+        if read["ok"] and run and own["tag"] not in run["held"]:
+            since_ms = (read["sent_at"] - own["answered_at"]) * 1000
+            broken.append(f"STALE: {read['tag']} ran at {run['server']}, whose log lacks the session's own "
+                          f"commit {own['tag']}, acknowledged {since_ms:.0f} ms before; the client got {read['rows']}")
+        await asyncio.sleep(0.02)
+    if trouble:
+        hints.set_deaf(hints.servers[1], False)
+    return broken
 
 
 stand_in.main(case)
--- a/review/standin-3/lab.py
+++ b/review/standin-3/lab.py
@@ -381,7 +381,8 @@
                 return self.error(session, "READONLY")
             session["tx"] = {"read": len(words) == 2, "writes": []}
             return done()
-        await asyncio.sleep(0.003)
+        self.group.arrived[tag] = time.monotonic()
+        await asyncio.sleep(self.group.work_s)
         if kind == "READ":
             tx = session["tx"]
             if tx is not None and not tx["read"] and self.role != "primary":
@@ -393,9 +394,10 @@
             who = session["who"]
             self.group.runs.append({"tag": tag, "server": self.id, "text": text, "held": held,
                                     "who": who})
-            self.group.record.write(f"server {self.id} ({self.group.name}, {self.role}) runs {tag} "
-                                    f"{text} of {who}: {data}; its log is applied up to "
-                                    f"{self.position(self.applied)}")
+            if self.group.is_recorded:
+                self.group.record.write(
+                    f"server {self.id} ({self.group.name}, {self.role}) runs {tag} {text} of {who}: "
+                    f"{data}; its log is applied up to {self.position(self.applied)}")
             return done(f"{self.id}.{tag}", [data])
         if kind == "WRITE":
             if self.role != "primary":
@@ -435,6 +437,7 @@
         self.record, self.name, self.lag_ms = record, name, lag_ms
         self.servers, self.runs = [], []
         self.is_recorded = True
+        self.work_s, self.arrived = 0.003, {}
 
     async def start(self, zones):
         for index, zone in enumerate(zones):
@@ -620,16 +623,20 @@
         recorded statement by statement."""
         self.lab, self.name, self.is_recorded = lab, name, is_recorded
 
-    async def open(self, instance, database):
+    def next_tag(self):
+        return f"q{Client.counter + 1:06x}"
+
+    async def open(self, instance, database, is_quiet=False):
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", instance.frontend, limit=1 << 21)
         self.writer.write(f"STARTUP {database} {self.name}\r\n".encode())
         line = await asyncio.wait_for(self.reader.readuntil(b"\r\n"), 5)
-        self.lab.record.write(f"client {self.name}: STARTUP {database} at {instance.name}: {line[:-2].decode()}")
+        if not is_quiet:
+            self.lab.record.write(f"client {self.name}: STARTUP {database} at {instance.name}: {line[:-2].decode()}")
         return line.startswith(b"READY")
 
     async def query(self, text):
         Client.counter += 1
-        tag = f"q{Client.counter:06x}"
+        tag = f"q{Client.counter:06x}"  # as next_tag said
         if self.is_recorded:
             self.lab.record.write(f"client {self.name}: sends {tag} {text}")
         sent_at = time.monotonic()
@@ -650,6 +657,57 @@
                 "sent_at": sent_at, "answered_at": time.monotonic()}
 
 
+class Balancer:
+    """The platform's ingress for the clients of one zone."""
+
+    def __init__(self, lab):
+        self.lab, self.misses = lab, {i.name: 0 for i in lab.instances}
+        self.used = list(lab.instances)
+
+    async def start(self):
+        server = await asyncio.start_server(self.forward, "127.0.0.1", 0)
+        self.frontend, self.name = server.sockets[0].getsockname()[1], "the platform's address"
+        self.lab.tasks.append(asyncio.create_task(self.probe()))
+
+    async def probe(self):
+        """Asks each node once a second; two misses take it out until it answers 200 again. If
+        fewer than half of the zone's nodes are in rotation, all of them are used."""
+        while True:
+            answers = await asyncio.gather(*(i.is_ready() for i in self.lab.instances))
+            for instance, is_ready in zip(self.lab.instances, answers):
+                self.misses[instance.name] = 0 if is_ready else self.misses[instance.name] + 1
+            ready = [i for i in self.lab.instances if self.misses[i.name] < 2]
+            nodes = self.lab.instances
+            used = ready if len(ready) * 2 >= len(nodes) else list(nodes)
+            if [i.name for i in used] != [i.name for i in self.used]:
+                self.lab.record.write(f"platform: {len(ready)} of {len(nodes)} nodes are in rotation; new "
+                                      f"connections go to {', '.join(i.name for i in used)}")
+            self.used = used
+            await asyncio.sleep(1)
+
+    async def forward(self, reader, writer):
+        async def pump(source, target):
+            try:
+                while data := await source.read(65536):
+                    target.write(data)
+                    await target.drain()
+            except ConnectionError:
+                pass
+            finally:
+                target.close()
+
+        # The port of a new connection serves as the hash of its client.
+        port = writer.get_extra_info("peername")[1]
+        node = self.used[hash((port, port * 2654435761 % 97)) % len(self.used)]
+        self.lab.node_of[port] = node
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", node.frontend)
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(pump(reader, far_writer), pump(far_reader, writer))
+
+
 def route(host, service, kind, **more):
     return {"name": f"r-{host}", "host": host, "service": service, "kind": kind, "timeout_ms": 800,
             "target_latency_ms": 200, "priority": 1, "max_staleness_ms": 2500, **more}
@@ -662,7 +720,7 @@
         self.record = Record(os.path.join(case_folder, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="masticreel-review-")
         self.instances, self.groups, self.tasks = [], {}, []
-        self.memory_mb, self.bases = 260, set()
+        self.memory_mb, self.bases, self.node_of = 260, set(), {}
 
     async def start(self, services, instances, config, lag_ms=20, network=None, is_staggered=False):
         self.store = Store(self.record, self.groups)
