stopping: every request is answered before the process ends

Cause: the process ended by the clock alone, and nothing that takes work knew of that moment.

Change: a Shutdown says until when work is taken and answered. The deadline of each request is the last moment for answers at the latest; what would usually not be answered by then is refused as not run; no transaction begins once idle ones are rolled back; an owner hands back what it can't run any more.

Why it works: whatever is taken has a deadline before the end of the process, and at its deadline each request is answered.

--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -23,8 +23,8 @@
 //!    it, and retries or fails the request on it.
 //!
 //! `identity` decides for which organisation a request runs, and `opening` opens connections
-//! for organisations. `expiry` applies timeouts, changed group records and changed server entries,
-//! and rolls back transactions before the process stops. `paths` decides
+//! for organisations. `expiry` applies timeouts, changed group records and changed server
+//! entries. `stopping` ends callers' work before the process stops. `paths` decides
 //! whether a server is reached directly or through the owner of its connections.
 
 mod answers;
@@ -39,6 +39,7 @@
 mod releases;
 mod report;
 mod sending;
+mod stopping;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -53,6 +54,7 @@
 use crate::engine::identity::{is_unauthenticated, organisation_at_start};
 use crate::engine::paths::Paths;
 pub use crate::engine::releases::Loss;
+use crate::engine::stopping::STOPPING;
 
 use crate::caller::{
     Caller, CallerId, OpenTransaction, Pending, ServerRequirement, Stage, Transaction,
@@ -68,6 +70,7 @@
 use crate::records::SuspicionKind;
 use crate::relays::Relays;
 use crate::samples::PositionSamples;
+use crate::shutdown::Shutdown;
 use crate::statement::{
     Access, Answer, Command, Failure, FailureKind, Outcome, RequestTag, Statement, Work,
 };
@@ -216,6 +219,8 @@
     keys_checked_in: u64,
     /// When `warm_up` checks the next server.
     next_warm_up: Moment,
+    /// The shutdown in progress, if the process was told to stop.
+    shutdown: Option<Shutdown>,
     actions: Vec<Action>,
 }
 
@@ -239,6 +244,7 @@
             warmed_up: BTreeSet::new(),
             keys_checked_in: 0,
             next_warm_up: Moment::default(),
+            shutdown: None,
             actions: Vec::new(),
             settings,
             log,
@@ -294,7 +300,8 @@
     /// # Errors
     ///
     /// Fails if no configuration was received yet, or it has no such database, or it requires
-    /// a key and the caller's is missing, not valid or unknown.
+    /// a key and the caller's is missing, not valid or unknown, or if the process stops before
+    /// a statement would be answered.
     pub fn open_session(
         &mut self,
         context: Context<'_>,
@@ -307,7 +314,10 @@
             self.metrics.unauthenticated("start");
         }
         let organisation = outcome?;
-        route(context, &database)?;
+        let route = route(context, &database)?;
+        if self.stops_before_answer(route, context.now) {
+            return Err(Failure::new(FailureKind::Busy, STOPPING));
+        }
         self.callers.insert(id, Caller::new(database, key, organisation));
         Ok(())
     }
@@ -456,6 +466,13 @@
             self.answer_failure(context, id, tag, failure);
             return;
         }
+        if let Err(failure) = self.check_may_begin(context.now) {
+            self.answer_failure(context, id, tag, failure);
+            return;
+        }
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
         match route(context, &caller.database) {
             Ok(route) => {
                 caller.transaction = Transaction::Open(OpenTransaction {
@@ -512,7 +529,10 @@
             },
         };
         let requirement = server_requirement(caller, &route, is_read_only, context.now);
-        let deadline = context.now + route.statement_timeout;
+        let deadline = self.deadline(&route, context.now);
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
         caller.pending = Some(Pending {
             tag,
             work,
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -3,8 +3,7 @@
 //!
 //! [`Engine::tick`] is called regularly and checks all timeouts.
 //! [`Engine::group_changed`] and [`Engine::server_changed`] are called when a
-//! record has changed, [`Engine::abort_idle_transactions`] before the process
-//! stops.
+//! record has changed.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -18,6 +17,7 @@
 use crate::connections::{ConnectionId, Expected};
 use crate::engine::paths::OWNER_START_TIMEOUT;
 use crate::engine::placing::idle_pool_size;
+use crate::engine::stopping::STOPPING;
 use crate::moment::Moment;
 use crate::records::Phase;
 use crate::relays;
@@ -123,6 +123,7 @@
                 FailureKind::Busy,
                 format!("not run: no server could take it in time; the last said {}", failure.kind),
             ),
+            _ if self.shutdown.is_some() => Failure::new(FailureKind::Busy, STOPPING),
             _ => Failure::new(FailureKind::Busy, "not run: no server could take it in time"),
         };
         if matches!(caller.transaction, Transaction::Open(_)) {
@@ -148,7 +149,11 @@
         };
         pending.may_have_run |= has_run;
         let tag = Arc::clone(&pending.tag);
-        let timeout = Failure::new(FailureKind::Timeout, "the server did not answer in time");
+        let text = match self.shutdown {
+            Some(_) => "the server did not answer before the instance stops",
+            None => "the server did not answer in time",
+        };
+        let timeout = Failure::new(FailureKind::Timeout, text);
         if !is_work_unanswered {
             self.detach_caller(connection);
             self.abandon(context, connection);
@@ -353,29 +358,6 @@
         }
     }
 
-    /// Rolls back open transactions before the process stops, except those with
-    /// a statement running at a server. A statement that is queued or in a backoff
-    /// does not keep its transaction.
-    pub fn abort_idle_transactions(&mut self, context: Context<'_>) {
-        let open: Vec<CallerId> = self
-            .callers
-            .iter()
-            .filter(|(_, caller)| matches!(caller.transaction, Transaction::Open(_)))
-            .map(|(id, _)| *id)
-            .collect();
-        for id in open {
-            let failure = Failure::new(FailureKind::Aborted, "the instance is stopping");
-            if let Some(Stage::Assigned(connection)) =
-                self.callers.get(&id).and_then(|c| c.pending.as_ref()).map(|p| p.stage)
-                && self.connections.get(connection).is_some_and(|c| !c.expected.is_empty())
-            {
-                continue;
-            }
-            self.dequeue(id);
-            self.abort(context, id, failure);
-        }
-    }
-
     /// Processes a changed record of a group.
     ///
     /// When a replacement of the primary starts, the work at the old primary is
--- a/lib/proxy/src/engine/placing.rs
+++ b/lib/proxy/src/engine/placing.rs
@@ -85,7 +85,8 @@
     /// Dispatches a request to an idle connection, or queues it until one is idle.
     ///
     /// A request in a transaction that holds a connection is sent on that one.
-    /// A request for which no server is expected to become available is refused.
+    /// A request for which no server is expected to become available is refused, and one that
+    /// would not be answered before the process stops.
     /// With `may_open`, a new connection may be opened for a request that is
     /// queued.
     pub(super) fn place(&mut self, context: Context<'_>, id: CallerId, may_open: bool) {
@@ -103,6 +104,10 @@
         let Some(pending) = &caller.pending else {
             return;
         };
+        if self.stops_before_answer(&pending.route, context.now) {
+            self.refuse(context, id);
+            return;
+        }
         let candidates = self.candidates(context, pending, Draws::new(seed));
         let variables = caller.variables.clone();
         let organisation = pending.organisation.clone();
--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -62,6 +62,7 @@
 use crate::records::StoreCall;
 use crate::relays::{PooledId, RelayCall, RelaySessionId};
 use crate::settings::ProxySettings;
+use crate::shutdown::Shutdown;
 use crate::store_cache::StoreCache;
 use crate::store_route::{ReadCall, StoreRoute};
 use crate::store_sync::StoreSync;
@@ -87,21 +88,12 @@
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long an HTTP client may take to send a request and to read the answer.
 const HTTP_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long before the end of the shutdown timeout the process ends, even if
-/// callers are still connected.
-const SHUTDOWN_RESERVE: Duration = Duration::from_millis(700);
 /// How long after its last answer a session is closed during the shutdown, though it sends
 /// nothing.
 const QUIET_SESSION_TIME: Duration = Duration::from_millis(500);
 /// How long a caller may take to close its connection after the instance has ended its
 /// session.
 const CALLER_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long callers' idle sessions are kept after the signal to stop.
-///
-/// By then the load balancer sends new connections to other instances, so callers
-/// that reconnect don't reach this one again.
-const IDLE_SESSIONS_CLOSE_DELAY: Duration = Duration::from_millis(2200);
-
 /// What a connection is used for, which decides how its events are handled.
 #[derive(Debug)]
 enum Use {
@@ -241,8 +233,8 @@
     is_store_failing: bool,
     engine: Engine,
     coordinator: Coordinator,
-    /// When the shutdown of the process began.
-    stopping_at: Option<Moment>,
+    /// The shutdown in progress, if the process was told to stop.
+    shutdown: Option<Shutdown>,
     is_ready: bool,
     quota_report: quotas::QuotaReport,
     ticked_at: Moment,
@@ -508,6 +500,9 @@
                 Ok(settings) => {
                     let previous = self.settings.shutdown_timeout;
                     self.settings.shutdown_timeout = settings.shutdown_timeout;
+                    if let Some(shutdown) = self.shutdown {
+                        self.set_shutdown(shutdown.began_at());
+                    }
                     info!(self.log, "settings reloaded";
                         "changed" => settings.shutdown_timeout != previous,
                         "restart_needed" => settings != self.settings);
@@ -517,28 +512,31 @@
                         "reason" => reason);
                 }
             }
-        } else if self.stopping_at.is_none() {
+        } else if self.shutdown.is_none() {
             info!(self.log, "stopping"; "signal" => signal,
                 "callers" => self.caller_tokens.len(), "pending" => self.engine.pending(),
                 "grace_ms" => self.settings.shutdown_timeout.as_millis());
-            self.stopping_at = Some(self.now);
+            self.set_shutdown(self.now);
             self.coordinator.set_leaving();
             self.observe_quota_standing();
         }
     }
 
-    /// Returns whether the process may end: the shutdown timeout is nearly
-    /// over, or [`IDLE_SESSIONS_CLOSE_DELAY`] has passed, no caller is
-    /// connected and no relayed session is in use.
+    fn set_shutdown(&mut self, began_at: Moment) {
+        let shutdown = Shutdown::new(began_at, self.settings.shutdown_timeout);
+        self.shutdown = Some(shutdown);
+        self.engine.set_shutdown(shutdown);
+    }
+
+    /// Returns whether the process may end: the shutdown timeout is nearly over, or idle
+    /// sessions are closed by now, no caller is connected and no relayed session is in use.
     fn is_finished(&self) -> bool {
-        let Some(stopping_at) = self.stopping_at else {
-            return false;
-        };
-        let elapsed = self.now.since(stopping_at);
-        elapsed + SHUTDOWN_RESERVE >= self.settings.shutdown_timeout
-            || (elapsed > IDLE_SESSIONS_CLOSE_DELAY
-                && self.caller_tokens.is_empty()
-                && !self.engine.relays.is_busy())
+        self.shutdown.is_some_and(|shutdown| {
+            self.now >= shutdown.exits_at()
+                || (shutdown.closes_idle_sessions(self.now)
+                    && self.caller_tokens.is_empty()
+                    && !self.engine.relays.is_busy())
+        })
     }
 
     fn finish(&mut self) {
@@ -550,22 +548,17 @@
     /// Returns whether the shutdown has come to the point at which idle sessions of callers
     /// are closed.
     fn closes_idle_sessions(&self) -> bool {
-        self.stopping_at
-            .is_some_and(|stopping_at| self.now.since(stopping_at) >= IDLE_SESSIONS_CLOSE_DELAY)
+        self.shutdown.is_some_and(|shutdown| shutdown.closes_idle_sessions(self.now))
     }
 
     /// Closes sessions of callers that have been idle for a while during the shutdown, once
-    /// [`IDLE_SESSIONS_CLOSE_DELAY`] has passed. Busy ones end with their next answer: a
-    /// session that is closed at any other time may meet a request on its way.
+    /// it closes idle ones. Busy ones end with their next answer: a session that is closed at
+    /// any other time may meet a request on its way.
     ///
     /// Transactions that are not executing a command are rolled back after half
     /// of the shutdown timeout, which makes their sessions idle.
     fn drain_sessions(&mut self) {
-        let Some(stopping_at) = self.stopping_at else {
-            return;
-        };
-        let elapsed = self.now.since(stopping_at);
-        if elapsed >= self.settings.shutdown_timeout / 2 {
+        if self.shutdown.is_some_and(|shutdown| shutdown.ends_transactions(self.now)) {
             let context = Context { view: &self.view, now: self.now };
             self.engine.abort_idle_transactions(context);
             self.execute_actions();
--- a/lib/proxy/src/event_loop/http.rs
+++ b/lib/proxy/src/event_loop/http.rs
@@ -98,14 +98,14 @@
     /// An instance is ready once it has listed the store's items and has a
     /// document, until its shutdown begins.
     fn update_readiness(&mut self) -> bool {
-        let is_ready = self.stopping_at.is_none()
+        let is_ready = self.shutdown.is_none()
             && self.view.confirmed_at().is_some()
             && self.view.document().is_some();
         if is_ready != self.is_ready {
             self.is_ready = is_ready;
             info!(self.log, "readiness changed"; "ready" => is_ready,
                 "store_ms_ago" => self.store_age().map(|age| age.as_millis()),
-                "stopping" => self.stopping_at.is_some());
+                "stopping" => self.shutdown.is_some());
         }
         is_ready
     }
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -147,7 +147,7 @@
             read_through: None,
             sync_call: None,
             is_store_failing: false,
-            stopping_at: None,
+            shutdown: None,
             is_ready: false,
             quota_report: Default::default(),
             ticked_at: now,
--- a/lib/proxy/src/lib.rs
+++ b/lib/proxy/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod relays;
 pub mod samples;
 pub mod settings;
+pub mod shutdown;
 pub mod statement;
 pub mod store_cache;
 pub mod store_era;
--- a/lib/proxy/src/relays.rs
+++ b/lib/proxy/src/relays.rs
@@ -10,7 +10,8 @@
 //! See `docs/design/11-relays.md`.
 //!
 //! `sessions` handles the commands of entry instances, `pool` assigns and closes the
-//! connections, `opening` decides for which organisation one is opened, `answers` handles what the servers send on them.
+//! connections, `opening` decides for which organisation one is opened, `answers` handles what the
+//! servers send on them, `stopping` ends the sessions before the process stops.
 //!
 //! This module does no I/O: messages and the current time are passed in, and
 //! the event loop executes the resulting [`RelayAction`]s.
@@ -19,6 +20,7 @@
 mod opening;
 mod pool;
 mod sessions;
+mod stopping;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -41,6 +43,7 @@
 use crate::protocol::UpstreamMessage;
 use crate::queue::{Ticket, WaitingQueue};
 use crate::records::SuspicionKind;
+use crate::shutdown::Shutdown;
 use crate::statement::{Command, Failure, PreparedStatement, SessionState};
 use crate::store_view::StoreView;
 
@@ -280,6 +283,8 @@
     /// How many idle connections were closed in favour of another organisation, since this was
     /// last asked for.
     evictions: u64,
+    /// The shutdown in progress, if the process was told to stop.
+    shutdown: Option<Shutdown>,
     actions: Vec<RelayAction>,
 }
 
@@ -296,6 +301,7 @@
             next_session: 0,
             next_pooled: 0,
             evictions: 0,
+            shutdown: None,
             actions: Vec::new(),
         }
     }
--- a/lib/proxy/src/relays/pool.rs
+++ b/lib/proxy/src/relays/pool.rs
@@ -53,6 +53,7 @@
         self.expire_waiting(context);
         self.check_ownership(context);
         self.expire_connections(context);
+        self.end_sessions(context);
         let servers: Vec<ServerId> = self
             .pools
             .iter()
@@ -305,7 +306,7 @@
     /// Ends the sessions that wait for a server and reports to their entry
     /// instances that the server is unreachable from here, so that they use
     /// another path.
-    fn report_unreachable(&mut self, server: &ServerId) {
+    pub(super) fn report_unreachable(&mut self, server: &ServerId) {
         for id in self.waiting(server) {
             self.dequeue(id);
             self.sessions.remove(&id);
--- a/lib/proxy/src/relays/sessions.rs
+++ b/lib/proxy/src/relays/sessions.rs
@@ -116,6 +116,10 @@
         command: Command,
         options: RelayOptions,
     ) {
+        if self.stops_before_answer(&options, context.now) {
+            self.refuse_as_stopping(context, id);
+            return;
+        }
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
