reads: a cut-off answer passes the same role check as a whole one

Cause: connection_lost delivered a result whose last message was missing without asking whether a role check was due.

Change: both ways call requires_role_check; where it is due, the read is tried again, or its read-only transaction rolled back. Also, a read whose role check was lost counts as one that may have run.

Why it works: the condition under which a whole answer is held back is the only one, and it doesn't depend on how the answer ended.

--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -188,7 +188,7 @@
     pub(super) fn requires_role_check(
         &self,
         context: Context<'_>,
-        id: ConnectionId,
+        connection: &Connection,
         caller: CallerId,
     ) -> bool {
         let Some(caller) = self.callers.get(&caller) else {
@@ -200,18 +200,14 @@
         };
         let is_read =
             caller.pending.as_ref().is_some_and(|pending| pending.work.access() == Access::Read);
-        let connection = self.connections.get(id);
-        let lacks_floor = connection.is_some_and(|connection| connection.lacks_floor);
         // A slow answer may be older than a replacement that has completed
         // since: the process that relays it may have been paused in between.
         // Even after a step-down, a replacement waits this margin longer than the
         // view of the store stays fresh, so an answer that took less time arrives
         // before its end.
-        let is_fresh = connection.is_some_and(|connection| {
-            was_primary_known(context, connection)
-                && context.now.since(connection.sent_at) < primary_lease::PRIMARY_LEASE_MARGIN
-        });
-        is_read && lacks_floor && !is_read_write_transaction && !is_fresh
+        let is_fresh = was_primary_known(context, connection)
+            && context.now.since(connection.sent_at) < primary_lease::PRIMARY_LEASE_MARGIN;
+        is_read && connection.lacks_floor && !is_read_write_transaction && !is_fresh
     }
 
     /// Handles the answer to the role check of a read: delivers the withheld
--- a/lib/proxy/src/engine/outcomes.rs
+++ b/lib/proxy/src/engine/outcomes.rs
@@ -172,7 +172,7 @@
             return;
         };
         match result.outcome {
-            Ok(signature) if self.requires_role_check(context, id, caller_id) => {
+            Ok(signature) if self.requires_role_check(context, connection, caller_id) => {
                 if let Some(connection) = self.connections.get_mut(id) {
                     let WorkResult { rows, position, .. } = result;
                     let server_time = context.now.since(connection.sent_at);
--- a/lib/proxy/src/engine/releases.rs
+++ b/lib/proxy/src/engine/releases.rs
@@ -21,6 +21,7 @@
 use crate::caller::{CallerId, Transaction};
 use crate::connections::{ConnectionId, Expected, SERVER_BACKOFF};
 use crate::engine::outcomes::MAX_ATTEMPTS;
+use crate::engine::report::confirmed_ms_ago;
 use crate::records::SuspicionKind;
 use crate::statement::{Access, Command, Failure, FailureKind, SessionState, Work};
 
@@ -36,7 +37,8 @@
     ///
     /// An attempt to connect that failed or was abandoned starts a backoff, and
     /// may raise a suspicion of the primary. The request on the connection is
-    /// answered if its answer has arrived, else it is retried or fails.
+    /// answered if its answer has arrived and needs no role check, else it is retried or
+    /// fails.
     pub fn connection_lost(&mut self, context: Context<'_>, id: ConnectionId, loss: Loss) {
         let Some(connection) = self.connections.remove(id) else {
             return;
@@ -77,14 +79,28 @@
         let Some(caller_id) = connection.caller else {
             return;
         };
-        // An answer whose result has arrived is delivered, even if the final
-        // message is missing.
-        if is_work_unanswered
-            && connection.expected.len() == 1
-            && let Some(Ok(signature)) = connection.partial.outcome
+        let is_unverified = self.requires_role_check(context, &connection, caller_id);
+        let has_result = is_work_unanswered && matches!(connection.partial.outcome, Some(Ok(_)));
+        if has_result && connection.expected.len() == 1 {
+            info!(self.log, "answer of a server has no end"; "server" => %server,
+                "group" => %group, "caller" => %caller_id, "is_delivered" => !is_unverified,
+                "confirmed_ms_ago" => confirmed_ms_ago(context));
+            // An answer whose result has arrived is delivered, even if the final message is
+            // missing. The server's role can't be asked for any more on this connection.
+            if let Some(Ok(signature)) = connection.partial.outcome
+                && !is_unverified
+            {
+                let rows = connection.partial.rows;
+                self.deliver_truncated_answer(context, caller_id, rows, signature);
+                return;
+            }
+        }
+        // Work whose answer waited for a role check has run.
+        let has_run = connection.unverified.is_some();
+        if let Some(pending) =
+            self.callers.get_mut(&caller_id).and_then(|caller| caller.pending.as_mut())
         {
-            self.deliver_truncated_answer(context, caller_id, connection.partial.rows, signature);
-            return;
+            pending.may_have_run |= has_run;
         }
         let unanswered_for = is_work_unanswered.then(|| context.now.since(connection.sent_at));
         self.lost_during_request(context, caller_id, &server, unanswered_for);
--- a/lib/proxy/src/engine/report.rs
+++ b/lib/proxy/src/engine/report.rs
@@ -54,7 +54,7 @@
 
 /// Returns the time since the view of the store was last confirmed, in ms, or
 /// -1 if it never was.
-fn confirmed_ms_ago(context: Context<'_>) -> i64 {
+pub(super) fn confirmed_ms_ago(context: Context<'_>) -> i64 {
     context.view.confirmed_at().map_or(-1, |confirmed_at| {
         i64::try_from(context.now.since(confirmed_at).as_millis()).unwrap_or(i64::MAX)
     })
--- a/lib/proxy/tests/test_reads.rs
+++ b/lib/proxy/tests/test_reads.rs
@@ -9,13 +9,21 @@
 use masticreel_proxy::engine::{Engine, Loss};
 use masticreel_proxy::protocol::UpstreamMessage;
 use masticreel_proxy::records::Phase;
-use masticreel_proxy::statement::{Answer, Command, Failure, FailureKind, SessionState};
+use masticreel_proxy::statement::{Answer, Command, Failure, FailureKind, SessionState, Statement};
 use support::{
     Fixture, accept, complete, engine, group, ms, position, read, ready, take_engine_actions, write,
 };
 
 const CALLER: CallerId = CallerId(1);
 
+/// Creates a group whose route promises the latest state, and a session.
+fn setup() -> (Fixture, Engine) {
+    let fixture = Fixture::serving();
+    let mut engine = engine();
+    engine.open_session(fixture.context(), CALLER, "db".into(), None).expect("the database exists");
+    (fixture, engine)
+}
+
 /// Creates a group with reads of a given consistency, a position sample of its
 /// primary, and a connection to the replica in the instance's failure domain.
 fn setup_with_sample(consistency: Consistency) -> (Fixture, Engine) {
@@ -192,6 +200,90 @@
     assert!(after.answers.is_empty(), "a replica's answer may not be the latest state");
 }
 
+/// Sends the rows and the result of an answer, and ends the connection before its last message.
+fn cut_answer(fixture: &Fixture, engine: &mut Engine, id: ConnectionId, loss: Loss) {
+    let result = UpstreamMessage::Complete(Some("signature".into()));
+    for message in [UpstreamMessage::Row("old".into()), result] {
+        engine.upstream_message(fixture.context(), id, message, None);
+    }
+    engine.connection_lost(fixture.context(), id, loss);
+}
+
+/// Guards against a cut-off answer of a replaced primary that is delivered although the whole
+/// answer would need a role check.
+#[test]
+fn test_cut_off_answer_to_a_read_that_needs_a_proof_is_not_delivered() {
+    let consistencies = [Consistency::Latest, Consistency::Bounded(ms(1000))];
+    for loss in [Loss::Closed, Loss::Abandoned, Loss::Garbage] {
+        for consistency in consistencies {
+            let (mut fixture, mut engine) = match consistency {
+                Consistency::Latest => setup(),
+                _ => setup_with_sample(consistency),
+            };
+            fixture.advance(masticreel_proxy::primary_lease::MAX_FRESH_VIEW_AGE);
+            let (connection, floor) = send(&mut fixture, &mut engine, read("a"));
+            assert_eq!(floor, None);
+            cut_answer(&fixture, &mut engine, connection, loss);
+            let after = take_engine_actions(&mut engine);
+            assert!(after.answers.is_empty(), "{loss:?}, {consistency:?}: {:?}", after.answers);
+        }
+    }
+}
+
+/// As above, in a read-only transaction, which can't be tried again as its caller has already
+/// got an answer.
+#[test]
+fn test_cut_off_answer_that_needs_a_proof_rolls_a_read_only_transaction_back() {
+    let (mut fixture, mut engine) = setup();
+    let begin = Statement::Begin { read_only: true };
+    engine.request(fixture.context(), CALLER, "b".into(), Ok(begin));
+    take_engine_actions(&mut engine);
+    engine.request(fixture.context(), CALLER, "tag".into(), read("a"));
+    let connection = take_engine_actions(&mut engine).connects[0].0;
+    accept(&fixture, &mut engine, connection);
+    let in_transaction = SessionState::Transaction;
+    complete(&fixture, &mut engine, connection, in_transaction, None);
+    let first = complete(&fixture, &mut engine, connection, in_transaction, Some(position(1, 9)));
+    assert!(first.answers[0].1.outcome.is_ok());
+    fixture.advance(masticreel_proxy::primary_lease::MAX_FRESH_VIEW_AGE);
+    let (again, _) = send(&mut fixture, &mut engine, read("b"));
+    assert_eq!(again, connection);
+    cut_answer(&fixture, &mut engine, connection, Loss::Closed);
+    let answers = take_engine_actions(&mut engine).answers;
+    let failure = answers[0].1.outcome.as_ref().expect_err("the answer may be old");
+    assert_eq!(failure.kind, FailureKind::Aborted);
+}
+
+/// Guards against answers that are discarded although nothing speaks against them.
+#[test]
+fn test_cut_off_answer_is_delivered_if_the_whole_one_would_be() {
+    let (mut fixture, mut engine) = setup();
+    for statement in [read("a"), write("a")] {
+        let (connection, _) = send(&mut fixture, &mut engine, statement);
+        cut_answer(&fixture, &mut engine, connection, Loss::Closed);
+        let answers = take_engine_actions(&mut engine).answers;
+        assert!(answers[0].1.outcome.is_ok(), "{answers:?}");
+    }
+}
+
+/// Guards against "not run" for a read that has run, and whose connection broke before the
+/// server had answered the role check.
+#[test]
+fn test_read_that_lost_its_role_check_is_not_reported_as_not_run() {
+    let (mut fixture, mut engine) = setup();
+    fixture.advance(masticreel_proxy::primary_lease::MAX_FRESH_VIEW_AGE);
+    let (connection, _) = send(&mut fixture, &mut engine, read("a"));
+    let checked =
+        complete(&fixture, &mut engine, connection, SessionState::Idle, Some(position(1, 9)));
+    assert_eq!(checked.sent, [(connection, Command::Status)]);
+    engine.connection_lost(fixture.context(), connection, Loss::Closed);
+    fixture.advance(ms(900));
+    engine.tick(fixture.context());
+    let answers = take_engine_actions(&mut engine).answers;
+    let failure = answers[0].1.outcome.as_ref().expect_err("no server answers");
+    assert!(!failure.text.contains("not run"), "{}", failure.text);
+}
+
 /// Guards against an answer of a replaced primary that counts as recent because the view of
 /// the store was renewed while the read was under way.
 #[test]
