sessions: keep the last own commit of each group

Cause: a session kept one commit with its group, and one in another group replaced it.

A commit that is acknowledged without a position counts as unknown.

Why it works: the requirement of a read is made from the commits in its group alone, which commits elsewhere can't change.

--- a/lib/proxy/src/caller.rs
+++ b/lib/proxy/src/caller.rs
@@ -4,15 +4,18 @@
 //! Each caller has one connection to the instance and one session on it, so a
 //! [`CallerId`] identifies all three.
 
+pub mod own_commits;
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::Display;
-use masticreel_base::ids::{GroupId, ServerId};
+use masticreel_base::ids::ServerId;
 use masticreel_base::position::TermPosition;
 
 use crate::balancing::Expectation;
+use crate::caller::own_commits::OwnCommits;
 use crate::connections::ConnectionId;
 use crate::directory::Route;
 use crate::moment::Moment;
@@ -80,7 +83,7 @@
     UpToDate {
         /// Commits acknowledged before this moment must be visible.
         as_of: Moment,
-        /// The last commit of the session, if it must be visible too.
+        /// The session's last commit in the group, if it must be visible too.
         own_commit: Option<TermPosition>,
     },
 }
@@ -168,9 +171,8 @@
     pub state_bytes: usize,
     /// The state of its transaction.
     pub transaction: Transaction,
-    /// The group and position of its last commit. If the position is not known, it
-    /// is one above all others, so that no replica runs the session's reads.
-    pub own_commit: Option<(GroupId, TermPosition)>,
+    /// Its last commit in each group.
+    pub own_commits: OwnCommits,
     /// The request that is being served.
     pub pending: Option<Pending>,
     /// Whether it was answered that its key is unknown, so that further requests are ignored.
@@ -190,7 +192,7 @@
             prepared: HashMap::new(),
             state_bytes: 0,
             transaction: Transaction::None,
-            own_commit: None,
+            own_commits: OwnCommits::default(),
             pending: None,
             has_ended: false,
             backlog: VecDeque::new(),
--- a/lib/proxy/src/connections.rs
+++ b/lib/proxy/src/connections.rs
@@ -115,9 +115,9 @@
     pub prepared: HashSet<u64>,
     /// When the last command was sent, or the connection was started.
     pub sent_at: Moment,
-    /// Whether the last read, or the transaction that it belongs to, was sent without a
-    /// minimum position because the server was taken for the primary.
-    pub lacks_floor: bool,
+    /// The minimum position with which the last work, or the transaction that it belongs to,
+    /// was sent; none if the server was taken for the primary.
+    pub floor: Option<TermPosition>,
     /// What was known of the group's primary when work was last sent.
     pub sent_under: PrimaryKnowledge,
     /// When it became idle.
@@ -303,7 +303,7 @@
             variables: SessionVariables::default(),
             prepared: HashSet::new(),
             sent_at: now,
-            lacks_floor: false,
+            floor: None,
             sent_under: PrimaryKnowledge::default(),
             idle_since: now,
             is_open: false,
--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -695,12 +695,10 @@
     let (age, own_commit) = match route.consistency {
         Consistency::Latest => return ServerRequirement::Primary,
         Consistency::Bounded(age) => (age, None),
-        Consistency::OwnWrites(age) => (age, caller.own_commit.as_ref()),
+        Consistency::OwnWrites(age) => (age, caller.own_commits.in_group(&route.group)),
     };
     if !is_read_only {
         return ServerRequirement::Primary;
     }
-    let own_commit =
-        own_commit.filter(|(group, _)| *group == route.group).map(|(_, position)| *position);
     ServerRequirement::UpToDate { as_of: now.saturating_sub(age) + STALENESS_MARGIN, own_commit }
 }
--- a/lib/proxy/src/engine/answers.rs
+++ b/lib/proxy/src/engine/answers.rs
@@ -207,7 +207,7 @@
         // before its end.
         let is_fresh = was_primary_known(context, connection)
             && context.now.since(connection.sent_at) < primary_lease::PRIMARY_LEASE_MARGIN;
-        is_read && connection.lacks_floor && !is_read_write_transaction && !is_fresh
+        is_read && connection.floor.is_none() && !is_read_write_transaction && !is_fresh
     }
 
     /// Handles the answer to the role check of a read: delivers the withheld
--- a/lib/proxy/src/engine/outcomes.rs
+++ b/lib/proxy/src/engine/outcomes.rs
@@ -233,8 +233,8 @@
             Transaction::Open(open) => is_commit && open.has_written,
             _ => is_write,
         };
-        if has_committed && let Some(position) = position {
-            caller.own_commit = Some((group.clone(), position));
+        if has_committed {
+            caller.own_commits.record(group.clone(), position);
         }
         if is_commit {
             caller.transaction = Transaction::None;
@@ -245,6 +245,7 @@
                 "server" => %connection.server,
                 "via" => connection.via.as_ref().map(|owner| owner.to_string()),
                 "position" => position.map(|at| at.to_string()),
+                "floor" => connection.floor.map(|floor| floor.to_string()),
                 "sample_ms_ago" => self.sample_ms_ago(context, &group),
                 "chosen" => expectation, "attempts" => attempts, "server_ms" => server_time.as_millis(),
                 "took_ms" => took_ms);
--- a/lib/proxy/src/engine/releases.rs
+++ b/lib/proxy/src/engine/releases.rs
@@ -13,8 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use masticreel_base::ids::{GroupId, LogPosition, ServerId, Term};
-use masticreel_base::position::TermPosition;
+use masticreel_base::ids::{GroupId, ServerId};
 use slog::info;
 
 use super::{Action, Context, Engine};
@@ -157,14 +156,12 @@
             _ => Transaction::None,
         };
         if pending.work.access() == Access::Write {
-            // The position of the write is unknown; that of one in a
-            // transaction that is rolled back is treated alike, though it has
-            // none. No replica reaches the highest possible one, so until its
-            // next commit the session's reads that must see it are answered
-            // by the primary only. A replica whose last position is not
-            // recent may still be sent one, and refuses it.
-            let group = pending.route.group.clone();
-            caller.own_commit = Some((group, TermPosition::new(Term(u64::MAX), LogPosition(0))));
+            // The position of the write is unknown; that of one in a transaction that is
+            // rolled back is treated alike, though it has none. Until the session's next
+            // commit in the group, its reads that must see it are answered by the primary
+            // only. A replica whose last position is not recent may still be sent one, and
+            // refuses it.
+            caller.own_commits.record(pending.route.group.clone(), None);
         }
         self.answer(context, caller_id, &tag, rows, Ok(signature));
     }
--- a/lib/proxy/src/engine/sending.rs
+++ b/lib/proxy/src/engine/sending.rs
@@ -63,7 +63,7 @@
             };
             if let Some(connection) = self.connections.get_mut(connection_id) {
                 connection.expected.push_back(Expected::Begin);
-                connection.lacks_floor = floor.is_none();
+                connection.floor = floor;
             }
             self.actions.push(Action::Send(connection_id, Command::Begin { read_only, floor }));
         }
@@ -215,7 +215,7 @@
         if let Some(connection) = self.connections.get_mut(connection_id) {
             connection.expected.push_back(Expected::Work);
             if !in_transaction {
-                connection.lacks_floor = floor.is_none();
+                connection.floor = floor;
             }
             connection.sent_at = context.now;
             connection.sent_under = primary_knowledge(context, &connection.group);
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -105,6 +105,8 @@
     pub organisations: Option<Organisations>,
     /// Whether routes are public, in documents put afterwards.
     pub is_public: bool,
+    /// The group of routes, servers and records that are put afterwards.
+    pub group: GroupId,
 }
 
 impl Fixture {
@@ -120,6 +122,7 @@
             sync_replicas: 0,
             organisations: None,
             is_public: false,
+            group: group(),
         }
     }
 
@@ -152,7 +155,7 @@
         let route = |(database, consistency, urgency): &(&str, Consistency, u8)| {
             let route = Route {
                 name: (*database).into(),
-                group: group(),
+                group: self.group.clone(),
                 consistency: *consistency,
                 statement_timeout: ms(800),
                 target_latency: ms(100),
@@ -165,7 +168,7 @@
             version: self.revision,
             routes: routes.iter().map(route).collect(),
             groups: HashMap::from([(
-                group(),
+                self.group.clone(),
                 GroupLimits {
                     max_connections: self.max_connections,
                     sync_replicas: self.sync_replicas,
@@ -187,7 +190,7 @@
     pub fn put_server_at(&mut self, number: u16, id: &str, role: Role, is_leaving: bool) {
         let server = Server {
             id: id.into(),
-            group: group(),
+            group: self.group.clone(),
             address: ([127, 0, 0, 1], 1000 + number).into(),
             domain: format!("domain-{number}").as_str().into(),
             slots: 2,
@@ -236,7 +239,7 @@
             candidate: None,
             term_starts: Vec::new(),
         };
-        self.put(&group_key(&group()), &record);
+        self.put(&group_key(&self.group.clone()), &record);
     }
 
     pub fn put_member(&mut self, instance: &str, incarnation: u64) {
