organisations: end transactions whose key was taken at the configuration deadline

Cause: the organisation of a transaction was decided at its beginning and never again. Evidence: the instance had activated the new version, and the statements that were sent 5.0 to 10.0 s after its acceptance ran under the former name.

Change: the organisation is compared with the key's holder at each version and each statement. Where it differs, the transaction may go on until the version must be active everywhere, counted from the last moment at which the view was confirmed without it, and is rolled back then. One that has run nothing follows its key.

--- a/lib/proxy/src/caller.rs
+++ b/lib/proxy/src/caller.rs
@@ -61,6 +61,9 @@
     /// The organisation under which it began; none if there are no organisations or the
     /// route is public and the caller's key unknown.
     pub organisation: Option<Arc<str>>,
+    /// Until when it may go on, if the caller's key doesn't belong to that organisation any
+    /// more.
+    pub entitled_until: Option<Moment>,
     /// The connection that it holds, once its first statement was placed on one.
     pub connection: Option<ConnectionId>,
     /// Whether one of its statements has run.
--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -98,6 +98,9 @@
     /// How long a server may be used after it has announced that it is leaving; without
     /// limit if `None`.
     pub drain_timeout: Option<Duration>,
+    /// How long after the store has accepted a configuration nothing may be served by an
+    /// earlier one any more.
+    pub configuration_deadline: Duration,
 }
 
 /// The inputs of a decision besides the state of the engine or the relays.
@@ -217,6 +220,8 @@
     warmed_up: BTreeSet<ServerId>,
     /// The last version of the configuration in which the keys of idle sessions were checked.
     keys_checked_in: u64,
+    /// The last version in which the organisations of open transactions were checked.
+    transactions_checked_in: u64,
     /// When `warm_up` checks the next server.
     next_warm_up: Moment,
     /// The shutdown in progress, if the process was told to stop.
@@ -243,6 +248,7 @@
             draws: 0,
             warmed_up: BTreeSet::new(),
             keys_checked_in: 0,
+            transactions_checked_in: 0,
             next_warm_up: Moment::default(),
             shutdown: None,
             actions: Vec::new(),
@@ -479,6 +485,7 @@
                     read_only,
                     route: Arc::clone(route),
                     organisation: caller.organisation.clone(),
+                    entitled_until: None,
                     connection: None,
                     has_run: false,
                     has_written: false,
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -55,6 +55,7 @@
         self.expire_requests(context);
         self.expire_connections(context);
         self.expire_transactions(context);
+        self.end_transactions_of_former_holders(context);
         self.end_unauthenticated_sessions(context);
         self.close_old_primaries(context);
         self.warm_up(context);
--- a/lib/proxy/src/engine/identity.rs
+++ b/lib/proxy/src/engine/identity.rs
@@ -2,14 +2,18 @@
 //! removed.
 //!
 //! An operation is a statement outside a transaction, or a whole transaction, which keeps the
-//! organisation under which it began.
+//! organisation under which it began. If the caller's key is removed or moved to another
+//! organisation meanwhile, it may go on until the configuration that did so must be active
+//! everywhere, and is rolled back then. See `docs/design/12-organisations.md`.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use slog::info;
 
 use super::{Action, Context, Engine, is_configuration_recent};
 use crate::caller::{Caller, CallerId, Transaction};
+use crate::moment::Moment;
 use crate::organisations::{ApiKey, Organisations};
 use crate::statement::{Failure, FailureKind};
 
@@ -43,8 +47,8 @@
         }
     }
 
-    /// Determines the organisation for which the next operation of a caller runs. Does nothing
-    /// inside a transaction.
+    /// Determines the organisation for which the next operation of a caller runs. Inside a
+    /// transaction, rolls it back if it may not go on.
     ///
     /// # Errors
     ///
@@ -54,8 +58,16 @@
         let Some(caller) = self.callers.get_mut(&id) else {
             return Ok(());
         };
-        if !matches!(caller.transaction, Transaction::None) {
-            return Ok(());
+        match &caller.transaction {
+            Transaction::None => {}
+            Transaction::Open(_) => {
+                check_holder(context, caller, self.settings.configuration_deadline);
+                if is_entitlement_over(caller, context.now) {
+                    self.roll_back_as_former_holder(context, id);
+                }
+                return Ok(());
+            }
+            Transaction::Failed { .. } => return Ok(()),
         }
         match organisation_of(context, &caller.database, caller.key.as_ref()) {
             Ok(organisation) => {
@@ -72,6 +84,72 @@
             }
         }
     }
+
+    /// Rolls back the transactions of organisations that no longer hold their callers' keys, once
+    /// these may not go on. Statements that a server is running are waited for.
+    pub(super) fn end_transactions_of_former_holders(&mut self, context: Context<'_>) {
+        let version = context.view.document().map_or(0, |document| document.version);
+        let deadline = self.settings.configuration_deadline;
+        if version != self.transactions_checked_in {
+            self.transactions_checked_in = version;
+            for caller in self.callers.values_mut() {
+                check_holder(context, caller, deadline);
+            }
+        }
+        let ended: Vec<CallerId> = self
+            .callers
+            .iter()
+            .filter(|(_, caller)| caller.pending.is_none())
+            .filter(|(_, caller)| is_entitlement_over(caller, context.now))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            self.roll_back_as_former_holder(context, id);
+        }
+    }
+
+    fn roll_back_as_former_holder(&mut self, context: Context<'_>, id: CallerId) {
+        let Some(Transaction::Open(open)) = self.callers.get(&id).map(|c| &c.transaction) else {
+            return;
+        };
+        info!(self.log, "transaction rolled back: its organisation no longer holds the key";
+            "caller" => %id, "organisation" => open.organisation.as_deref(),
+            "config" => context.view.document().map_or(0, |document| document.version));
+        let cause = Failure::new(
+            FailureKind::Aborted,
+            "the key was removed or belongs to another organisation now",
+        );
+        self.abort(context, id, cause);
+    }
+}
+
+/// Updates until when a caller's open transaction may go on, by the active configuration.
+///
+/// The deadline counts from the last moment at which the store is known not to have had that
+/// configuration, so it is too early rather than too late.
+fn check_holder(context: Context<'_>, caller: &mut Caller, configuration_deadline: Duration) {
+    let Transaction::Open(open) = &mut caller.transaction else {
+        return;
+    };
+    // A change of the route itself applies from the next transaction on.
+    let holder = organisation_on(context, open.route.is_public, caller.key.as_ref());
+    // Nothing of the transaction has been sent anywhere.
+    let is_unused = open.connection.is_none() && !open.has_run && caller.pending.is_none();
+    match holder {
+        Ok(holder) if is_unused || holder == open.organisation => {
+            open.organisation = holder;
+            open.entitled_until = None;
+            return;
+        }
+        Ok(_) | Err(_) => {}
+    }
+    let accepted_after = context.view.document_absent_at().unwrap_or(context.now);
+    open.entitled_until.get_or_insert(accepted_after + configuration_deadline);
+}
+
+fn is_entitlement_over(caller: &Caller, now: Moment) -> bool {
+    matches!(&caller.transaction, Transaction::Open(open)
+        if open.entitled_until.is_some_and(|until| now >= until))
 }
 
 /// Returns the name of the organisation for which an operation of a caller with this key runs
@@ -88,16 +166,23 @@
     database: &str,
     key: Option<&ApiKey>,
 ) -> Result<Option<Arc<str>>, Failure> {
-    let Some(document) = context.view.document() else {
-        return Ok(None);
-    };
-    let Some(organisations) = &document.organisations else {
+    let route = context.view.document().and_then(|document| document.routes.get(database));
+    organisation_on(context, route.is_some_and(|route| route.is_public), key)
+}
+
+/// As [`organisation_of`], on a route that is public or not.
+fn organisation_on(
+    context: Context<'_>,
+    is_public: bool,
+    key: Option<&ApiKey>,
+) -> Result<Option<Arc<str>>, Failure> {
+    let Some(organisations) = organisations(context) else {
         return Ok(None);
     };
     if let Some(organisation) = key.and_then(|key| organisations.of_key(key)) {
         return Ok(Some(Arc::clone(&organisation.name)));
     }
-    if document.routes.get(database).is_some_and(|route| route.is_public) {
+    if is_public {
         return Ok(None);
     }
     Err(match key {
--- a/lib/proxy/src/event_loop/serve.rs
+++ b/lib/proxy/src/event_loop/serve.rs
@@ -88,6 +88,7 @@
             incarnation,
             domain: settings.domain.clone(),
             drain_timeout: settings.drain_timeout,
+            configuration_deadline: settings.configuration_deadline,
         };
         let lease = crate::coordinator::StoreLease::new(settings.min_store_lease);
         let coordinator = Coordinator::new(
--- a/lib/proxy/src/settings.rs
+++ b/lib/proxy/src/settings.rs
@@ -8,6 +8,9 @@
 use crate::limits::LimitSettings;
 use crate::records::Capacity;
 
+/// How soon a configuration must be active everywhere if the platform doesn't say it.
+pub const DEFAULT_CONFIGURATION_DEADLINE: Duration = Duration::from_secs(3);
+
 /// The settings of an instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProxySettings {
@@ -39,6 +42,9 @@
     /// How long servers go on serving after they have announced that they are leaving; no
     /// request may reach them later. `None` if the platform sets no limit.
     pub drain_timeout: Option<Duration>,
+    /// How long after the store has accepted a configuration nothing may be served by an
+    /// earlier one any more.
+    pub configuration_deadline: Duration,
     /// The shortest lifetime of a lease that the store grants.
     pub min_store_lease: Duration,
     /// The limits on what clients may hold.
--- a/lib/proxy/src/store_view.rs
+++ b/lib/proxy/src/store_view.rs
@@ -85,6 +85,9 @@
 #[derive(Debug, Default)]
 pub struct StoreView {
     document: Option<Arc<Document>>,
+    /// The last moment at which the view is known to have been up to date without the active
+    /// document; `None` if it was never confirmed without it.
+    document_absent_at: Option<Moment>,
     servers: HashMap<ServerId, Server>,
     servers_by_group: HashMap<GroupId, BTreeSet<ServerId>>,
     server_keys: HashMap<Arc<str>, ServerId>,
@@ -121,6 +124,12 @@
         self.document.as_ref()
     }
 
+    /// Returns the earliest moment at which the store can have accepted the active document, as
+    /// far as is known: the last one at which the view was confirmed without it.
+    pub fn document_absent_at(&self) -> Option<Moment> {
+        self.document_absent_at
+    }
+
     /// Returns a server.
     pub fn server(&self, id: &ServerId) -> Option<&Server> {
         self.servers.get(id)
@@ -467,6 +476,7 @@
                 let known = self.document.as_ref().map(|known| known.version);
                 if known.is_none_or(|known| known < document.version) {
                     self.document = Some(Arc::new(document));
+                    self.document_absent_at = self.confirmed_at;
                     changes.push(ViewChange::Document);
                 }
             }
--- a/lib/proxy/tests/support.rs
+++ b/lib/proxy/tests/support.rs
@@ -34,6 +34,8 @@
 pub const INCARNATION: u64 = 7;
 /// How long servers may be used after they have announced that they are leaving.
 pub const DRAIN_TIMEOUT: Duration = Duration::from_secs(7);
+/// How soon a configuration must be active everywhere.
+pub const CONFIGURATION_DEADLINE: Duration = Duration::from_secs(5);
 
 pub fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -105,6 +107,8 @@
     pub organisations: Option<Organisations>,
     /// Whether routes are public, in documents put afterwards.
     pub is_public: bool,
+    /// How long transactions may be idle, by documents put afterwards.
+    pub transaction_idle_timeout: Duration,
     /// The group of routes, servers and records that are put afterwards.
     pub group: GroupId,
 }
@@ -122,6 +126,7 @@
             sync_replicas: 0,
             organisations: None,
             is_public: false,
+            transaction_idle_timeout: Duration::from_secs(3),
             group: group(),
         }
     }
@@ -174,7 +179,7 @@
                     sync_replicas: self.sync_replicas,
                 },
             )]),
-            transaction_idle_timeout: Some(Duration::from_secs(3)),
+            transaction_idle_timeout: Some(self.transaction_idle_timeout),
             organisations: self.organisations.clone(),
         };
         self.put_content("document", StoreContent::Document(document));
@@ -341,6 +346,7 @@
         incarnation: INCARNATION,
         domain: "domain-2".into(),
         drain_timeout: Some(DRAIN_TIMEOUT),
+        configuration_deadline: CONFIGURATION_DEADLINE,
     };
     Engine::new(settings, log(), Metrics::new())
 }
--- a/lib/proxy/tests/test_organisations.rs
+++ b/lib/proxy/tests/test_organisations.rs
@@ -206,6 +206,185 @@
     assert!(actions.others.contains(&Action::EndSession(CALLER)), "{:?}", actions.others);
 }
 
+/// A caller whose transaction has run a statement as the organisation `acme`.
+struct TransactionOfAcme {
+    fixture: Fixture,
+    engine: Engine,
+    connection: ConnectionId,
+}
+
+/// The configuration in which another organisation has the caller's key.
+const MOVED: &[(&str, &[&str])] = &[("acme", &[]), ("beta", &["k-1"])];
+/// The configuration in which no organisation has it.
+const REMOVED: &[(&str, &[&str])] = &[("acme", &[]), ("beta", &[])];
+
+impl TransactionOfAcme {
+    fn begin(read_only: bool) -> Self {
+        let mut fixture = Fixture::serving();
+        fixture.transaction_idle_timeout = Duration::from_secs(60);
+        configure(&mut fixture, Some(&[("acme", &["k-1"])]));
+        let mut engine = engine();
+        open(&fixture, &mut engine, CALLER, Some("k-1")).expect("the key is known");
+        request(&fixture, &mut engine, CALLER, Statement::Begin { read_only });
+        let opened = connects(&request(&fixture, &mut engine, CALLER, read("a").expect("a read")));
+        let connection = opened[0].0;
+        accept(&fixture, &mut engine, connection);
+        let mut begun = Self { fixture, engine, connection };
+        begun.answer(SessionState::Transaction);
+        begun.answer(SessionState::Transaction);
+        begun
+    }
+
+    fn answer(&mut self, state: SessionState) -> EngineActions {
+        complete(&self.fixture, &mut self.engine, self.connection, state, None)
+    }
+
+    /// Activates a configuration that the store accepted at most 300 ms ago.
+    fn configure(&mut self, keys: &[(&str, &[&str])]) {
+        self.fixture.advance(ms(300));
+        configure(&mut self.fixture, Some(keys));
+        self.engine.tick(self.fixture.context());
+        self.engine.take_actions();
+    }
+
+    /// Lets a time pass in which the store answers; returns what is done at its end.
+    fn pass(&mut self, time: Duration) -> Vec<Action> {
+        self.fixture.advance(time);
+        let actions = self.tick();
+        self.fixture.refresh();
+        actions
+    }
+
+    fn tick(&mut self) -> Vec<Action> {
+        self.engine.tick(self.fixture.context());
+        self.engine.take_actions()
+    }
+
+    fn request(&mut self, statement: Statement) -> Vec<Action> {
+        request(&self.fixture, &mut self.engine, CALLER, statement)
+    }
+
+    fn is_rolled_back(&self, actions: &[Action]) -> bool {
+        actions.contains(&Action::Send(self.connection, Command::Rollback))
+    }
+
+    /// Checks that a statement is not run and that its failure says so.
+    #[track_caller]
+    fn assert_aborted(&mut self, statement: Statement) {
+        let actions = self.request(statement);
+        assert_eq!(outcomes(&actions).0, [Some(FailureKind::Aborted)]);
+        let is_run = |action: &Action| matches!(action, Action::Send(_, Command::Run { .. }));
+        assert!(!actions.iter().any(is_run), "{actions:?}");
+    }
+}
+
+/// Guards against statements that run as an organisation which has lost the caller's key, for
+/// as long as its transaction lasts.
+#[test]
+fn test_transaction_is_rolled_back_once_its_key_must_not_serve_its_organisation() {
+    for keys in [MOVED, REMOVED] {
+        for is_idle in [true, false] {
+            let mut transaction = TransactionOfAcme::begin(is_idle);
+            transaction.configure(keys);
+            transaction.pass(CONFIGURATION_DEADLINE - ms(301));
+            transaction.request(read("a").expect("a read"));
+            let served = transaction.answer(SessionState::Transaction).answers;
+            assert!(served[0].1.outcome.is_ok(), "it may go on until the deadline");
+            transaction.fixture.advance(ms(1));
+            if is_idle {
+                let actions = transaction.tick();
+                assert!(transaction.is_rolled_back(&actions), "{actions:?}");
+            }
+            transaction.assert_aborted(read("a").expect("a read"));
+            let actions = transaction.request(Statement::Rollback);
+            let ended = if keys == REMOVED { vec![CALLER] } else { Vec::new() };
+            assert_eq!(outcomes(&actions), (vec![None], ended));
+        }
+    }
+}
+
+/// As above, for a commit, which would make the work of the former organisation last.
+#[test]
+fn test_commit_is_refused_once_the_key_must_not_serve_its_organisation() {
+    let mut transaction = TransactionOfAcme::begin(false);
+    transaction.request(write_of("a"));
+    transaction.answer(SessionState::Transaction);
+    transaction.configure(MOVED);
+    transaction.fixture.advance(CONFIGURATION_DEADLINE);
+    transaction.assert_aborted(Statement::Commit);
+    transaction.fixture.refresh();
+    let next = transaction.request(write_of("b"));
+    assert_eq!(connects(&next).first().and_then(|(_, name)| name.as_deref()), Some("beta"));
+}
+
+/// Guards against a deadline that each further version begins anew, and one that is left over
+/// when the key is back.
+#[test]
+fn test_deadline_of_a_transaction_counts_from_the_version_that_took_its_key() {
+    let mut transaction = TransactionOfAcme::begin(false);
+    transaction.configure(MOVED);
+    transaction.pass(ms(2000));
+    transaction.configure(&[("acme", &["k-1"]), ("beta", &[])]);
+    transaction.pass(CONFIGURATION_DEADLINE);
+    transaction.request(read("a").expect("a read"));
+    assert!(transaction.answer(SessionState::Transaction).answers[0].1.outcome.is_ok());
+    transaction.configure(MOVED);
+    transaction.pass(ms(2000));
+    transaction.configure(REMOVED);
+    transaction.fixture.advance(CONFIGURATION_DEADLINE - ms(2600));
+    transaction.assert_aborted(read("a").expect("a read"));
+}
+
+/// Guards against a statement that is cut off though it was sent in time.
+#[test]
+fn test_statement_that_runs_at_the_deadline_of_its_key_is_answered() {
+    let mut transaction = TransactionOfAcme::begin(false);
+    transaction.configure(MOVED);
+    transaction.pass(CONFIGURATION_DEADLINE - ms(400));
+    transaction.request(write_of("a"));
+    transaction.pass(ms(500));
+    assert!(transaction.answer(SessionState::Transaction).answers[0].1.outcome.is_ok());
+    let actions = transaction.tick();
+    assert!(transaction.is_rolled_back(&actions), "{actions:?}");
+}
+
+/// Guards against a transaction that is refused though nothing of it has run yet.
+#[test]
+fn test_transaction_that_has_run_nothing_follows_its_key() {
+    let (mut fixture, mut engine) = serving(&[("acme", &["k-1"])]);
+    open(&fixture, &mut engine, CALLER, Some("k-1")).expect("the key is known");
+    request(&fixture, &mut engine, CALLER, Statement::Begin { read_only: false });
+    configure(&mut fixture, Some(MOVED));
+    engine.tick(fixture.context());
+    let opened = connects(&request(&fixture, &mut engine, CALLER, write_of("a")));
+    assert_eq!(opened.first().and_then(|(_, name)| name.as_deref()), Some("beta"));
+}
+
+/// Guards against transactions that end because their route has changed, which counts from the
+/// next one on.
+#[test]
+fn test_transaction_on_a_route_that_was_public_goes_on() {
+    let mut fixture = Fixture::serving();
+    fixture.is_public = true;
+    fixture.transaction_idle_timeout = Duration::from_secs(60);
+    configure(&mut fixture, Some(&[("acme", &[])]));
+    let mut engine = engine();
+    open(&fixture, &mut engine, CALLER, None).expect("the route is public");
+    request(&fixture, &mut engine, CALLER, Statement::Begin { read_only: false });
+    let connection = connects(&request(&fixture, &mut engine, CALLER, write_of("a")))[0].0;
+    accept(&fixture, &mut engine, connection);
+    for _ in 0..2 {
+        complete(&fixture, &mut engine, connection, SessionState::Transaction, None);
+    }
+    fixture.is_public = false;
+    configure(&mut fixture, Some(&[("acme", &[])]));
+    fixture.advance(CONFIGURATION_DEADLINE);
+    engine.tick(fixture.context());
+    engine.take_actions();
+    let actions = request(&fixture, &mut engine, CALLER, write_of("b"));
+    assert!(matches!(&actions[..], [Action::Send(id, _)] if *id == connection), "{actions:?}");
+}
+
 #[test]
 fn test_moved_key_is_served_as_its_new_organisation_from_the_next_operation_on() {
     let (mut fixture, mut engine) = serving(&[("acme", &["k-1"])]);
