masticreeld: answer requests that outlast the shutdown timeout

Callers whose requests took longer than the shutdown lost their connection without an answer, and transactions that were open ended without a word.

Why it works: every wait of a thread that serves a caller ends at that moment, and the connections are closed after their answers.

--- a/daemon/src/caller/connection.rs
+++ b/daemon/src/caller/connection.rs
@@ -121,12 +121,19 @@
         &self.stream
     }
 
-    /// Returns whether the connection can be closed without interrupting a
-    /// request or transaction.
-    pub(super) fn is_idle(&self) -> bool {
-        self.buffer.is_empty()
-            && self.output.is_empty()
-            && self.session.as_ref().is_none_or(|session| session.is_idle())
+    /// Returns whether the connection can be closed during the shutdown: without interrupting a
+    /// request, and, while requests are served, a transaction.
+    pub(super) fn may_end<Guard, Directory>(
+        &self,
+        context: &CallerContext<Guard, Directory>,
+    ) -> bool {
+        let session = self.session.as_ref();
+        let has_request = !self.buffer.is_empty()
+            || !self.output.is_empty()
+            || session.is_some_and(|session| session.assembler.is_partial());
+        let keeps_transaction = session.is_some_and(|session| session.has_transaction())
+            && !context.shutdown.is_over(Instant::now());
+        !has_request && !keeps_transaction
     }
 
     /// Sends the caller the failure that the instance is shutting down.
@@ -232,7 +239,7 @@
         next: Next,
         context: &CallerContext<Guard, Directory>,
     ) -> Next {
-        let may_close = context.is_draining.load(Ordering::Acquire) && self.is_idle();
+        let may_close = context.is_draining.load(Ordering::Acquire) && self.may_end(context);
         if next == Next::Idle && may_close {
             self.send_shutting_down();
             return Next::Close;
--- a/daemon/src/caller/server.rs
+++ b/daemon/src/caller/server.rs
@@ -34,6 +34,7 @@
 use crate::metrics::Metrics;
 use crate::owner::guard::ServerGuard;
 use crate::settings::LimitSettings;
+use crate::shutdown::ShutdownDeadline;
 
 /// Stack size of a thread that serves callers.
 const WORKER_STACK_BYTES: usize = 512 * 1024;
@@ -57,6 +58,7 @@
     pub(super) incarnation: Incarnation,
     pub(super) cancel_keys: CancelKeys,
     pub(super) is_draining: AtomicBool,
+    pub(super) shutdown: ShutdownDeadline,
     pub(super) memory: CallerMemory,
     pub(super) limits: LimitSettings,
     /// Connections that have not opened a session.
@@ -137,6 +139,8 @@
     pub burn: BurnRateTracker<SystemClock>,
     /// The logger of the instance.
     pub logger: Logger,
+    /// Until when requests are served once the shutdown has begun.
+    pub shutdown: ShutdownDeadline,
     /// Stops the poller thread.
     pub cancellation: CancellationToken,
 }
@@ -175,6 +179,7 @@
             incarnation: parts.incarnation,
             cancel_keys: CancelKeys::default(),
             is_draining: AtomicBool::new(false),
+            shutdown: parts.shutdown,
             memory: memory.clone(),
             limits: limits.clone(),
             starting: AtomicUsize::new(0),
@@ -199,14 +204,16 @@
     }
 
     /// Stops accepting callers, closes connections without a request or transaction,
-    /// and waits until the others have finished theirs and are closed.
+    /// and waits until the others have finished theirs and are closed. Once no request is
+    /// served any more, transactions that wait for their next statement are rolled back.
     ///
     /// Returns whether all connections were closed before the timeout.
     pub fn drain(&self, timeout: Duration) -> bool {
         let deadline = Instant::now() + timeout;
         self.context.is_draining.store(true, Ordering::Release);
         while self.context.connections.load(Ordering::Acquire) > 0 {
-            for mut connection in self.idle_connections.take_if(Connection::is_idle) {
+            let may_close = |connection: &Connection| connection.may_end(&self.context);
+            for mut connection in self.idle_connections.take_if(may_close) {
                 connection.send_shutting_down();
                 self.close(connection);
             }
--- a/daemon/src/caller/session.rs
+++ b/daemon/src/caller/session.rs
@@ -95,10 +95,10 @@
         })
     }
 
-    /// Returns whether the session has no open transaction and no request that
-    /// is partly received.
-    pub(super) fn is_idle(&self) -> bool {
-        self.transaction == Transaction::None && !self.assembler.is_partial()
+    /// Returns whether the session is in a transaction, also in one that has failed or was
+    /// lost.
+    pub(super) fn has_transaction(&self) -> bool {
+        self.transaction != Transaction::None
     }
 
     /// Returns the memory that the session's state holds, in bytes.
--- a/daemon/src/entry/dispatch.rs
+++ b/daemon/src/entry/dispatch.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::bounded;
+use crossbeam_channel::{Receiver, RecvTimeoutError, bounded};
 use masticreel_base::failure::{Failure, FailureKind};
 use masticreel_document::groups::ServerSpec;
 use masticreel_wire::message::{SessionKey, UpstreamRequest};
@@ -14,6 +14,7 @@
 use crate::owner::Owner;
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::{Outcome, Reply};
+use crate::shutdown::ShutdownDeadline;
 
 /// Sends requests to the owners of servers, and prefers owners that have not failed
 /// recently.
@@ -23,18 +24,26 @@
     directory: Directory,
     /// When an owner was last unreachable or refused a server.
     avoided: Mutex<HashMap<OwnerLocation, Instant>>,
+    shutdown: ShutdownDeadline,
 }
 
 /// How long an owner is used last after it was unreachable or refused a server.
 const AVOIDANCE_DURATION: Duration = Duration::from_secs(2);
+/// Interval at which a thread that waits for an answer checks whether the instance stops.
+const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 impl<Guard, Directory> Dispatcher<Guard, Directory>
 where
     Guard: ServerGuard,
     Directory: OwnerDirectory,
 {
-    pub fn new(owner: Arc<Owner<Guard>>, links: LinkPool, directory: Directory) -> Self {
-        Self { owner, links, directory, avoided: Mutex::new(HashMap::new()) }
+    pub fn new(
+        owner: Arc<Owner<Guard>>,
+        links: LinkPool,
+        directory: Directory,
+        shutdown: ShutdownDeadline,
+    ) -> Self {
+        Self { owner, links, directory, avoided: Mutex::new(HashMap::new()), shutdown }
     }
 
     /// Returns the possible owners of a server in the order in which to use them.
@@ -61,7 +70,7 @@
     /// # Errors
     ///
     /// Fails if the owner can't be reached, refuses the request or does not answer
-    /// before the deadline.
+    /// before the deadline or the end of the shutdown.
     pub fn run(
         &self,
         owner: OwnerLocation,
@@ -77,9 +86,12 @@
                 sent.inspect_err(|_| self.avoid(owner))?;
             }
         }
-        let outcome = receiver.recv_deadline(deadline).unwrap_or_else(|_| {
+        let outcome = self.wait(&receiver, deadline).unwrap_or_else(|| {
             self.cancel(owner, session);
-            let message = "the owner of the server did not answer in time";
+            let message = match self.shutdown.is_over(Instant::now()) {
+                true => "the owner of the server did not answer before the instance stops",
+                false => "the owner of the server did not answer in time",
+            };
             Err(Failure::may_have_run(FailureKind::Lost, message))
         });
         if matches!(&outcome, Err(failure) if failure.kind == FailureKind::NotOwner) {
@@ -88,6 +100,20 @@
         outcome
     }
 
+    /// Waits for the outcome of a request until its deadline, or until the instance stops if
+    /// that is earlier.
+    fn wait(&self, receiver: &Receiver<Outcome>, deadline: Instant) -> Option<Outcome> {
+        loop {
+            let deadline = self.shutdown.cap(deadline);
+            let check_at = deadline.min(Instant::now() + SHUTDOWN_CHECK_INTERVAL);
+            match receiver.recv_deadline(check_at) {
+                Ok(outcome) => return Some(outcome),
+                Err(RecvTimeoutError::Timeout) if check_at < deadline => {}
+                Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => return None,
+            }
+        }
+    }
+
     /// Requests that an owner cancels the running request of a session.
     pub fn cancel(&self, owner: OwnerLocation, session: SessionKey) {
         match owner {
--- a/daemon/src/entry/router.rs
+++ b/daemon/src/entry/router.rs
@@ -29,6 +29,7 @@
 use crate::owner::guard::ServerGuard;
 use crate::owner::job::Outcome;
 use crate::settings::LimitSettings;
+use crate::shutdown::ShutdownDeadline;
 use crate::views::Views;
 use crate::views::positions::PositionQueries;
 
@@ -89,6 +90,7 @@
     limits: LimitSettings,
     metrics: Metrics,
     request_limits: RequestLimits,
+    shutdown: ShutdownDeadline,
 }
 
 impl<Guard, Directory> Router<Guard, Directory>
@@ -103,6 +105,7 @@
         failure_domain: FailureDomain,
         limits: LimitSettings,
         metrics: Metrics,
+        shutdown: ShutdownDeadline,
     ) -> Self {
         let request_limits = RequestLimits::new(limits.max_concurrent_requests);
         let positions = PositionQueries::default();
@@ -115,6 +118,7 @@
             limits,
             metrics,
             request_limits,
+            shutdown,
         }
     }
 
@@ -129,7 +133,12 @@
     ///
     /// Fails with a verdict that says whether the request may have run.
     pub fn run(&self, session: &mut RoutedSession, plan: &RequestPlan) -> Outcome {
-        let deadline = Instant::now() + self.limits.request_timeout();
+        let now = Instant::now();
+        if self.shutdown.is_over(now) {
+            let message = "the instance is shutting down";
+            return Err(Failure::not_run(FailureKind::ShuttingDown, message));
+        }
+        let deadline = self.shutdown.cap(now + self.limits.request_timeout());
         let document = self.groups.document();
         let profile = RequestProfile::of(&document, plan)?;
         let attributes = RequestAttributes::new(plan, document.policy())?;
@@ -233,6 +242,7 @@
         failure: &Failure,
     ) -> bool {
         loop {
+            attempts.deadline = self.shutdown.cap(attempts.deadline);
             let RetryDecision::RetryAfter(delay) = attempts.decide(failure) else {
                 return false;
             };
--- a/daemon/src/instance.rs
+++ b/daemon/src/instance.rs
@@ -37,6 +37,7 @@
 use crate::owner::{Owner, OwnerContext};
 use crate::reporter::Reporter;
 use crate::settings::{InstanceSettings, Settings};
+use crate::shutdown::ShutdownDeadline;
 use crate::views::Views;
 use crate::watch::guard::WatchGuard;
 use crate::watch::{ObserverIdentity, Watch};
@@ -81,6 +82,8 @@
     logger: Logger,
     /// Cancelled when the shutdown begins, so that the status shows it.
     stopping: CancellationToken,
+    /// Until when requests are served once the shutdown has begun.
+    shutdown: ShutdownDeadline,
     /// Cancelled when the shutdown has ended, which stops the threads.
     cancellation: CancellationToken,
 }
@@ -134,7 +137,7 @@
             logger,
             &shared.cancellation,
         )?;
-        let dispatcher = Dispatcher::new(owner.clone(), links, directory);
+        let dispatcher = Dispatcher::new(owner.clone(), links, directory, shared.shutdown.clone());
         let router = Router::new(
             dispatcher,
             groups,
@@ -142,6 +145,7 @@
             own.failure_domain.clone(),
             settings.limits.clone(),
             shared.metrics.clone(),
+            shared.shutdown.clone(),
         );
         let callers = CallerServer::start(shared.caller_parts(router, burn), sockets.callers)?;
         info!(logger, "instance started";
@@ -154,6 +158,7 @@
             shutdown_timeout: settings.limits.shutdown_timeout(),
             logger: logger.clone(),
             stopping: shared.stopping,
+            shutdown: shared.shutdown,
             cancellation: shared.cancellation,
         })
     }
@@ -164,7 +169,8 @@
     }
 
     /// Completes the requests in flight, for at most the shutdown timeout, then tells all
-    /// threads to stop without waiting for them.
+    /// threads to stop without waiting for them. Requests that take longer are answered
+    /// shortly before as possibly run, and transactions that are still open are rolled back.
     ///
     /// The instance's own callers are drained first, then its servers. After that
     /// it answers requests of other instances for a while with the failure that
@@ -173,7 +179,9 @@
         info!(self.logger, "instance stopping");
         self.stopping.cancel();
         self.fleet.set_leaving(true);
-        let deadline = Instant::now() + self.shutdown_timeout;
+        let now = Instant::now();
+        self.shutdown.set(now, self.shutdown_timeout);
+        let deadline = now + self.shutdown_timeout;
         if !self.callers.drain(self.shutdown_timeout) {
             warn!(self.logger, "shutdown timeout reached with callers still connected"; "reason" => "timeout");
         }
@@ -213,6 +221,7 @@
     incarnation: Incarnation,
     key: SharedKey,
     stopping: CancellationToken,
+    shutdown: ShutdownDeadline,
     cancellation: CancellationToken,
 }
 
@@ -226,6 +235,7 @@
             incarnation: incarnation(&SystemClock),
             key: SharedKey::from_text(&settings.instance.shared_key),
             stopping: cancellation.child(),
+            shutdown: ShutdownDeadline::default(),
             cancellation,
         }
     }
@@ -336,6 +346,7 @@
             metrics: self.metrics.clone(),
             burn,
             logger: self.logger.clone(),
+            shutdown: self.shutdown.clone(),
             cancellation: self.cancellation.clone(),
         }
     }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod owner;
 pub mod reporter;
 pub mod settings;
+pub mod shutdown;
 pub mod views;
 pub mod watch;
