organisations, stopping: look only at transactions whose key was taken; true reasons

The check of each tick went through all callers; now through those whose transaction is limited. A request that is refused or times out during a shutdown for another reason than that is told that one.

--- a/lib/proxy/src/engine.rs
+++ b/lib/proxy/src/engine.rs
@@ -222,6 +222,9 @@
     keys_checked_in: u64,
     /// The last version in which the organisations of open transactions were checked.
     transactions_checked_in: u64,
+    /// Callers whose transaction may go on only for a while, as its organisation no longer
+    /// holds their key; may contain callers whose transaction has ended since.
+    former_holders: BTreeSet<CallerId>,
     /// When `warm_up` checks the next server.
     next_warm_up: Moment,
     /// The shutdown in progress, if the process was told to stop.
@@ -249,6 +252,7 @@
             warmed_up: BTreeSet::new(),
             keys_checked_in: 0,
             transactions_checked_in: 0,
+            former_holders: BTreeSet::new(),
             next_warm_up: Moment::default(),
             shutdown: None,
             actions: Vec::new(),
--- a/lib/proxy/src/engine/expiry.rs
+++ b/lib/proxy/src/engine/expiry.rs
@@ -124,7 +124,9 @@
                 FailureKind::Busy,
                 format!("not run: no server could take it in time; the last said {}", failure.kind),
             ),
-            _ if self.shutdown.is_some() => Failure::new(FailureKind::Busy, STOPPING),
+            _ if self.stops_before_answer(&pending.route, context.now) => {
+                Failure::new(FailureKind::Busy, STOPPING)
+            }
             _ => Failure::new(FailureKind::Busy, "not run: no server could take it in time"),
         };
         if matches!(caller.transaction, Transaction::Open(_)) {
@@ -142,6 +144,11 @@
         let used = self.connections.get(connection);
         let is_work_unanswered = used.is_some_and(|used| used.expected.contains(&Expected::Work));
         let has_run = used.is_some_and(|used| used.unverified.is_some());
+        let text = if self.are_answers_over(context.now) {
+            "the server did not answer before the instance stops"
+        } else {
+            "the server did not answer in time"
+        };
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
         };
@@ -150,10 +157,6 @@
         };
         pending.may_have_run |= has_run;
         let tag = Arc::clone(&pending.tag);
-        let text = match self.shutdown {
-            Some(_) => "the server did not answer before the instance stops",
-            None => "the server did not answer in time",
-        };
         let timeout = Failure::new(FailureKind::Timeout, text);
         if !is_work_unanswered {
             self.detach_caller(connection);
--- a/lib/proxy/src/engine/identity.rs
+++ b/lib/proxy/src/engine/identity.rs
@@ -61,7 +61,9 @@
         match &caller.transaction {
             Transaction::None => {}
             Transaction::Open(_) => {
-                check_holder(context, caller, self.settings.configuration_deadline);
+                if check_holder(context, caller, self.settings.configuration_deadline) {
+                    self.former_holders.insert(id);
+                }
                 if is_entitlement_over(caller, context.now) {
                     self.roll_back_as_former_holder(context, id);
                 }
@@ -92,17 +94,24 @@
         let deadline = self.settings.configuration_deadline;
         if version != self.transactions_checked_in {
             self.transactions_checked_in = version;
-            for caller in self.callers.values_mut() {
-                check_holder(context, caller, deadline);
+            for (id, caller) in &mut self.callers {
+                if check_holder(context, caller, deadline) {
+                    self.former_holders.insert(*id);
+                }
             }
         }
-        let ended: Vec<CallerId> = self
-            .callers
-            .iter()
-            .filter(|(_, caller)| caller.pending.is_none())
-            .filter(|(_, caller)| is_entitlement_over(caller, context.now))
-            .map(|(id, _)| *id)
-            .collect();
+        let callers = &self.callers;
+        self.former_holders.retain(|id| {
+            callers.get(id).is_some_and(|caller| {
+                matches!(&caller.transaction, Transaction::Open(open) if open.entitled_until.is_some())
+            })
+        });
+        let is_due = |id: &&CallerId| {
+            self.callers.get(*id).is_some_and(|caller| {
+                caller.pending.is_none() && is_entitlement_over(caller, context.now)
+            })
+        };
+        let ended: Vec<CallerId> = self.former_holders.iter().filter(is_due).copied().collect();
         for id in ended {
             self.roll_back_as_former_holder(context, id);
         }
@@ -124,12 +133,17 @@
 }
 
 /// Updates until when a caller's open transaction may go on, by the active configuration.
+/// Returns whether that is limited.
 ///
 /// The deadline counts from the last moment at which the store is known not to have had that
 /// configuration, so it is too early rather than too late.
-fn check_holder(context: Context<'_>, caller: &mut Caller, configuration_deadline: Duration) {
+fn check_holder(
+    context: Context<'_>,
+    caller: &mut Caller,
+    configuration_deadline: Duration,
+) -> bool {
     let Transaction::Open(open) = &mut caller.transaction else {
-        return;
+        return false;
     };
     // A change of the route itself applies from the next transaction on.
     let holder = organisation_on(context, open.route.is_public, caller.key.as_ref());
@@ -139,12 +153,13 @@
         Ok(holder) if is_unused || holder == open.organisation => {
             open.organisation = holder;
             open.entitled_until = None;
-            return;
+            return false;
         }
         Ok(_) | Err(_) => {}
     }
     let accepted_after = context.view.document_absent_at().unwrap_or(context.now);
     open.entitled_until.get_or_insert(accepted_after + configuration_deadline);
+    true
 }
 
 fn is_entitlement_over(caller: &Caller, now: Moment) -> bool {
--- a/lib/proxy/src/engine/stopping.rs
+++ b/lib/proxy/src/engine/stopping.rs
@@ -11,7 +11,7 @@
 use crate::shutdown::Shutdown;
 use crate::statement::{Failure, FailureKind};
 
-/// The reason for refusals that another instance would not give.
+/// The reason with which work is refused that another instance could serve.
 pub(super) const STOPPING: &str = "not run: the instance is stopping";
 
 impl Engine {
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Returns whether all requests have to be answered by now, as the process stops.
+    pub(super) fn are_answers_over(&self, now: Moment) -> bool {
+        self.shutdown.is_some_and(|shutdown| now >= shutdown.answers_end_at())
+    }
+
     /// Returns the deadline of a request that is received now.
     pub(super) fn deadline(&self, route: &Route, now: Moment) -> Moment {
         let deadline = now + route.statement_timeout;
--- a/lib/proxy/src/event_loop.rs
+++ b/lib/proxy/src/event_loop.rs
@@ -94,6 +94,7 @@
 /// How long a caller may take to close its connection after the instance has ended its
 /// session.
 const CALLER_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What a connection is used for, which decides how its events are handled.
 #[derive(Debug)]
 enum Use {
