--- a/lib/proxy/tests/test_own_commits.rs
+++ b/lib/proxy/tests/test_own_commits.rs
@@ -93,6 +93,12 @@
         ready(&self.fixture, &mut self.engine, connection, state, None);
     }
 
+    /// Sends a statement of the session that no server is needed for.
+    fn answer_locally(&mut self, statement: Statement) {
+        self.engine.request(self.fixture.context(), SESSION, "t".into(), Ok(statement));
+        assert!(take_engine_actions(&mut self.engine).sent.is_empty());
+    }
+
     fn commit(&mut self, id: CallerId, request: Request, at: Option<TermPosition>) {
         let (connection, _) = self.send(id, request);
         let idle = SessionState::Idle;
@@ -110,44 +116,41 @@
     }
 }
 
-/// Guards against a session's own commit that is forgotten when the session commits in another
-/// group, so that a replica without it answers the session's reads.
+/// Guards against a session's own commit that is forgotten when the session commits in other
+/// groups, so that a replica without it answers the session's reads: with single statements,
+/// prepared ones and transactions.
 #[test]
-fn test_read_sees_the_own_commit_after_one_in_another_group() {
-    let mut groups = Groups::start();
-    groups.commit(SESSION, write("a"), Some(position(1, 9)));
-    assert_eq!(groups.floor_of_read(read("a")), Some(position(1, 9)));
-    groups.lead_to("archive");
-    groups.commit(SESSION, write("a"), Some(position(1, 1)));
-    groups.lead_to(group().as_str());
-    assert_eq!(groups.floor_of_read(read("a")), Some(position(1, 9)));
-}
-
-/// As above, with commits of transactions and of prepared statements, and a third group.
-#[test]
-fn test_read_sees_own_commits_of_all_kinds_after_ones_in_other_groups() {
-    let mut groups = Groups::start();
-    groups.add_group("third", "s5");
-    let shape = |access| PreparedStatement { access, text: "x".into() };
-    let prepare =
-        |name: &str, access| Ok(Statement::Prepare { name: name.into(), shape: shape(access) });
-    for statement in [prepare("w", Access::Write), prepare("r", Access::Read)] {
-        groups.engine.request(groups.fixture.context(), SESSION, "t".into(), statement);
-    }
-    let execute = |name: &str| Ok(Statement::Execute { name: name.into(), arguments: "a".into() });
-    let begin = Ok(Statement::Begin { read_only: false });
-    groups.engine.request(groups.fixture.context(), SESSION, "t".into(), begin);
-    take_engine_actions(&mut groups.engine);
-    let (connection, _) = groups.send(SESSION, execute("w"));
-    let in_transaction = SessionState::Transaction;
-    complete(&groups.fixture, &mut groups.engine, connection, in_transaction, None);
-    groups.commit(SESSION, Ok(Statement::Commit), Some(position(1, 9)));
-    for name in ["archive", "third"] {
-        groups.lead_to(name);
-        groups.commit(SESSION, execute("w"), Some(position(1, 2)));
+fn test_read_sees_the_own_commit_after_ones_in_other_groups() {
+    for (is_prepared, is_transaction) in [(false, false), (true, false), (false, true)] {
+        let mut groups = Groups::start();
+        groups.add_group("third", "s5");
+        let (mut read, mut write) = (read("a"), write("a"));
+        if is_prepared {
+            for (name, access) in [("r", Access::Read), ("w", Access::Write)] {
+                let shape = PreparedStatement { access, text: "x".into() };
+                groups.answer_locally(Statement::Prepare { name: name.into(), shape });
+            }
+            let execute =
+                |name: &str| Statement::Execute { name: name.into(), arguments: "a".into() };
+            (read, write) = (Ok(execute("r")), Ok(execute("w")));
+        }
+        if is_transaction {
+            groups.answer_locally(Statement::Begin { read_only: false });
+            let (connection, _) = groups.send(SESSION, write.clone());
+            let in_transaction = SessionState::Transaction;
+            complete(&groups.fixture, &mut groups.engine, connection, in_transaction, None);
+            groups.commit(SESSION, Ok(Statement::Commit), Some(position(1, 9)));
+        } else {
+            groups.commit(SESSION, write.clone(), Some(position(1, 9)));
+        }
+        assert_eq!(groups.floor_of_read(read.clone()), Some(position(1, 9)));
+        for name in ["archive", "third"] {
+            groups.lead_to(name);
+            groups.commit(SESSION, write.clone(), Some(position(1, 2)));
+        }
+        groups.lead_to(group().as_str());
+        assert_eq!(groups.floor_of_read(read), Some(position(1, 9)));
     }
-    groups.lead_to(group().as_str());
-    assert_eq!(groups.floor_of_read(execute("r")), Some(position(1, 9)));
 }
 
 /// Guards against a commit without a known position, of which only the primary is certain to
--- a/lib/proxy/tests/test_stopping.rs
+++ b/lib/proxy/tests/test_stopping.rs
@@ -76,37 +76,33 @@
 }
 
 /// Guards against a write that a server is running when the process ends, and whose caller
-/// loses its connection without an answer.
+/// loses its connection without an answer, also if it was received before the signal to stop.
 #[test]
 fn test_write_that_a_server_still_runs_is_answered_before_the_process_ends() {
-    let mut fixture = Fixture::serving();
-    let (mut engine, connection) = open(&mut fixture);
-    let shutdown = shutdown(&fixture);
-    engine.set_shutdown(shutdown);
-    advance_to(&mut fixture, &mut engine, shutdown.answers_end_at().saturating_sub(ms(200)));
-    engine.request(fixture.context(), CALLER, "late".into(), write("a"));
-    assert!(is_sent(&take_engine_actions(&mut engine)), "its answer can arrive in time");
-    advance_to(&mut fixture, &mut engine, shutdown.answers_end_at());
-    let actions = take_engine_actions(&mut engine);
-    let (kind, text) = failure(&actions).expect("the write is answered");
-    assert_eq!(kind, FailureKind::Timeout, "a server may have run it");
-    assert!(!text.contains("not run"), "{text}");
-    assert_eq!(actions.disconnects, [connection]);
-}
-
-/// Guards against a request that was received before the signal to stop and outlives the
-/// process with its own timeout.
-#[test]
-fn test_request_from_before_the_shutdown_is_answered_before_the_process_ends() {
-    let mut fixture = Fixture::serving();
-    let (mut engine, _) = open(&mut fixture);
-    engine.request(fixture.context(), CALLER, "early".into(), write("a"));
-    assert!(is_sent(&take_engine_actions(&mut engine)));
-    let shutdown = Shutdown::new(fixture.now, ms(1000));
-    engine.set_shutdown(shutdown);
-    advance_to(&mut fixture, &mut engine, shutdown.answers_end_at());
-    let answer = failure(&take_engine_actions(&mut engine));
-    assert_eq!(answer.map(|(kind, _)| kind), Some(FailureKind::Timeout));
+    for is_from_before in [true, false] {
+        let mut fixture = Fixture::serving();
+        let (mut engine, connection) = open(&mut fixture);
+        let shutdown = Shutdown::new(fixture.now, ms(1500));
+        if is_from_before {
+            engine.request(fixture.context(), CALLER, "early".into(), write("a"));
+            engine.set_shutdown(shutdown);
+        } else {
+            engine.set_shutdown(shutdown);
+            advance_to(
+                &mut fixture,
+                &mut engine,
+                shutdown.answers_end_at().saturating_sub(ms(200)),
+            );
+            engine.request(fixture.context(), CALLER, "late".into(), write("a"));
+        }
+        assert!(is_sent(&take_engine_actions(&mut engine)), "its answer can arrive in time");
+        advance_to(&mut fixture, &mut engine, shutdown.answers_end_at());
+        let actions = take_engine_actions(&mut engine);
+        let (kind, text) = failure(&actions).expect("the write is answered");
+        assert_eq!(kind, FailureKind::Timeout, "a server may have run it");
+        assert!(!text.contains("not run"), "{text}");
+        assert_eq!(actions.disconnects, [connection]);
+    }
 }
 
 /// Guards against statements and sessions that are taken when they can't be answered any more.
@@ -235,27 +231,23 @@
 }
 
 /// Guards against a commit whose outcome is unknown because the owner stops while a server
-/// runs it.
+/// runs it, and against a transaction that is idle at a server until the process ends.
 #[test]
-fn test_relayed_transaction_that_would_end_too_late_is_rolled_back() {
-    let mut owner = StoppingOwner::new();
-    let (session, connection) = owner.open_transaction();
-    owner.advance_to(owner.shutdown.answers_end_at().saturating_sub(ms(50)));
-    let actions = owner.run(session);
-    assert!(actions.contains(&RelayAction::Send(connection, Command::Rollback)), "{actions:?}");
-    assert_eq!(actions.iter().find_map(failure_kind), Some(FailureKind::Busy), "{actions:?}");
-    owner.answer(connection, SessionState::Idle);
-    assert!(!owner.relays.is_busy());
-}
-
-/// Guards against a transaction that is idle at a server until the process ends.
-#[test]
-fn test_idle_relayed_transaction_is_rolled_back_before_the_process_ends() {
-    let mut owner = StoppingOwner::new();
-    let (session, connection) = owner.open_transaction();
-    let before = owner.advance_to(owner.shutdown.answers_end_at().saturating_sub(ms(10)));
-    assert!(!before.contains(&RelayAction::End(session)), "{before:?}");
-    let actions = owner.advance_to(owner.shutdown.answers_end_at());
-    assert!(actions.contains(&RelayAction::Send(connection, Command::Rollback)), "{actions:?}");
-    assert!(actions.contains(&RelayAction::End(session)), "{actions:?}");
+fn test_relayed_transaction_is_rolled_back_before_the_process_ends() {
+    for is_idle in [true, false] {
+        let mut owner = StoppingOwner::new();
+        let (session, connection) = owner.open_transaction();
+        let before = owner.advance_to(owner.shutdown.answers_end_at().saturating_sub(ms(50)));
+        assert!(!before.contains(&RelayAction::End(session)), "{before:?}");
+        let actions = match is_idle {
+            true => owner.advance_to(owner.shutdown.answers_end_at()),
+            false => owner.run(session),
+        };
+        assert!(actions.contains(&RelayAction::Send(connection, Command::Rollback)), "{actions:?}");
+        assert_eq!(actions.contains(&RelayAction::End(session)), is_idle, "{actions:?}");
+        let refused = (!is_idle).then_some(FailureKind::Busy);
+        assert_eq!(actions.iter().find_map(failure_kind), refused, "{actions:?}");
+        owner.answer(connection, SessionState::Idle);
+        assert!(!owner.relays.is_busy());
+    }
 }
